--- /dev/null
+++ b/lanemux/policy.py
@@ -0,0 +1,792 @@
+"""Every decision of lanemux. The types it takes and gives are in `lanemux/interface.py`.
+
+A request passes its tenant's Throttle, may wait in one line, and goes to the lightest upstream drawn."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter, deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from lanemux import interface as api
+
+SECOND = 1_000_000_000
+DRAWS = 2  # random draws beside the previous winner
+HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
+DEAR_HOME = 1  # least home where each open connection has a price: connections are scarce or work there
+GOLDEN = 0.618033988749895
+SCAN = 16  # most upstreams looked at for one send: work on a request must not grow with the fleet
+FRESH_NS = 3 * SECOND  # a load reported longer ago says nothing
+BANK_S = 0.5  # C_T in seconds of tokens
+HOLD_PART = 0.2  # C_J as a part of C_T
+START_RATE = 10_000.0  # R starts above anything a proxy carries
+FEEDBACK_NS = SECOND // 2
+TOLERATED = 0.1  # share of bad outcomes that says nothing
+DEEPEST_CUT = 0.3  # of R in one feedback interval
+SICK_PART = 0.5  # the worse half of the upstreams may fail without R being judged
+LIMIT_MAX, LOAD_MAX = 64, 1e6
+KEPT = 0.98  # of evidence on what requests take, an outcome
+FADE = 0.95  # of evidence on crowding, a feedback interval
+MORE = 1.05  # one more in flight must raise what an upstream finishes by this
+LOOKS = 3  # upstreams asked for their load before a send, where that is cheap
+LOOK_PRICE = 0.01  # most that the looks of a request may cost
+LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
+LINE_PART = 0.5  # of a request's time to spare may go by in the line
+OVER_PART = 0.1  # the same for a tenant over its share
+COLD_PART = 0.7  # part of a cold upstream's budget that is used
+BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
+EVIDENCE = 8  # outcomes before a figure is believed
+FAILURES = (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET)
+
+
+def mixed(number: int, salt: int) -> int:
+    """A fixed scramble of an id: the same on every proxy, whatever the hash seed."""
+    x = (number * 0x9E3779B97F4A7C15 + salt * 0xD1B54A32D192ED03 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF
+    x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    return x ^ (x >> 32)
+
+
+def scrambled(servers: Iterable[Server], salt: int) -> list[Server]:
+    """In an order that depends on the salt and their ids alone."""
+    return sorted(servers, key=lambda s: (mixed(s.id, salt), s.id))
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request."""
+
+    server: Server
+    sent_ns: int
+    expected: float
+    load: float  # what the upstream was thought to hold then, this one included
+    result: api.Result | None = None
+    may_have_run: bool = True  # until its outcome proves the contrary
+
+    def learn(self, result: api.Result, rules: api.Rules) -> None:
+        """Note its outcome. "Full" proves nothing where upstreams also drop what they had begun."""
+        self.result = result
+        self.may_have_run = (result not in api.NEVER_RAN
+                             or (result is api.Result.FULL and rules.full_unproven))
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """What one request may still do: each send and refusal is proved legal here (rules 1 to 3, placement)."""
+
+    id: str
+    cls: api.RequestClass
+    pool: Pool  # the upstreams that its class may use
+    tenant: Throttle
+    deadline_ns: int
+    aim_ns: int  # an answer by then earns the full worth
+    hint: int
+    attempts: list[Attempt] = field(default_factory=list)
+    over: bool = False
+    begun: bool = False  # its stream has begun
+    place: str = ""  # "held" by its throttle, in the "line", or ""
+    give_up_ns: int = 0  # waiting longer than this is of no use
+    asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
+    asked_ns: int = 0
+
+    @property
+    def out(self) -> int:
+        return sum(a.result is None for a in self.attempts)
+
+    def may_send(self, server: Server, now: int, limits: api.Limits) -> bool:
+        if self.over or self.begun or now >= self.deadline_ns or len(self.attempts) >= limits.max_attempts:
+            return False
+        if not self.pool.admits(server.entry):
+            return False
+        if server.entry.state is not api.State.READY or self.out >= (2 if limits.second_copies else 1):
+            return False
+        risky = [a for a in self.attempts if a.may_have_run]
+        if not risky or self.cls.effect is api.Effect.SAFE:
+            return True
+        fresh = self.cls.effect is api.Effect.KEYED and now - risky[0].sent_ns < self.cls.window_ns
+        return fresh and all(self._same_group(a.server, server) for a in risky)
+
+    def may_refuse(self) -> bool:
+        everywhere = self.cls.effect is api.Effect.KEYED and self.cls.scope is api.Scope.ALL
+        return (self.cls.effect is api.Effect.SAFE or everywhere
+                or not any(a.may_have_run for a in self.attempts))
+
+    def _same_group(self, x: Server, y: Server) -> bool:
+        if self.cls.scope is api.Scope.ALL:
+            return True
+        a, b = x.entry, y.entry
+        return a.zone == b.zone and (self.cls.scope is api.Scope.ZONE or a.cell == b.cell)
+
+
+class Throttle:
+    """One tenant's gate: the paper's counter U = T - J + C_J in [0, C_J + C_T] (2.1), (2.8)."""
+
+    def __init__(self, weight: float, rng: random.Random, now: int) -> None:
+        self.weight = weight
+        self.bank = round(START_RATE * BANK_S)  # C_T
+        self.hold = round(self.bank * HOLD_PART)  # C_J
+        self.u = self.bank + self.hold  # starts full
+        self.rate = START_RATE
+        self.credit = rng.random()  # phase of the ticks: proxies must not release their holds in step
+        self.at = now
+        self.held: deque[Request] = deque()
+        self.asked = 0
+        self.demand = 0.0  # requests a second, learned
+        self.waking = False  # a timer for the next token is set
+        self.over = False
+        self.short = False  # a request found no token since R was last set
+
+    def set_rate(self, rate: float, now: int) -> None:
+        """Change the rate and with it the capacities; tokens in the bank and requests held stay."""
+        self.accrue(now)
+        balance = self.u - self.hold  # T - J
+        self.rate = rate
+        self.bank = max(4, round(rate * BANK_S))
+        self.hold = max(1, round(self.bank * HOLD_PART), len(self.held))
+        self.u = max(0, min(self.bank + self.hold, balance + self.hold))
+
+    def accrue(self, now: int) -> None:
+        self.credit += self.rate * (now - self.at) / SECOND
+        ticks = int(self.credit)
+        self.at, self.credit = now, self.credit - ticks
+        self.u = min(self.bank + self.hold, self.u + ticks)
+
+    def offer(self, request: Request, now: int) -> bool | None:
+        """True: send; None: held; False: overflow."""
+        self.accrue(now)
+        self.asked += 1
+        if self.u <= self.hold:
+            self.short = True
+        if self.u < 1:
+            return False
+        self.u -= 1
+        if self.u >= self.hold:
+            return True
+        self.held.append(request)
+        return None
+
+    def spare(self, now: int) -> bool:
+        """Take a token for a copy or a client's retry, if fresh work leaves part of the bank unused."""
+        self.accrue(now)
+        if self.u - self.hold <= self.bank // 4:
+            return False
+        self.u -= 1
+        return True
+
+    def released(self, now: int) -> Iterable[Request]:
+        self.accrue(now)
+        while len(self.held) > max(0, self.hold - self.u):
+            yield self.held.popleft()
+
+    def leave(self, request: Request) -> None:
+        """A held request ends: the token it waited for is not needed."""
+        self.held.remove(request)
+        self.u += 1
+
+
+class Rate:
+    """The proxy's rate R, learned from how attempts end, and its division among the tenants."""
+
+    def __init__(self, throttles: Sequence[Throttle], now: int) -> None:
+        self.throttles = throttles
+        self.value = START_RATE
+        self.since = now
+        self.sent = 0.0  # attempts ended a second
+        self.served = START_RATE  # and those of them in time
+        self.good = 0
+        self.unplaced = 0  # requests that no upstream had room for in time
+        self.bad: Counter[int] = Counter()  # by upstream
+
+    def adjust(self, now: int, width: int) -> None:
+        elapsed = now - self.since
+        bad = sorted(self.bad.values(), reverse=True)
+        total = self.good + sum(bad) + self.unplaced
+        # A proxy with little traffic waits for enough outcomes, but not for ever.
+        if elapsed < FEEDBACK_NS or (total < EVIDENCE and elapsed < 4 * FEEDBACK_NS):
+            return
+        # The worse half of the upstreams does not count: one sick server is not an overloaded fleet. All but
+        # one of a small home is more than that: a crowded fleet went unseen (incident i430663).
+        sick = int(width * SICK_PART)
+        self.served = self.good * SECOND / elapsed
+        share = (sum(bad[sick:]) + self.unplaced) / total if total else 0.0
+        self.sent = (self.good + sum(bad)) * SECOND / elapsed
+        if share > TOLERATED:
+            # After a shrink R stands far above what is served: come down to that first.
+            cut = min(self.value, 1.2 * self.sent + 1) * (1 - min(DEEPEST_CUT, share / 2))
+            self.value = max(1.0, 0.9 * self.served, cut)
+        elif total and any(t.short for t in self.throttles):
+            self.value = min(START_RATE, self.value * 1.1 + 0.5)
+        for t in self.throttles:
+            t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
+            t.asked, t.short = 0, False
+        self._share(now)
+        self.since, self.good, self.unplaced = now, 0, 0
+        self.bad.clear()
+
+    def _share(self, now: int) -> None:
+        """Fair shares of R by weight; what quiet tenants leave is lent to those who want more."""
+        whole = sum(t.weight for t in self.throttles)
+        lent, fair = self._fill(self.value), self._fill(self.served)
+        for i, t in enumerate(self.throttles):
+            t.set_rate(max(0.05, self.value * t.weight / whole, lent[i]), now)
+            t.over = t.demand > 1.1 * fair[i]  # it asks more than its share of what is served
+
+    def _fill(self, left: float) -> list[float]:
+        shares, weights = [0.0] * len(self.throttles), sum(t.weight for t in self.throttles)
+        for i, t in sorted(enumerate(self.throttles), key=lambda it: (it[1].demand / it[1].weight, it[0])):
+            shares[i] = min(t.demand, left * t.weight / weights)
+            left, weights = max(0.0, left - shares[i]), max(1e-9, weights - t.weight)
+        return [share + left for share in shares]
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this proxy knows of one upstream."""
+
+    id: int
+    entry: api.Upstream
+    inflight: int = 0  # own requests there
+    since_ns: int = 0  # for how long it has held that many
+    pace: float = 1.0  # its time for a request against the fleet's
+    strikes: int = 0
+    barred_ns: int = 0  # not to be tried before this
+    own: bool = False  # in a home of this proxy
+    sharers: float = 1.0  # proxies that have it in their home
+    load: float = 0.0  # requests it holds from all proxies, by its last report
+    load_ns: int = 0
+
+    def hear(self, load: float | None, now: int) -> None:
+        """Take a reported load; what cannot be one (negative, huge, not a number) says nothing."""
+        if load is not None and 0 <= load < LOAD_MAX:
+            self.load, self.load_ns = load, now
+
+    def told(self, now: int) -> bool:
+        return now - self.load_ns < FRESH_NS
+
+    def crowd(self, now: int) -> float:
+        """Requests it is thought to hold: as reported not long ago, never under this proxy's own."""
+        return max(self.inflight, self.load) if self.told(now) else self.inflight
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """The upstreams that one placement admits, in this proxy's order, and the requests that wait for them."""
+
+    zones: frozenset[str] | None
+    kinds: frozenset[str] | None
+    order: list[Server] = field(default_factory=list)  # ready ones, this proxy's home first
+    home: int = 0
+    width: int = 0  # how many of `order` it draws from
+    last: Server | None = None  # the previous winner
+    line: deque[Request] = field(default_factory=deque)
+    blocked_ns: int = 0  # the line found no upstream since
+
+    def admits(self, entry: api.Upstream) -> bool:
+        return ((self.zones is None or entry.zone in self.zones)
+                and (self.kinds is None or entry.kind in self.kinds))
+
+
+class Fleet:
+    """Membership, cold starts, health, and which upstreams this proxy draws from."""
+
+    def __init__(self, settings: api.Settings, crowding: Crowding, rng: random.Random) -> None:
+        self.settings = settings
+        self.crowding = crowding
+        self.rng = rng
+        self.servers: dict[int, Server] = {}
+        self.pools: dict[tuple[frozenset[str] | None, frozenset[str] | None], Pool] = {}
+        self.any = self.pool(api.RequestClass(""))
+        for cls in settings.classes.values():
+            self.pool(cls)
+        self.looks = (settings.limits.probes and "inflight" in settings.report_columns
+                      and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
+        self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
+        self.known: tuple[int, ...] = ()  # the ready ones, as last arranged
+        self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
+
+    def pool(self, cls: api.RequestClass) -> Pool:
+        placement = (cls.zones, cls.kinds)
+        if placement not in self.pools:
+            self.pools[placement] = Pool(*placement)
+        return self.pools[placement]
+
+    def learn(self, update: api.ListUpdate, now: int) -> None:
+        if update.kind is not api.ListKind.DELTA:
+            listed = {e.id for e in update.upstreams}
+            for s in self.servers.values():
+                if s.id not in listed:
+                    s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+        for entry in update.upstreams:
+            if entry.id not in self.servers:
+                self.servers[entry.id] = Server(entry.id, entry)
+            s = self.servers[entry.id]
+            if entry.started_ns != s.entry.started_ns:
+                s.strikes = s.barred_ns = 0
+            s.entry = entry
+            if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
+                # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
+                size = self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
+                s.hear(size / entry.weight - 1, now)
+        known = tuple(s.id for s in self.servers.values() if s.entry.state is api.State.READY)
+        if known != self.known:  # else only weights have changed, as they do all the time
+            self.known = known
+            self._arrange_all()
+
+    def _arrange_all(self) -> None:
+        ready = scrambled((s for s in self.servers.values() if s.entry.state is api.State.READY), 0)
+        # Nothing is kept of upstreams that are gone and hold nothing of ours: lists change for ever.
+        self.servers = {i: s for i, s in self.servers.items()
+                        if s.entry.state is not api.State.GONE or s.inflight}
+        for s in self.servers.values():
+            s.own, s.sharers = False, 1.0
+        for pool in self.pools.values():
+            self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
+
+    def _arrange(self, pool: Pool, ready: list[Server]) -> None:
+        """Extension: a proxy's home is its stretch of one ring that all proxies compute alike, so that its
+        own requests in flight say something of the upstream. Beyond it, an order of its own. Where open
+        connections have a price the home is small, and in the proxy's own zone if crossing has one too."""
+        me, near, prices = self.settings.me, ready, self.settings.prices
+        proxies = max(1, self.settings.replicas_of_me)
+        # With fewer proxies than zones, zones without one would be left idle.
+        if prices.connection > 0 < prices.cross_zone and proxies >= len(self.settings.zones):
+            near = [s for s in ready if s.entry.zone == self.settings.zone] or ready
+        n = len(near)
+        first = me * n // proxies
+        if n < len(ready) or pool.zones is not None:
+            # Which peers share the zone is not told: golden-ratio steps are even over any part of them.
+            proxies, first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
+        least = DEAR_HOME if prices.connection > 0 else max(HOME[0], min(HOME[1], SHARED * n // proxies))
+        pool.home = len(ready) if self.looks else min(n, max(least, -(-n // proxies)))
+        ring = near[first:] + near[:first]
+        inside = {s.id for s in near}
+        far = [s for s in ready if s.id not in inside]
+        pool.order = ring[:pool.home] + scrambled(ring[pool.home:], me + 1) + scrambled(far, me + 1)
+        for s in pool.order[:pool.home]:
+            s.own, s.sharers = True, max(s.sharers, proxies * pool.home / n)
+        pool.width = pool.home
+
+    def cold(self, s: Server, now: int) -> bool:
+        return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
+
+    def cold_gap_ns(self, s: Server, now: int) -> int:
+        """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        rules = self.settings.rules
+        part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
+        bears = max(self.borne, SECOND / self.crowding.each / s.sharers)
+        return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
+
+    def limit_of(self, s: Server, now: int) -> int:
+        if not s.own:  # other proxies fill it, and own counts say little of it
+            return int(not s.strikes and not self.cold(s, now))
+        if s.strikes:
+            return 1
+        return max(1, self.crowding.limit // 2) if self.cold(s, now) else self.crowding.limit
+
+    def fit(self, s: Server, now: int) -> bool:
+        return (s.entry.state is api.State.READY and now >= s.barred_ns
+                and s.inflight < self.limit_of(s, now))
+
+    def bar(self, s: Server, now: int, base: float) -> None:
+        """Leave a failing upstream alone, longer each time, unless that would leave hardly any."""
+        if s.barred_ns > now:
+            return  # what was out there when it stood still fails together: one strike for it
+        s.strikes += 1
+        if all(sum(o.barred_ns > now for o in p.order[:p.width]) < 0.7 * p.width
+               for p in self.pools.values() if s in p.order[:p.width]):
+            length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
+            s.barred_ns = now + int(length * self.rng.uniform(0.75, 1.25))
+
+    def draw(self, pool: Pool, count: int, now: int) -> list[Server]:
+        """So many random draws from the fit ones within reach, and the previous winner."""
+        n, chance = pool.width, self.rng.random
+        near = pool.order[:n] if n <= SCAN else [pool.order[int(chance() * n)] for _ in range(SCAN)]
+        fit = [s for s in near if self.fit(s, now)]
+        drawn = [fit[int(chance() * len(fit))] for _ in range(count)] if fit else []
+        if pool.last is not None and self.fit(pool.last, now) and pool.last in pool.order[:n]:
+            drawn.append(pool.last)
+        return drawn
+
+    def pick(self, pool: Pool, now: int, allowed: Iterable[Server] | None = None) -> Server | None:
+        """The lightest, by requests held and learned speed, of two draws and the previous winner."""
+        drawn = self.draw(pool, DRAWS, now) if allowed is None else [s for s in allowed if self.fit(s, now)]
+        pool.last = min(drawn, key=lambda s: (s.crowd(now) + 1) * s.pace, default=pool.last)
+        return pool.last if drawn else None
+
+
+class Crowding:
+    """Learns what requests take, and how many of our own in flight an upstream still gains from.
+
+    Extension: while upstreams hold k of this proxy's requests, how often does one finish? An upstream that
+    finishes no more with k than with k - 1 is crowded, and the line is the better place to wait (6.1).
+    """
+
+    def __init__(self) -> None:
+        self.limit = 1
+        self.lifted_ns = 0
+        self.sums = [0.0] * 5
+        self.base = 0.0  # time of a request that waits for no other
+        self.each = SECOND / 50  # and for each request that its upstream holds
+        self.mean = SECOND / 20  # time of a request, over all classes
+        self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
+        self.spread = 0.5  # mean deviation from the expected
+        self.busy = [0.0] * (LIMIT_MAX + 2)  # seconds that upstreams held k of ours
+        self.done = [0.0] * (LIMIT_MAX + 2)  # and how many finished meanwhile
+
+    def expected(self, r: Request) -> float:
+        if r.hint:
+            return self.taken.get("", 1.0) * r.hint
+        return self.taken.get(r.cls.name, r.cls.aim_ns / 8)
+
+    def note(self, r: Request, a: Attempt, took: int) -> None:
+        server = a.server
+        name, base = ("", float(r.hint)) if r.hint else (r.cls.name, 1.0)
+        was = self.taken.get(name)
+        self.taken[name] = took / base if was is None else was + 0.05 * (min(took / base, 8 * was) - was)
+        self.crowd(a, took)
+        self.mean += 0.05 * (min(took, 8 * self.mean) - self.mean)
+        ratio = took / max(1.0, self.expected(r))
+        self.spread += 0.05 * (min(3.0, abs(ratio / server.pace - 1)) - self.spread)
+        server.pace += 0.2 * (min(10.0, max(0.1, ratio)) - server.pace)
+
+    def crowd(self, a: Attempt, took: float) -> None:
+        """Least squares over what upstreams held: took = base + each * held. With little spread in that,
+        all is laid on `each`, as if nothing but waiting for others took time."""
+        for i, x in enumerate((1.0, a.load, took, a.load * a.load, a.load * took)):
+            self.sums[i] = KEPT * self.sums[i] + x
+        n, mean_held, mean_took = self.sums[0], self.sums[1] / self.sums[0], self.sums[2] / self.sums[0]
+        spread, along = self.sums[3] / n - mean_held ** 2, self.sums[4] / n - mean_held * mean_took
+        alone = max(1.0, mean_took / mean_held)
+        self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
+        self.base = max(0.0, mean_took - self.each * mean_held)
+
+    def time(self, held: float) -> float:
+        """What a request takes at an upstream that holds so many, this one included."""
+        return self.base + self.each * held
+
+    def held(self, server: Server, now: int) -> None:
+        """Book the time for which an upstream held what it holds; call before that changes."""
+        if server.inflight and server.own:
+            self.busy[min(server.inflight, LIMIT_MAX + 1)] += (now - server.since_ns) / SECOND
+        server.since_ns = now
+
+    def known(self, k: int) -> bool:
+        """Were upstreams held at k for so long that a good number should have finished?"""
+        return self.done[1] >= EVIDENCE and (
+            k == 1 or self.busy[k] * self.done[k - 1] >= 4 * EVIDENCE * self.busy[k - 1])
+
+    def speed(self, k: int) -> float:
+        # A clock that stands still between batches books no time: no division by it.
+        return self.done[k] / max(1e-3, self.busy[k]) if self.done[k] >= EVIDENCE else 0.0
+
+    def lift(self, now: int) -> bool:
+        """The line waits: one more for each upstream, unless that is known not to help."""
+        k = self.limit
+        # Requests just sent finish less often than older ones: guards against a limit that runs away at the
+        # start, before the first ones are done (incident i4eb9e9).
+        if k >= LIMIT_MAX or now - self.lifted_ns < 3 * self.mean or not self.known(k):
+            return False
+        best = max((self.speed(j) for j in range(1, k)), default=0.0)
+        if self.speed(k) < MORE * best or (self.known(k + 1) and self.speed(k + 1) < MORE * self.speed(k)):
+            return False
+        self.limit, self.lifted_ns = k + 1, now
+        return True
+
+    def settle(self) -> None:
+        """Fade old evidence, and go back to the least limit that serves as well."""
+        for k in range(1, LIMIT_MAX + 2):
+            self.busy[k] *= FADE
+            self.done[k] *= FADE
+        if not self.known(self.limit):
+            return
+        # What little was seen at the limit may be chance: give it the benefit of one deviation.
+        hope = self.speed(self.limit) * (1 + max(1.0, self.done[self.limit]) ** -0.5)
+        self.limit = next(k for k in range(1, self.limit + 1) if k == self.limit or self.speed(k) > hope)
+
+
+class Balancer:
+    """One proxy. Feed it events with `handle`; carry out the actions it gives, in order."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        tenants = settings.tenants or {"": api.Tenant("")}
+        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now) for name, t in tenants.items()}
+        self.rate = Rate(list(self.throttles.values()), now)
+        self.crowding = Crowding()
+        self.fleet = Fleet(settings, self.crowding, self.rng)
+        self.requests: dict[str, Request] = {}
+        self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
+        self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
+        self.count = self.failures = 0
+        self.actions: list[api.Action] = []
+        self.checked_ns = now
+        self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
+        self.subscribed = settings.discovery_push
+        if not self.subscribed:
+            self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        self.actions = []
+        for e in events:
+            if type(e) is api.Arrival:
+                self._arrival(e, now)
+            elif type(e) is api.Outcome:
+                self._outcome(e, now)
+            elif type(e) is api.ClientGone and e.request in self.requests:
+                self._end(self.requests[e.request], now)
+            elif type(e) is api.ListUpdate:
+                self._list(e, now)
+            elif type(e) is api.ProbeResult:
+                self._probed(e, now)
+            elif type(e) is api.AnswerBegun and e.request in self.requests:
+                self.requests[e.request].begun = True
+            elif type(e) is api.Wake and e.name == str(self.timer):
+                self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
+        while self.due and self.due[0][0] <= now:
+            _, _, what, about, extra = heapq.heappop(self.due)
+            self._look(what, about, extra, now)
+        for pool in self.fleet.pools.values():
+            self._pump(pool, now)
+        if now - self.checked_ns >= FEEDBACK_NS:
+            self._feedback(now)
+        if self.due and (not self.timer_ns or self.due[0][0] < self.timer_ns):
+            self.timer_ns = self.due[0][0]
+            self.timer += 1
+            self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
+        return self.actions
+
+    def _later(self, at: int, what: str, about: Request | Throttle | None, extra: int = 0) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (at, self.count, what, about, extra))
+
+    def _arrival(self, e: api.Arrival, now: int) -> None:
+        if e.request in self.requests:
+            return  # an id is never reused: the first one stands
+        throttle = self.throttles.get(e.tenant) or next(iter(self.throttles.values()))
+        cls = self.settings.classes.get(e.class_name) or api.RequestClass(e.class_name, api.Effect.UNSAFE)
+        aim = min(now + cls.aim_ns, e.deadline_ns)
+        r = Request(e.request, cls, self.fleet.pool(cls), throttle, e.deadline_ns, aim, e.cost_hint_ns)
+        self.requests[r.id] = r
+        need = self.crowding.expected(r) * (1 + self.crowding.spread)
+        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
+        self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
+        # Marked retries take spare tokens only: they must not starve fresh work.
+        answer = throttle.spare(now) if e.retry else throttle.offer(r, now)
+        if answer is False:
+            self._refuse(r, now)
+        elif answer is None:
+            r.place = "held"
+            self._release(throttle, now)
+        else:
+            self._admit(r, now)
+
+    def _admit(self, r: Request, now: int) -> None:
+        r.place = ""
+        part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
+        # A class with much time must not make the line too long for those with little.
+        spare = min(r.give_up_ns - now, self.patience_ns)
+        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
+            self.rate.unplaced += 1  # the line is too long already: better said at once
+            self._refuse(r, now)
+            return
+        r.pool.line.append(r)
+        self._look_around(r, now)
+
+    def _look_around(self, r: Request, now: int) -> None:
+        r.place = "line"
+        if self.fleet.looks:
+            # Own counts say little where proxies are many: the drawn upstreams are asked, the request waits.
+            r.asked, r.asked_ns = list(dict.fromkeys(self.fleet.draw(r.pool, LOOKS, now))), now
+            self.actions += [api.Probe(s.id) for s in r.asked]
+            self._later(now + LOOK_NS, "look", r)
+
+    def _probed(self, e: api.ProbeResult, now: int) -> None:
+        server = self.fleet.servers.get(e.upstream)
+        if server is not None and e.report is not None:
+            server.hear(e.report.get("inflight"), now)
+
+    def _outcome(self, e: api.Outcome, now: int) -> None:
+        server = self.fleet.servers.get(e.upstream)
+        r = self.requests.get(e.request)
+        if r is None or server is None or not 0 <= e.attempt < len(r.attempts):
+            return  # long over, or never sent: nothing is booked
+        a = r.attempts[e.attempt]
+        if a.result is not None or a.server is not server:
+            return
+        a.learn(e.result, self.settings.rules)
+        self.crowding.held(server, now)
+        if e.report and "inflight" in e.report:
+            server.hear(e.report["inflight"] + 1, now)  # this one leaves it below
+        if e.result is api.Result.OK:
+            self.crowding.note(r, a, e.took_ns)
+            if server.own:
+                self.crowding.done[min(server.inflight, LIMIT_MAX + 1)] += 1
+            self.rate.good += now <= r.aim_ns
+            self.rate.bad[server.id] += now > r.aim_ns  # late is what a crowded fleet shows first
+            if server.strikes:
+                server.strikes = server.barred_ns = 0
+        elif e.result in FAILURES:
+            self.rate.bad[server.id] += 1
+            if e.result is api.Result.TIMEOUT:
+                # It would have taken longer: what is cut off must not flatten the slope.
+                self.crowding.crowd(a, max(1.3 * e.took_ns, self.crowding.time(a.load)))
+            busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
+            self._bar(server, now, a.expected if busy else SECOND / 4)
+        else:
+            self.rate.good += e.result is api.Result.ERROR
+        server.inflight -= 1
+        server.load = max(0.0, server.load - 1)
+        if e.complete:
+            self._end(r, now)
+        elif not r.over and not r.out and not r.begun:
+            self._again(r, now)
+        if r.over and not r.out:
+            self.requests.pop(r.id, None)
+
+    def _bar(self, server: Server, now: int, base: float) -> None:
+        self.fleet.bar(server, now, base)
+        self._later(server.barred_ns, "pump", None)  # then the line has one more to go to
+
+    def _again(self, r: Request, now: int) -> None:
+        """Nothing is out and nothing was served: another attempt, or the final answer."""
+        if r.attempts and any(r.may_send(s, now, self.settings.limits)
+                              for s in self._choices(r) or r.pool.order[:1]) and now < r.give_up_ns:
+            r.pool.line.appendleft(r)
+            self._look_around(r, now)
+        else:
+            self._refuse(r, now)
+
+    def _choices(self, r: Request) -> list[Server] | None:
+        """Where a request that may have run may go again; None: anywhere."""
+        first = next((a for a in r.attempts if a.may_have_run), None)
+        if first is None or r.cls.effect is api.Effect.SAFE or r.cls.scope is api.Scope.ALL:
+            return None
+        return [s for s in r.pool.order if r._same_group(s, first.server)]
+
+    def _refuse(self, r: Request, now: int) -> None:
+        """The final answer of a request that is not served: refused if that is true, else failed."""
+        if r.may_refuse():
+            back = self.rng.uniform(0.25, 1.0) * min(self.settings.limits.max_retry_after_ns, SECOND)
+            self.actions.append(api.Refuse(r.id, int(back) if self.settings.limits.retry_after else 0))
+        else:
+            self.actions.append(api.Fail(r.id))
+        self._end(r, now)
+
+    def _end(self, r: Request, now: int) -> None:
+        if r.place == "held":
+            r.tenant.leave(r)
+        elif r.place == "line":
+            r.pool.line.remove(r)
+        r.place = ""
+        r.over = True
+        if self.settings.limits.may_cancel:
+            for i, a in enumerate(r.attempts):
+                if a.result is None:
+                    self.actions.append(api.Cancel(r.id, i))
+        if not r.out:
+            self.requests.pop(r.id, None)
+
+    def _list(self, e: api.ListUpdate, now: int) -> None:
+        if e.kind is api.ListKind.FAILED:
+            # Calls are spread and backed off: discovery does not grow with the fleet.
+            self.subscribed = False
+            self.failures += 1
+            wait = SECOND * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
+            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
+        else:
+            self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
+            self.fleet.learn(e, now)
+
+    def _look(self, what: str, about: Request | Throttle | None, extra: int, now: int) -> None:
+        if isinstance(about, Request):
+            if what == "give up" and about.place and now >= about.give_up_ns:
+                self.rate.unplaced += about.place == "line"
+                self._refuse(about, now)
+            elif what == "overdue":
+                self._overdue(about, extra, now)
+        elif what == "subscribe" and not self.subscribed:
+            self.subscribed = True
+            self.actions.append(api.Subscribe(True))
+        elif isinstance(about, Throttle):
+            about.waking = False
+            self._release(about, now)
+
+    def _release(self, t: Throttle, now: int) -> None:
+        for r in t.released(now):
+            self._admit(r, now)
+        if t.held and not t.waking:
+            t.waking = True
+            self._later(now + int((1 - t.credit) / t.rate * SECOND) + 1, "token", t)
+
+    def _overdue(self, r: Request, number: int, now: int) -> None:
+        """An attempt is out longer than its upstream should take: it may stand still."""
+        a = r.attempts[number]
+        if a.result is not None:
+            return
+        self._bar(a.server, now, a.expected)
+        # Where a cancel stops nothing, the first attempt runs on and a copy only adds to the load.
+        if r.pool.line or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
+            return
+        server = self.fleet.pick(r.pool, now, self._choices(r))
+        if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
+            self._send(r, server, now)
+
+    def _pump(self, pool: Pool, now: int) -> None:
+        """Serve the line in order while an upstream has room."""
+        fleet, limits = self.fleet, self.settings.limits
+        while pool.line:
+            r = pool.line[0]
+            if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns < r.asked_ns for s in r.asked):
+                break
+            choices = self._choices(r) if r.attempts else None
+            fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
+            r.asked = []
+            server = fleet.pick(pool, now, fresh or choices)
+            full = (server is not None and server.load >= 1 and server.told(now)
+                    and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
+            if full or (server is None and choices is not None):
+                # All that it may go to are busy, or would answer late: it must not stop the line.
+                self.rate.unplaced += 1
+                self._refuse(r, now)
+            elif server is not None:
+                pool.line.popleft()
+                r.place = ""
+                if r.may_send(server, now, limits):
+                    self._send(r, server, now)
+                else:
+                    self._refuse(r, now)
+            else:
+                pool.blocked_ns = pool.blocked_ns or now
+                if not self.crowding.lift(now):
+                    break
+        if not pool.line:
+            pool.blocked_ns = 0
+
+    def _send(self, r: Request, server: Server, now: int) -> None:
+        self.crowding.held(server, now)
+        server.inflight += 1
+        server.load += server.load_ns > 0
+        expected = max(1.0, self.crowding.expected(r) * server.pace)
+        r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
+        if self.fleet.cold(server, now):
+            server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
+            self._later(server.barred_ns, "pump", None)
+        # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
+        timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
+        self.actions.append(api.Send(r.id, server.id, timeout))
+        overdue = now + int(expected * (1.3 + 3 * self.crowding.spread))
+        self._later(overdue, "overdue", r, len(r.attempts) - 1)
+
+    def _feedback(self, now: int) -> None:
+        self.checked_ns = now
+        fleet = self.fleet
+        self.crowding.settle()
+        for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
+            pool.width = min(len(pool.order), pool.home + bool(pool.blocked_ns))
+        self.rate.adjust(now, fleet.any.width)
+        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
+        for t in self.throttles.values():
+            self._release(t, now)
--- /dev/null
+++ b/tests/test_throttle.py
@@ -0,0 +1,107 @@
+"""The throttle against the paper's recursion (2.5)-(2.11) and Theorem 3.1."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lanemux.policy import Pool, Request, Throttle
+from tests.bench import MS, READ, SECOND
+
+
+def throttle(bank: int, hold: int, u: int, rate: float = 1.0) -> Throttle:
+    t = Throttle(1.0, random.Random(1), 0)
+    t.bank, t.hold, t.u, t.rate, t.credit, t.at = bank, hold, u, rate, 0.0, 0
+    return t
+
+
+def request(number: int, t: Throttle) -> Request:
+    return Request(f"r{number}", READ, Pool(None, None), t, 10**15, 10**15, 0)
+
+
+def play(t: Throttle, steps: list[int]) -> tuple[list[int], list[int], list[str]]:
+    """At each second: one token, then that many requests. Gives U, the overflows so far, the order sent."""
+    path, lost, sent = [], [], []
+    overflow = count = 0
+    for second, arrivals in enumerate(steps, 1):
+        now = second * SECOND
+        sent += [r.id for r in t.released(now)]
+        for _ in range(arrivals):
+            count += 1
+            r = request(count, t)
+            answer = t.offer(r, now)
+            overflow += answer is False
+            if answer is True:
+                sent.append(r.id)
+        path.append(t.u)
+        lost.append(overflow)
+    return path, lost, sent
+
+
+def recursion(total: int, u: int, steps: list[int]) -> tuple[list[int], list[int]]:
+    """(2.8) and (2.10), a token epoch and then the requests one by one."""
+    path, lost, overflow = [], [], 0
+    for arrivals in steps:
+        u = min(total, u + 1)
+        for _ in range(arrivals):
+            x = -1
+            after = min(total, max(0, u + x))
+            overflow += -(x - (after - u))
+            u = after
+        path.append(u)
+        lost.append(overflow)
+    return path, lost
+
+
+STEPS = st.lists(st.integers(0, 5), max_size=60)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 6), st.integers(1, 6), STEPS)
+def test_counter_follows_the_recursion(bank: int, hold: int, steps: list[int]) -> None:
+    t = throttle(bank, hold, bank + hold)
+    path, lost, _ = play(t, steps)
+    assert (path, lost) == recursion(bank + hold, bank + hold, steps)
+    assert len(t.held) == max(0, hold - t.u)  # (2.3)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(2, 8), st.data(), STEPS)
+def test_overflow_depends_on_the_sum_of_the_capacities_only(total: int, data: st.DataObject,
+                                                             steps: list[int]) -> None:
+    a, b = (data.draw(st.integers(1, total)) for _ in "ab")
+    u = data.draw(st.integers(max(a, b), total))
+    assert play(throttle(total - a, a, u), steps)[:2] == play(throttle(total - b, b, u), steps)[:2]
+
+
+@settings(derandomize=True, deadline=None)
+@given(STEPS)
+def test_held_requests_leave_in_order(steps: list[int]) -> None:
+    _, _, sent = play(throttle(1, 4, 5), steps)
+    assert sent == sorted(sent, key=lambda r: int(r[1:]))
+
+
+def test_a_held_request_that_ends_gives_its_token_back() -> None:
+    t = throttle(0, 2, 2)
+    first, second = request(1, t), request(2, t)
+    assert t.offer(first, 0) is None and t.offer(second, 0) is None
+    t.leave(first)
+    assert list(t.released(SECOND)) == [second] and t.u == 2
+
+
+def test_change_of_rate_keeps_tokens_and_held() -> None:
+    t = throttle(0, 2, 2)
+    r = request(1, t)
+    assert t.offer(r, 0) is None
+    t.set_rate(100.0, 0)
+    assert t.hold - t.u == 1 and list(t.held) == [r]
+    assert list(t.released(20 * MS)) == [r]
+
+
+def test_starts_full_and_ticks_out_of_step() -> None:
+    throttles = [Throttle(1.0, random.Random(seed), 0) for seed in range(20)]
+    for t in throttles:
+        assert t.u == t.bank + t.hold
+    assert len({round(t.credit, 3) for t in throttles}) > 10
