--- /dev/null
+++ b/lanemux/__main__.py
@@ -0,0 +1,109 @@
+"""One real balancer: reads its configuration, runs the node, ends on a signal.
+
+    RELAY_CONFIG=config.json python -m lanemux
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from typing import Any
+
+from lanemux.drill import read_settings
+from lanemux.net.discovery import BadList, read_address
+from lanemux.net.node import Config, Node
+
+LINES_A_SECOND = 20
+
+
+class BadConfig(Exception):
+    """The configuration is missing or can't be used."""
+
+
+class RateLimit(logging.Filter):
+    """Lets so many log lines a second through, and says how many it kept back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._second = self._lines = self._dropped = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            if self._dropped:
+                record.msg, record.args = f"{record.getMessage()} ({self._dropped} lines left out)", ()
+            self._second, self._lines, self._dropped = second, 0, 0
+        self._lines += 1
+        self._dropped += self._lines > LINES_A_SECOND
+        return self._lines <= LINES_A_SECOND
+
+
+def read_config(path: str) -> Config:
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+        return _config(raw)
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except KeyError as error:
+        raise BadConfig(f"{path}: {error} is missing") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise BadConfig(f"{path}: {error}") from None
+
+
+def _config(raw: dict[str, Any]) -> Config:
+    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    return Config(
+        name=str(raw["name"]), listen=read_address(raw["listen"]), discovery=read_address(raw["discovery"]),
+        seed=int.from_bytes(str(raw["seed"]).encode(), "big"),
+        sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+        settings=read_settings(raw["settings"]), known=raw.get("known"),
+        peer_listen=read_address(peer_listen) if peer_listen else None,
+        peers=[read_address(a) for a in raw.get("peers") or ()],
+        peers_all=read_address(peers_all) if peers_all else None)
+
+
+async def serve(config: Config) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = Node(config)
+    port = await node.start()
+    logging.info("%s: ready on port %d", config.name, port)
+    await stop.wait()
+    logging.info("%s: stopping", config.name)
+    await node.drain()
+
+
+def main() -> int:
+    handler = logging.StreamHandler()
+    handler.addFilter(RateLimit())
+    logging.basicConfig(level=logging.INFO, handlers=[handler],
+                        format="%(asctime)s %(levelname)s %(message)s")
+    path = os.environ.get("RELAY_CONFIG")
+    try:
+        if not path:
+            raise BadConfig("RELAY_CONFIG is not set")
+        config = read_config(path)
+    except BadConfig as error:
+        print(f"lanemux: {error}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(serve(config))
+    except BadList as error:
+        print(f"lanemux: {path}: known: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"lanemux: {config.name}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lanemux/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real balancer round the decision module: sockets, clock and timers."""
--- /dev/null
+++ b/lanemux/net/discovery.py
@@ -0,0 +1,192 @@
+"""The list of upstreams: reading it, and keeping a watch on it."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from lanemux import interface as api
+from lanemux.net.http import Message, write_request
+from lanemux.net.upstream import Address, Exchange, Hub, Pool
+
+log = logging.getLogger(__name__)
+
+LIST_PATH = "/registry/instances"
+MAX_LIST = 1024 * 1024  # bytes of a list
+WAIT_MS = 10_000  # that a watch call may wait: silence for longer shows that discovery is down
+OVERDUE_S = 1.0  # beyond that
+EMPTY_S = 0.02  # an agent that answers at once with nothing must not be asked without pause
+FIRST_RETRY_S, LAST_RETRY_S = 0.05, 2.0
+STATES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
+
+
+class BadList(ValueError):
+    """What discovery said can't be read."""
+
+
+def read_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadList(f"no address: {text!r:.80}")
+    return host.strip("[]"), int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    upstream: api.Upstream
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """An answer of discovery: the whole list or the entries that changed."""
+
+    version: int
+    whole: bool
+    entries: list[Entry]
+
+
+class Reader:
+    """Turns discovery's rows into the module's entries; knows the number of each host."""
+
+    def __init__(self, unix_offset_ns: int) -> None:
+        self._offset_ns = unix_offset_ns  # from the module's clock to Unix time
+        self._ids: dict[str, int] = {}
+        self._hosts: dict[int, str] = {}
+
+    def read(self, raw: object) -> Listing:
+        if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
+            raise BadList("no object with hosts")
+        version, whole = raw.get("seq"), raw.get("whole")
+        if not isinstance(version, int) or not isinstance(whole, bool):
+            raise BadList("no seq or whole")
+        rows = [row for row in raw["hosts"] if isinstance(row, dict) and isinstance(row.get("host"), str)]
+        rows.sort(key=lambda row: row["host"])  # so that numbers that collide go alike everywhere
+        if whole:
+            self._forget(set(self._ids) - {row["host"] for row in rows})
+        listing = Listing(version, whole, [e for e in map(self._entry, rows) if e is not None])
+        self._forget({row["host"] for row in rows if row.get("health") == "removed"})
+        return listing
+
+    def _entry(self, row: dict[str, object]) -> Entry | None:
+        try:
+            state = STATES[str(row.get("health"))]
+            born_ms, cell, weight = row.get("born_ms") or 0, row.get("block") or 0, row.get("share") or 1.0
+            if not (isinstance(born_ms, int) and isinstance(cell, int) and isinstance(weight, int | float)):
+                raise BadList("an entry's figures are no numbers")
+            started = born_ms * 1_000_000 - self._offset_ns if born_ms else 0
+            upstream = api.Upstream(self.number(str(row["host"])), state, str(row.get("site") or ""), cell,
+                                    float(weight), started, str(row.get("class") or ""))
+            return Entry(upstream, read_address(str(row.get("dial"))))
+        except (KeyError, BadList) as error:  # one bad row must not hide the others
+            log.warning("discovery: entry %.80s left out: %r", row.get("host"), error)
+            return None
+
+    def number(self, host: str) -> int:
+        """A number below 2^32, the same in every process; the next free one where two hosts collide."""
+        known = self._ids.get(host)
+        if known is not None:
+            return known
+        number = int.from_bytes(hashlib.blake2b(host.encode(), digest_size=4).digest(), "big")
+        while number in self._hosts:
+            number = (number + 1) % 2**32
+        self._ids[host], self._hosts[number] = number, host
+        return number
+
+    def _forget(self, hosts: Iterable[str]) -> None:
+        for host in hosts:
+            number = self._ids.pop(host, None)
+            if number is not None:
+                del self._hosts[number]
+
+
+class Discovery:
+    """Watches the list. Where it is pushed, the watch never ends; where it is asked, the module says when."""
+
+    def __init__(self, address: Address, reader: Reader, pushed: bool, rng: random.Random,
+                 heard: Callable[[Listing | None], None]) -> None:
+        hub = Hub(2, 2.0, 0.0, MAX_LIST)
+        self._pool = Pool(hub, address)
+        self._host = f"{address[0]}:{address[1]}".encode()
+        self._reader = reader
+        self._pushed = pushed
+        self._rng = rng
+        self._heard = heard  # a listing, or None for a failed call
+        self._version: int | None = None
+        self._call: Exchange | None = None
+        self._fetch: Exchange | None = None
+        self._retry: asyncio.TimerHandle | None = None
+        self._failures = 0
+
+    def take_known(self, listing: Listing) -> None:
+        self._version = listing.version
+
+    def watch(self) -> None:
+        """Ask for what is newer than what is known; a call that is out already serves."""
+        if self._call is not None:
+            return
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        query = "" if self._version is None else f"?after={self._version}&wait_ms={WAIT_MS}"
+        self._call = self._get(query, self._answered)
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+        if self._fetch is None:
+            self._fetch = self._get("", self._fetched)
+
+    def stop(self) -> None:
+        calls, self._call, self._fetch = (self._call, self._fetch), None, None
+        for call in calls:
+            if call is not None:
+                call.over = True
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        self._pool.close_idle()
+
+    def _get(self, query: str, done: Callable[[Listing | None], None]) -> Exchange:
+        data = write_request(b"GET", (LIST_PATH + query).encode(), [(b"Host", self._host)])
+        return self._pool.exchange(data, WAIT_MS / 1000 + OVERDUE_S,
+                                   lambda result, response: done(self._read(result, response)))
+
+    def _read(self, result: api.Result, response: Message | None) -> Listing | None:
+        if result is not api.Result.OK or response is None or response.status != 200:
+            log.info("discovery: call failed: %s %s", result.value, response.status if response else "")
+            return None
+        try:
+            return self._reader.read(json.loads(response.body))
+        except ValueError as error:
+            log.warning("discovery: %.120s", error)
+            return None
+
+    def _fetched(self, listing: Listing | None) -> None:
+        self._fetch = None
+        self._tell(listing)
+
+    def _answered(self, listing: Listing | None) -> None:
+        self._call = None
+        self._failures = 0 if listing is not None else self._failures + 1
+        if listing is not None:
+            self._version = listing.version
+            if listing.entries:
+                self.watch()  # first of all: a watch that pauses for 200 ms is a new one
+            else:
+                self._watch_later(EMPTY_S)
+        elif self._pushed:
+            wait = min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** min(self._failures - 1, 10))
+            self._watch_later(wait * self._rng.uniform(0.75, 1.25))
+        self._tell(listing)
+
+    def _watch_later(self, wait_s: float) -> None:
+        self._retry = asyncio.get_running_loop().call_later(wait_s, self.watch)
+
+    def _tell(self, listing: Listing | None) -> None:
+        if listing is not None or not self._pushed:
+            self._heard(listing)
--- /dev/null
+++ b/lanemux/net/node.py
@@ -0,0 +1,393 @@
+"""The driver: it feeds what happens to the module and carries out what the module decides."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import assert_never
+
+from lanemux import interface as api
+from lanemux.net.discovery import Discovery, Listing, Reader
+from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
+from lanemux.net.peers import Peers
+from lanemux.net.server import ClientConnection, Server
+from lanemux.net.upstream import Address, Exchange, Hub, Pool
+from lanemux.policy import Balancer
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+SECOND = 1000 * MS
+MODULE_EARLY_NS = 4 * MS  # the module's deadline comes so much before the client's, for the way back
+NODE_EARLY_NS = 3 * MS // 2  # and the node's own, for what the module left open
+LONGEST_DEADLINE_MS = 600_000
+RESERVED_DESCRIPTORS = 64  # for the loop, listening, discovery, peers and logs
+PROBE_TIMEOUT_S = 0.05
+MAX_PROBES = 256  # probes out at once
+FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
+SWEEP_S = 1.0
+LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
+LAST_READ_S = 0.05  # for what those have sent already
+LEAVE_S = 3.4  # after SIGTERM, whatever is still open
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What a balancer is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: api.Settings
+    known: object = None  # the last known list, in discovery's form
+    peer_listen: Address | None = None
+    peers: list[Address] = field(default_factory=list)
+    peers_all: Address | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request that was taken and is not answered yet."""
+
+    id: str
+    client: ClientConnection
+    request: Message
+    deadline_ns: int
+    timer: asyncio.TimerHandle | None = None
+    sends: int = 0
+    out: Exchange | None = None
+    upstream: int = 0  # where that is
+    over: bool = False
+
+
+class Node:
+    """One real balancer."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        limits = config.settings.limits
+        self._limits = limits
+        self._loop = asyncio.get_running_loop()
+        self._calls: dict[str, Call] = {}
+        self._by_client: dict[ClientConnection, Call] = {}
+        self._count = 0
+        self._probes = 0
+        self._events: list[api.Event] = []
+        self._feeding = False
+        self._stopping = False
+        self._quiet = asyncio.Event()
+        self._sweep: asyncio.TimerHandle | None = None
+        room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
+        self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND)
+        self.server = Server(self, room)
+        self._reader = Reader(time.time_ns() - time.monotonic_ns())
+        self._discovery = Discovery(config.discovery, self._reader, config.settings.discovery_push,
+                                    random.Random(config.seed + 1), self._listed)
+        self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
+        self._balancer = Balancer(config.settings, config.seed, time.monotonic_ns())
+        self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
+
+    # -- start and end --
+
+    async def start(self) -> int:
+        """Take up the known list, then open to clients; gives the port."""
+        self._take_known()
+        if self.config.peer_listen is not None:
+            await self._loop.create_datagram_endpoint(lambda: self._peers, self.config.peer_listen)
+        if self.config.settings.discovery_push:
+            self._discovery.watch()
+        self._sweep_idle()
+        return self.server.listen(*self.config.listen)
+
+    def _take_known(self) -> None:
+        entries = []
+        if self.config.known is not None:
+            listing = self._reader.read(self.config.known)
+            self._discovery.take_known(listing)
+            self._take_entries(listing)
+            entries = [e.upstream for e in listing.entries]
+        self.feed(api.ListUpdate(api.ListKind.CACHED, entries))
+
+    def _sweep_idle(self) -> None:
+        self._hub.expire()
+        self._sweep = self._loop.call_later(SWEEP_S, self._sweep_idle)
+
+    @property
+    def ready(self) -> bool:
+        return not self._stopping
+
+    async def drain(self) -> None:
+        """A planned end: go on with what still comes, answer all of it, then close everything."""
+        end = self._loop.time() + LEAVE_S
+        self._stopping = self.server.draining = True
+        await asyncio.sleep(LATE_ARRIVALS_S)
+        self.server.stop_listening()
+        await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
+        self.server.close_idle()
+        if self._calls:
+            try:
+                await asyncio.wait_for(self._quiet.wait(), end - self._loop.time())
+            except TimeoutError:
+                log.warning("left with %d requests open", len(self._calls))
+        self.close()
+        await asyncio.sleep(0)  # closed transports end in the loop's next turn
+
+    def close(self) -> None:
+        """Stop everything at once; what is open fails."""
+        for call in list(self._calls.values()):
+            self._finish(call, 504)
+        self._discovery.stop()
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for pool in self._hub.pools.values():
+            pool.close_idle()
+        self._peers.close()
+        self.server.abort()
+
+    # -- the module --
+
+    def feed(self, *events: api.Event) -> None:
+        """Hand events over; those raised while actions are carried out wait for their turn."""
+        self._events += events
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._events:
+                batch, self._events = self._events, []
+                for action in self._decide(batch):
+                    self._carry_out(action)
+        finally:
+            self._feeding = False
+
+    def _decide(self, batch: list[api.Event]) -> list[api.Action]:
+        try:
+            return self._balancer.handle(time.monotonic_ns(), batch)
+        except Exception:  # a fault in the decisions costs these requests their time, not the process
+            log.exception("the module failed on %.200r", batch)
+            return []
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse():
+                self._refuse(action)
+            case api.Fail():
+                self._final(action.request, 504)
+            case api.Cancel():
+                self._cancel(action)
+            case api.Probe():
+                self._probe(action.upstream)
+            case api.Tell():
+                self._peers.tell(action.data, action.peer)
+            case api.CloseIdle():
+                if (pool := self._hub.pools.get(action.upstream)) is not None:
+                    pool.close_idle()
+            case api.Subscribe():
+                if action.on:
+                    self._discovery.watch()
+            case api.FetchList():
+                self._discovery.fetch()
+            case api.SetTimer():
+                self._loop.call_later(action.delay_ns / SECOND, self.feed, api.Wake(action.name))
+            case api.Note():
+                log.info("module: %s", action.text)
+            case _:
+                assert_never(action)
+
+    # -- requests --
+
+    def take(self, client: ClientConnection, request: Message, received_ns: int) -> None:
+        """A client's request: refused here only if it can't be understood or there is no room."""
+        name = request.target[1:].partition(b"?")[0].partition(b"/")[0].decode("latin-1")
+        wait_ms = whole_number(request.header(b"req-deadline-ms"))
+        if request.method not in (b"GET", b"POST"):
+            client.answer(405, [(b"Allow", b"GET, POST")])
+        elif name not in self.config.settings.classes or not request.header(b"req-id") or not wait_ms:
+            client.answer(400)
+        elif self._limits.max_open and len(self._calls) >= self._limits.max_open:
+            client.answer(503, [(b"Retry-After", FULL_RETRY_S)])
+        else:
+            deadline = received_ns + min(wait_ms, LONGEST_DEADLINE_MS) * MS
+            self._open(client, request, name, deadline)
+
+    def _open(self, client: ClientConnection, request: Message, name: str, deadline_ns: int) -> None:
+        self._count += 1
+        # A number of our own: nothing forbids two clients to use the same id at once.
+        call = Call(str(self._count), client, request, deadline_ns)
+        self._calls[call.id] = self._by_client[client] = call
+        left = (deadline_ns - NODE_EARLY_NS - time.monotonic_ns()) / SECOND
+        call.timer = self._loop.call_later(max(0.0, left), self._out_of_time, call)
+        cookies = (c.strip() for c in request.header(b"cookie").decode("latin-1").split(";"))
+        key = next((c[5:] for c in cookies if c.startswith("user=")), "")
+        cost_us = whole_number(request.header(b"req-cost")) or 0
+        self.feed(api.Arrival(call.id, name, request.header(b"req-owner").decode("latin-1"),
+                              deadline_ns - MODULE_EARLY_NS, cost_us * 1000, key,
+                              request.header(b"req-retry") == b"1"))
+
+    def _out_of_time(self, call: Call) -> None:
+        self._finish(call, 504)
+        self.feed(api.ClientGone(call.id))
+
+    def gone(self, client: ClientConnection) -> None:
+        """The client has closed its connection: nobody waits for the answer."""
+        call = self._by_client.get(client)
+        if call is not None:
+            self._drop(call)
+            self.feed(api.ClientGone(call.id))
+
+    def _refuse(self, action: api.Refuse) -> None:
+        headers = []
+        if action.retry_after_ns > 0:
+            headers.append((b"Retry-After", b"%.3f" % (action.retry_after_ns / SECOND)))
+        self._final(action.request, 503, headers)
+
+    def _final(self, request: str, status: int, headers: Headers = ()) -> None:
+        call = self._calls.get(request)
+        if call is not None:
+            self._finish(call, status, headers)
+
+    def _finish(self, call: Call, status: int, headers: Headers = (), body: bytes = b"") -> None:
+        """The one final answer."""
+        if not call.over:
+            self._drop(call)
+            call.client.answer(status, headers, body)
+
+    def _drop(self, call: Call) -> None:
+        """Forget the request and call off what is out for it."""
+        call.over = True
+        if call.timer is not None:
+            call.timer.cancel()
+        del self._calls[call.id]
+        del self._by_client[call.client]
+        if call.out is not None:
+            call.out.finish(api.Result.CANCELLED)
+        if self._stopping and not self._calls:
+            self._quiet.set()
+
+    # -- attempts --
+
+    def _send(self, action: api.Send) -> None:
+        now = time.monotonic_ns()
+        call = self._calls.get(action.request)
+        number = call.sends if call is not None else 0
+        pool = self._hub.pools.get(action.upstream)
+        left = call.deadline_ns - NODE_EARLY_NS - now if call is not None else 0
+        timeout = min(action.timeout_ns, left) if action.timeout_ns else left
+        if call is not None:
+            call.sends += 1
+        if (call is None or call.out is not None or pool is None or not pool.ready or timeout <= 0
+                or number >= self._limits.max_attempts):
+            self.feed(api.Outcome(action.request, number, action.upstream, api.Result.MOOT, 0, call is None))
+            return
+        call.upstream = action.upstream
+        call.out = Exchange(pool, self._attempt(call.request, timeout),
+                            self._when_ended(call, number, action.upstream, now))
+        call.out.start(timeout / SECOND)
+
+    def _attempt(self, request: Message, timeout_ns: int) -> bytes:
+        headers = [(k, v) for k, v in request.end_to_end() if k != b"req-deadline-ms"]
+        headers.append((b"Req-Deadline-Ms", b"%d" % max(1, timeout_ns // MS)))
+        return write_request(request.method, request.target, headers, request.body)
+
+    def _when_ended(self, call: Call, number: int, upstream: int,
+                    sent_ns: int) -> Callable[[api.Result, Message | None], None]:
+        def ended(result: api.Result, response: Message | None) -> None:
+            call.out = None
+            took = time.monotonic_ns() - sent_ns
+            if response is not None:
+                result = _judged(response)
+            if result is api.Result.OK and response is not None:
+                headers = [(k, v) for k, v in response.end_to_end() if k != b"srv-load"]
+                self._finish(call, 200, headers, response.body)
+            report = self._report(response) if self.config.settings.reports_in_answers else None
+            self.feed(api.Outcome(call.id, number, upstream, result, took, call.over, report))
+        return ended
+
+    def _report(self, response: Message | None) -> dict[str, float] | None:
+        return _parsed(response.header(b"srv-load")) if response is not None else None
+
+    def _cancel(self, action: api.Cancel) -> None:
+        call = self._calls.get(action.request)
+        if call is not None and call.out is not None and action.attempt == call.sends - 1:
+            call.out.finish(api.Result.CANCELLED)
+
+    # -- probes, lists, peers --
+
+    def _probe(self, upstream: int) -> None:
+        pool, now = self._hub.pools.get(upstream), time.monotonic_ns()
+        if pool is None or self._probes >= MAX_PROBES:
+            self.feed(api.ProbeResult(upstream, api.Result.CONNECT_FAILED, 0))
+            return
+        self._probes += 1
+
+        def ended(result: api.Result, response: Message | None) -> None:
+            self._probes -= 1
+            report = None
+            if response is not None:
+                result = api.Result.OK if response.status == 200 else api.Result.FULL
+                report = _parsed(response.body)
+            self.feed(api.ProbeResult(upstream, result, time.monotonic_ns() - now, report))
+
+        host = "{}:{}".format(*pool.address).encode()
+        pool.exchange(write_request(b"GET", self._probe_path, [(b"Host", host)]), PROBE_TIMEOUT_S, ended)
+
+    def _listed(self, listing: Listing | None) -> None:
+        if listing is None:
+            self.feed(api.ListUpdate(api.ListKind.FAILED))
+            return
+        self._take_entries(listing)
+        if listing.whole or listing.entries:
+            kind = api.ListKind.FULL if listing.whole else api.ListKind.DELTA
+            self.feed(api.ListUpdate(kind, [e.upstream for e in listing.entries]))
+
+    def _take_entries(self, listing: Listing) -> None:
+        pools = self._hub.pools
+        left_out = set(pools) - {e.upstream.id for e in listing.entries} if listing.whole else set()
+        for entry in listing.entries:
+            if entry.upstream.state is api.State.GONE:
+                left_out.add(entry.upstream.id)
+                continue
+            pool = pools.setdefault(entry.upstream.id, Pool(self._hub, entry.address))
+            pool.move(entry.address)
+            pool.ready = entry.upstream.state is api.State.READY
+            if not pool.ready:
+                pool.close_idle()
+        for number in left_out & set(pools):
+            pool = pools.pop(number)
+            pool.ready = False
+            pool.close_idle()
+        self._call_off_waiting()
+
+    def _call_off_waiting(self) -> None:
+        """No first byte may go to an upstream that drains or is gone, also not when its connection is up."""
+        for call in list(self._calls.values()):
+            if call.out is not None and call.out.waiting and not call.out.pool.ready:
+                call.out.finish(api.Result.MOOT)
+
+    def _peer_message(self, sender: int, data: bytes) -> None:
+        self.feed(api.PeerMessage(sender, data))
+
+
+def _judged(response: Message) -> api.Result:
+    """An attempt's result by what came back: only a marked 503 or 504 proves that it never ran."""
+    if response.status == 200:
+        return api.Result.OK
+    if response.status in (503, 504) and response.header(b"srv-declined") == b"1":
+        return api.Result.FULL
+    return api.Result.ERROR
+
+
+def _parsed(text: bytes) -> dict[str, float] | None:
+    try:
+        return load_report(json.loads(text)) if text else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/lanemux/net/upstream.py
@@ -0,0 +1,221 @@
+"""The side of the upstreams: connections, kept between uses, and the exchanges on them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+from lanemux.interface import Result
+from lanemux.net.http import MAX_BODY, Message, MessageReader
+
+Address = tuple[str, int]
+Done = Callable[[Result, Message | None], None]
+
+IDLE_DEFAULT_S = 10.0  # where the settings do not say how long an upstream keeps a connection
+IDLE_PART = 0.8  # of that time; later, closing and the next request may cross
+KEPT_IDLE = 2  # connections kept to one upstream: each takes a place in its table
+
+
+class Exchange:
+    """One request on one connection: an attempt, a probe or a call to discovery.
+
+    `done` is called once: with RESULT OK and the response, whatever its status, or with what went wrong.
+    """
+
+    def __init__(self, pool: Pool, data: bytes, done: Done) -> None:
+        self.pool = pool
+        self.data = data
+        self.over = False
+        self._done = done
+        self._connection: Connection | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> bool:
+        """No byte of it has been sent yet."""
+        return not self.over and self._connection is None
+
+    def start(self, timeout_s: float | None) -> None:
+        if timeout_s is not None:
+            self._timer = asyncio.get_running_loop().call_later(
+                max(0.0, timeout_s), self.finish, Result.TIMEOUT)
+        connection = self.pool.reuse()
+        if connection is not None:
+            self.carry(connection)
+        elif not self.pool.hub.make_place():
+            asyncio.get_running_loop().call_soon(self.finish, Result.CONNECT_FAILED)
+        else:
+            self._opening = asyncio.get_running_loop().create_task(self._open())
+
+    async def _open(self) -> None:
+        connection = Connection(self.pool)
+        host, port = self.pool.address
+        try:
+            async with asyncio.timeout(self.pool.hub.connect_timeout_s):
+                await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
+        except (OSError, TimeoutError):
+            self._opening = None
+            connection.close()
+            self.finish(Result.CONNECT_FAILED)
+        except asyncio.CancelledError:  # given up while it came up
+            connection.close()
+            raise
+        else:
+            self._opening = None
+            self.carry(connection)
+
+    def carry(self, connection: Connection) -> None:
+        self._connection = connection
+        connection.send(self)
+
+    def finish(self, result: Result, response: Message | None = None) -> None:
+        """End it; a connection on which the answer is still to come is closed and never used again."""
+        if self.over:
+            return
+        self.over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._opening is not None:
+            self._opening.cancel()
+        if self._connection is not None and response is None:
+            self._connection.close()
+        self._done(result, response)
+
+
+class Connection(asyncio.Protocol):
+    """A connection to an upstream; it carries one exchange at a time."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool = pool
+        self._reader = MessageReader(responses=True, max_body=pool.hub.max_body)
+        self._transport: asyncio.Transport | None = None
+        self._exchange: Exchange | None = None
+        self._written = False
+        self._closed = False
+        self.idle_since = 0.0
+        pool.hub.open += 1
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0)  # to be told when the last byte is written
+
+    def send(self, exchange: Exchange) -> None:
+        self._exchange, self._written = exchange, False
+        if self._transport is None or self._transport.is_closing():
+            self.lose()
+            return
+        self._transport.write(exchange.data)
+        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+
+    def resume_writing(self) -> None:
+        self._written = True
+
+    def data_received(self, data: bytes) -> None:
+        responses = self._reader.feed(data)
+        exchange = self._exchange
+        if exchange is None or self._reader.bad or len(responses) > 1:
+            self.lose()  # nobody asked for it, or it can't be read
+        elif responses:
+            self._exchange = None
+            if responses[0].keep_alive and self._written:
+                self._pool.keep(self)
+            else:
+                self.close()
+            exchange.finish(Result.OK, responses[0])
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lose()
+
+    def lose(self) -> None:
+        """The connection is of no more use; an exchange on it ends by what had been written."""
+        exchange = self._exchange
+        self.close()
+        if exchange is not None:
+            # Up to its last byte nothing can have run; from then on it may have.
+            exchange.finish(Result.RESET if self._written else Result.CONNECT_FAILED)
+
+    def close(self) -> None:
+        self._exchange = None  # a late answer finds nobody
+        self._pool.drop(self)
+        if not self._closed:
+            self._closed = True
+            self._pool.hub.open -= 1
+        if self._transport is not None:
+            self._transport.abort()
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """The connections to one address; those between uses, the last used one last."""
+
+    hub: Hub
+    address: Address
+    ready: bool = True  # it may be sent something new
+    idle: list[Connection] = field(default_factory=list)
+
+    def exchange(self, data: bytes, timeout_s: float | None, done: Done) -> Exchange:
+        exchange = Exchange(self, data, done)
+        exchange.start(timeout_s)
+        return exchange
+
+    def reuse(self) -> Connection | None:
+        self.expire(time.monotonic())
+        return self.idle.pop() if self.idle else None
+
+    def keep(self, connection: Connection) -> None:
+        if not self.ready:
+            connection.close()
+            return
+        connection.idle_since = time.monotonic()
+        self.idle.append(connection)
+        if len(self.idle) > KEPT_IDLE:
+            self.idle[0].close()
+
+    def drop(self, connection: Connection) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def expire(self, now: float) -> None:
+        while self.idle and now - self.idle[0].idle_since > self.hub.idle_s:
+            self.idle[0].close()
+
+    def close_idle(self) -> None:
+        while self.idle:
+            self.idle[-1].close()
+
+    def move(self, address: Address) -> None:
+        if address != self.address:
+            self.address = address
+            self.close_idle()
+
+
+class Hub:
+    """What all pools share: the limits, and the count of connections."""
+
+    def __init__(self, capacity: int, connect_timeout_s: float, conn_idle_s: float,
+                 max_body: int = MAX_BODY) -> None:
+        self.capacity = capacity
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_s = conn_idle_s * IDLE_PART or IDLE_DEFAULT_S
+        self.max_body = max_body
+        self.open = 0  # connections, also those that are only coming up
+        self.pools: dict[int, Pool] = {}
+
+    def make_place(self) -> bool:
+        """Is there room for one more connection? An idle one is given up for it."""
+        if self.open < self.capacity:
+            return True
+        oldest = min((p.idle[0] for p in self.pools.values() if p.idle),
+                     key=lambda c: c.idle_since, default=None)
+        if oldest is not None:
+            oldest.close()
+        return oldest is not None
+
+    def expire(self) -> None:
+        now = time.monotonic()
+        for pool in self.pools.values():
+            pool.expire(now)
