Bound a head without end, and refuse upgrades once

Seen: a test that sends 20,000 bytes of one header got no answer, and one that asks for an upgrade was answered twice. Checked with the new socket tests: the count of a head's bytes was set back when the parser announced the message, after the piece had been counted; an upgrade request came out whole and the connection was reported bad on top. Ruled out: the server's side, which passes on what the reader says.

--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -46,6 +46,7 @@
         self._parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
         self._max_body = max_body
         self._ready: list[Message] = []
+        self._head_fed = 0  # of a head that is not whole yet
         self.bad = 0  # what to tell a peer that sent what HTTP or our limits do not allow; reading is over
         self._fresh()
 
@@ -53,7 +54,6 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._target = b""
         self._body = bytearray()
-        self._head_fed = 0
         self._in_body = False
         self._too_big = False
 
@@ -64,7 +64,10 @@
         self._ready = []
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            self._ready = self._ready[:-1]  # no other protocol is spoken here
+            self.bad = 400
+        except httptools.HttpParserError:
             self.bad = 400
         if self._too_big:
             self.bad = 413
