Never evict the connection that has just come

Seen: at the bound on connections the newest client got no answer (two tests hung). Cause: the accept loop looked for room before it knew that anybody was waiting, and the one idle connection it then closed was the one it had accepted a moment ago. Ruled out: the bound on upstream connections (fewer were open). Now one comes first, and the longest idle goes for it.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -154,7 +154,7 @@
     def _accept(self) -> None:
         assert self._socket is not None
         for _ in range(ACCEPTS):
-            if len(self._connections) >= self._capacity and not self._evict():
+            if len(self._connections) >= self._capacity and not self._idle:
                 self._pause()  # all are busy; the first to end lets the next one in
                 return
             try:
@@ -167,6 +167,8 @@
                 self._pause()
                 asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume)
                 return
+            if len(self._connections) >= self._capacity:
+                self._evict()  # not before one has come: it might be the last that came
             self._adopt(accepted)
 
     def _adopt(self, accepted: socket.socket) -> None:
