--- a/lanemux/__main__.py
+++ b/lanemux/__main__.py
@@ -17,6 +17,7 @@
 from lanemux.drill import read_settings
 from lanemux.net.discovery import BadList, read_address
 from lanemux.net.node import Config, Node
+from lanemux.policy import Balancer
 
 LINES_A_SECOND = 20
 
@@ -73,7 +74,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Node(config)
+    node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()))
     port = await node.start()
     logging.info("%s: ready on port %d", config.name, port)
     await stop.wait()
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -7,9 +7,9 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import assert_never
+from typing import Protocol, assert_never
 
 from lanemux import interface as api
 from lanemux.net.discovery import Discovery, Listing, Reader
@@ -17,7 +17,6 @@
 from lanemux.net.peers import Peers
 from lanemux.net.server import ClientConnection, Server
 from lanemux.net.upstream import Address, Exchange, Hub, Pool
-from lanemux.policy import Balancer
 
 log = logging.getLogger(__name__)
 
@@ -67,10 +66,16 @@
     over: bool = False
 
 
+class Module(Protocol):
+    """What decides: the `Balancer` of `lanemux/policy.py`."""
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]: ...
+
+
 class Node:
     """One real balancer."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, module: Module) -> None:
         self.config = config
         limits = config.settings.limits
         self._limits = limits
@@ -91,7 +96,7 @@
         self._discovery = Discovery(config.discovery, self._reader, config.settings.discovery_push,
                                     random.Random(config.seed + 1), self._listed)
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
-        self._balancer = Balancer(config.settings, config.seed, time.monotonic_ns())
+        self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
 
     # -- start and end --
@@ -169,7 +174,7 @@
 
     def _decide(self, batch: list[api.Event]) -> list[api.Action]:
         try:
-            return self._balancer.handle(time.monotonic_ns(), batch)
+            return self._module.handle(time.monotonic_ns(), batch)
         except Exception:  # a fault in the decisions costs these requests their time, not the process
             log.exception("the module failed on %.200r", batch)
             return []
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,255 @@
+"""Helpers of the socket tests: a scripted module, a client, an upstream and a discovery, all on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from lanemux import interface as api
+from lanemux.net.node import Config, Module, Node
+
+HOST = "127.0.0.1"
+PATIENCE_S = 10.0  # a test that waits longer has failed
+MS = 1_000_000
+
+Json = dict[str, Any]
+Writer = asyncio.StreamWriter
+Answer = Callable[["Got", Writer], Awaitable[None]]
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(test, 3 * PATIENCE_S))
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Wait for something to become true."""
+    end = time.monotonic() + PATIENCE_S
+    while not true():
+        assert time.monotonic() < end, "never became true"
+        await asyncio.sleep(0.001)
+
+
+@dataclass
+class Got:
+    """A message as it came, read by hand and not by the code under test."""
+
+    first: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+    @property
+    def status(self) -> int:
+        return int(self.first.split()[1])
+
+
+async def read(reader: asyncio.StreamReader) -> Got:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+    return Got(head[0], headers, await reader.readexactly(int(headers.get("content-length", 0))))
+
+
+def written(status: int, body: bytes = b"", *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+async def silent(got: Got, writer: Writer) -> None:
+    """Answers nothing."""
+
+
+def answers(status: int, body: bytes = b"", *headers: str) -> Answer:
+    async def answer(got: Got, writer: Writer) -> None:
+        writer.write(written(status, body, *headers))
+    return answer
+
+
+def sends_raw(data: bytes, close: bool = False) -> Answer:
+    async def answer(got: Got, writer: Writer) -> None:
+        writer.write(data)
+        if close:
+            writer.close()
+    return answer
+
+
+async def breaks(got: Got, writer: Writer) -> None:
+    writer.transport.abort()
+
+
+class Upstream:
+    """A server that notes what comes and answers as told."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.got: list[Got] = []
+        self.opened = self.closed = 0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Upstream:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        self.opened += 1
+        try:
+            while True:
+                self.got.append(await read(reader))
+                await self.answer(self.got[-1], writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+
+class Registry:
+    """A discovery: its list, changed by `change`, and each call as it came."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Json] = {}
+        self.version = 1
+        self.calls: list[tuple[float, str]] = []
+        self.answered_at = 0.0
+        self.broken = b""  # what it answers instead, while it is broken
+        self._changed = asyncio.Event()
+        self._news: list[str] = []
+        self.upstream = Upstream(self._answer)
+
+    def change(self, host: str, **row: object) -> None:
+        self.rows[host] = {**entry(host), **self.rows.get(host, {}), **row}
+        self.version += 1
+        self._news.append(host)
+        self._changed.set()
+
+    async def _answer(self, got: Got, writer: Writer) -> None:
+        self.calls.append((time.monotonic(), got.first.split()[1]))
+        if self.broken:
+            writer.write(self.broken)
+            writer.close()
+            return
+        watch = "after=" in got.first
+        if watch:
+            await self._changed.wait()
+        self._changed.clear()
+        hosts = [self.rows[h] for h in self._news] if watch else list(self.rows.values())
+        self._news.clear()
+        body = json.dumps({"seq": self.version, "whole": not watch, "hosts": hosts}).encode()
+        writer.write(written(200, body))
+        self.answered_at = time.monotonic()
+
+
+def entry(host: str, port: int = 1, **more: object) -> Json:
+    return {"host": host, "dial": f"{HOST}:{port}", "site": "east", "class": "m", "block": 0, "health": "up",
+            "share": 1.0, "born_ms": 0, **more}
+
+
+def known(*ports: int) -> Json:
+    return {"seq": 1, "whole": True, "hosts": [entry(f"s{i}", port) for i, port in enumerate(ports)]}
+
+
+@dataclass
+class Script:
+    """Stands in for the module: notes the events, and does what the test says."""
+
+    react: Callable[[api.Event], Iterable[api.Action]] = lambda event: ()
+    events: list[api.Event] = field(default_factory=list)
+    entered: int = 0
+    deepest: int = 0
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        self.entered += 1
+        self.deepest = max(self.deepest, self.entered)
+        self.events += events
+        actions = [a for e in events for a in self.react(e)]
+        self.entered -= 1
+        return actions
+
+    def of(self, kind: type) -> list[Any]:
+        return [e for e in self.events if isinstance(e, kind)]
+
+    def ids(self) -> list[int]:
+        """The numbers of the upstreams, as last listed whole."""
+        lists = [e for e in self.of(api.ListUpdate) if e.kind is not api.ListKind.DELTA]
+        return [u.id for u in lists[-1].upstreams]
+
+
+def settings(**limits: Any) -> api.Settings:
+    return api.Settings(
+        classes={"read": api.RequestClass("read"), "pay": api.RequestClass("pay", api.Effect.UNSAFE)},
+        limits=api.Limits(**{"max_attempts": 3, "connect_timeout_ns": 2000 * MS, **limits}),
+        report_columns=("inflight",))
+
+
+@asynccontextmanager
+async def node(module: Module, *upstreams: Upstream, registry: Registry | None = None,
+               sockets: int = 1024, known_list: object = None, **limits: Any) -> AsyncIterator[Client]:
+    """A node that knows these upstreams, and a client of it."""
+    registry = registry or Registry()
+    await registry.upstream.start()
+    config = Config("n", (HOST, 0), (HOST, registry.upstream.port), 1, sockets, settings(**limits),
+                    known_list or known(*(u.port for u in upstreams)))
+    balancer = Node(config, module)
+    port = await balancer.start()
+    client = Client(balancer, port)
+    try:
+        yield client
+    finally:
+        client.close()
+        balancer.close()
+        for u in (*upstreams, registry.upstream):
+            u.stop()
+
+
+class Client:
+    """One connection to the node, and requests on it."""
+
+    def __init__(self, balancer: Node, port: int) -> None:
+        self.node = balancer
+        self.port = port
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: Writer | None = None
+
+    async def send(self, data: bytes) -> None:
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
+        self.writer.write(data)
+
+    async def read(self) -> Got:
+        assert self.reader is not None
+        return await asyncio.wait_for(read(self.reader), PATIENCE_S)
+
+    async def ask(self, data: bytes) -> Got:
+        await self.send(data)
+        return await self.read()
+
+    async def closed(self) -> bool:
+        """The node closes the connection."""
+        assert self.reader is not None
+        return await asyncio.wait_for(self.reader.read(), PATIENCE_S) == b""
+
+    def another(self) -> Client:
+        return Client(self.node, self.port)
+
+    def close(self) -> None:
+        if self.writer is not None:
+            self.writer.close()
+
+
+def request(target: str = "/read", *more: str, deadline_ms: int | None = 5000, method: str = "GET",
+            body: bytes = b"") -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", "Host: service.internal", "Req-Id: 9b1f03aa", *more]
+    if deadline_ms is not None:
+        lines.append(f"Req-Deadline-Ms: {deadline_ms}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,101 @@
+"""The list and the watch on it, over loopback sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.net.discovery import BadList, Reader
+from tests.sockets import Registry, Script, entry, known, node, run, until, written
+
+
+def test_a_host_has_the_same_number_everywhere() -> None:
+    assert Reader(0).number("s-5be2a07c") == Reader(9).number("s-5be2a07c") == 386416519
+
+
+def test_hosts_that_collide_get_different_numbers(monkeypatch: pytest.MonkeyPatch) -> None:
+    reader = Reader(0)
+    number = reader.number("a")
+    reader._hosts[reader.number("b")] = "b"
+    reader._ids.pop("b")  # as if another host had b's number
+    taken = next(n for n, h in reader._hosts.items() if h == "b")
+    assert reader.number("b") == taken + 1 and reader.number("a") == number
+
+
+def test_entries_become_the_modules() -> None:
+    listing = Reader(5).read({"seq": 7, "whole": True, "hosts": [
+        entry("a", 80, site="west", block=3, health="draining", share=0.5, born_ms=2), entry("b", 81)]})
+    by_port = {e.address[1]: e.upstream for e in listing.entries}
+    assert by_port[80]._replace(id=1) == api.Upstream(1, api.State.DRAINING, "west", 3, 0.5, 1_999_995, "m")
+    assert by_port[81].started_ns == 0 and (listing.version, listing.whole) == (7, True)
+
+
+@pytest.mark.parametrize("row", [
+    entry("a", health="odd"), entry("a", dial="nowhere"), entry("a", dial="h:99999"), entry("a", born_ms="x"),
+    {"host": 3}, 7])
+def test_a_bad_entry_does_not_hide_the_others(row: object) -> None:
+    listing = Reader(0).read({"seq": 1, "whole": False, "hosts": [row, entry("b", 81)]})
+    assert [e.address[1] for e in listing.entries] == [81]
+
+
+@pytest.mark.parametrize("raw", [3, {}, {"hosts": []}, {"hosts": [], "seq": "1", "whole": True},
+                                 {"hosts": {}, "seq": 1, "whole": True}])
+def test_what_is_no_list_is_told(raw: object) -> None:
+    with pytest.raises(BadList):
+        Reader(0).read(raw)
+
+
+def test_a_host_that_was_removed_is_forgotten() -> None:
+    reader = Reader(0)
+    reader.read(known(1, 2))
+    reader.read({"seq": 2, "whole": False, "hosts": [entry("s0", health="removed")]})
+    assert set(reader._ids) == {"s1"} == set(reader._hosts.values())
+    reader.read({"seq": 3, "whole": True, "hosts": []})
+    assert not reader._ids and not reader._hosts
+
+
+def test_the_watch_goes_on_at_once_and_brings_changes() -> None:
+    async def test() -> None:
+        registry, script = Registry(), Script()
+        async with node(script, registry=registry, known_list=known(5)) as client:
+            assert script.of(api.ListUpdate)[0].kind is api.ListKind.CACHED
+            await until(lambda: registry.calls)
+            assert registry.calls[0][1].startswith("/registry/instances?after=1&wait_ms=")
+            registry.change("s9", dial="127.0.0.1:9")
+            await until(lambda: len(script.of(api.ListUpdate)) == 2 and len(registry.calls) == 2)
+            update = script.of(api.ListUpdate)[1]
+            assert update.kind is api.ListKind.DELTA and [u.zone for u in update.upstreams] == ["east"]
+            assert registry.calls[1][0] - registry.answered_at < 0.2
+            assert registry.calls[1][1].startswith("/registry/instances?after=2&")
+            assert len(client.node._hub.pools) == 2
+            registry.change("s9", health="removed")
+            await until(lambda: len(script.of(api.ListUpdate)) == 3)
+            assert len(client.node._hub.pools) == 1
+    run(test())
+
+
+@pytest.mark.parametrize("broken", [
+    written(503), written(200, b"no json"), written(200, b"[]"), b"garbage",
+    b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n"])
+def test_a_discovery_that_fails_costs_nothing_that_is_known(broken: bytes) -> None:
+    async def test() -> None:
+        registry, script = Registry(), Script()
+        registry.broken = broken
+        async with node(script, registry=registry, known_list=known(5)) as client:
+            await until(lambda: len(registry.calls) >= 3)
+            assert registry.calls[2][0] - registry.calls[0][0] > 0.1  # it backs off
+            assert len(script.of(api.ListUpdate)) == 1 and len(client.node._hub.pools) == 1
+            registry.broken = b""
+            registry.change("s9", dial="127.0.0.1:9")
+            await until(lambda: len(client.node._hub.pools) == 2)
+    run(test())
+
+
+def test_an_upstream_that_moves_is_found_at_its_new_address() -> None:
+    async def test() -> None:
+        registry = Registry()
+        async with node(Script(), registry=registry, known_list=known(5)) as client:
+            registry.change("s0", dial="127.0.0.2:6")
+            pool = next(iter(client.node._hub.pools.values()))
+            await until(lambda: pool.address == ("127.0.0.2", 6))
+    run(test())
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,415 @@
+"""The driver over loopback sockets: requests, attempts and their outcomes, with a scripted module."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.interface import Result
+from lanemux.net.node import Config, Node
+from lanemux.policy import Balancer
+from tests.sockets import (
+    HOST,
+    MS,
+    Answer,
+    Script,
+    Upstream,
+    answers,
+    breaks,
+    known,
+    node,
+    request,
+    run,
+    sends_raw,
+    settings,
+    silent,
+    until,
+)
+
+
+def sends_first(script: Script, then: Callable[[api.Event], Iterable[api.Action]] = lambda e: (),
+                timeout_ns: int = 0) -> None:
+    """Each request goes to the first upstream; what follows its outcome is up to the test."""
+    def react(event: api.Event) -> Iterable[api.Action]:
+        if isinstance(event, api.Arrival):
+            return [api.Send(event.request, script.ids()[0], timeout_ns)]
+        return then(event)
+    script.react = react
+
+
+def fails_unserved(event: api.Event) -> Iterable[api.Action]:
+    if isinstance(event, api.Outcome) and not event.complete:
+        return [api.Fail(event.request)]
+    return ()
+
+
+def test_a_request_goes_through_unchanged() -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200, b"\x00quote\r\n", "Content-Type: x/y", "Srv-Load: {}")).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            got = await client.ask(request(
+                "/pay/a%20b?x=1&y=%2F", "Idempotency-Key: k1", "Cookie: a=b; user=7f3a", "Req-Owner: acme",
+                "Req-Cost: 1200", "Req-Retry: 1", "Connection: x-hop", "X-Hop: 1", method="POST",
+                body=b"\x01body"))
+            assert (got.status, got.body) == (200, b"\x00quote\r\n")
+            assert got.headers["content-type"] == "x/y" and "srv-load" not in got.headers
+            seen = upstream.got[0]
+            assert (seen.first, seen.body) == ("POST /pay/a%20b?x=1&y=%2F HTTP/1.1", b"\x01body")
+            assert (seen.headers["req-id"], seen.headers["idempotency-key"]) == ("9b1f03aa", "k1")
+            assert 4000 < int(seen.headers["req-deadline-ms"]) <= 5000
+            assert "x-hop" not in seen.headers
+        arrival = script.of(api.Arrival)[0]
+        assert (arrival.class_name, arrival.tenant, arrival.key) == ("pay", "acme", "7f3a")
+        assert arrival.cost_hint_ns == 1_200_000 and arrival.retry
+        assert time.monotonic_ns() + 5000 * MS - arrival.deadline_ns > 0
+        outcome = script.of(api.Outcome)[0]
+        assert (outcome.result, outcome.attempt, outcome.complete) == (Result.OK, 0, True)
+        assert outcome.took_ns > 0
+    run(test())
+
+
+def test_the_real_module_serves() -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200, b'{"inflight": 1}')).start()
+        async with node(Balancer(settings(probes=True), 1, time.monotonic_ns()), upstream) as client:
+            for _ in range(3):
+                assert (await client.ask(request())).status == 200
+        assert sum(g.first.startswith("GET /read") for g in upstream.got) == 3
+    run(test())
+
+
+def test_a_refusal_is_told_at_once_with_its_retry_after() -> None:
+    async def test() -> None:
+        script = Script(lambda e: [api.Refuse(e.request, 437 * MS)] if isinstance(e, api.Arrival) else ())
+        async with node(script) as client:
+            begun = time.monotonic()
+            got = await client.ask(request())
+            assert got.status == 503 and got.headers["retry-after"] == "0.437"
+            assert time.monotonic() - begun < 2.5  # of the five seconds that the client would wait
+    run(test())
+
+
+DECLINED = "Srv-Declined: 1"
+
+
+@pytest.mark.parametrize(("answer", "result"), [
+    (answers(200, b"x"), Result.OK), (answers(500), Result.ERROR), (answers(503, b"", DECLINED), Result.FULL),
+    (answers(504, b"", DECLINED), Result.FULL), (answers(503), Result.ERROR), (answers(404), Result.ERROR),
+    (answers(500, b"", DECLINED), Result.ERROR), (breaks, Result.RESET), (sends_raw(b"no http\r\n"),
+                                                                         Result.RESET),
+    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nhalf", close=True), Result.RESET),
+    (answers(200, b"x" * (64 * 1024 + 1)), Result.RESET),
+    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nb"),
+     Result.RESET)])
+def test_what_comes_back_is_the_outcome(answer: Answer, result: Result) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answer).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream) as client:
+            got = await client.ask(request())
+            assert got.status == (200 if result is Result.OK else 504)
+            assert [o.result for o in script.of(api.Outcome)] == [result]
+            assert len(upstream.got) == 1  # nothing is sent again by itself
+    run(test())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        upstream.stop()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 504
+            assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
+    run(test())
+
+
+def test_a_connection_that_never_comes_up_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream, connect_timeout_ns=20 * MS) as client:
+            await client.send(request())
+            hold_connections(monkeypatch, asyncio.Event())
+            assert (await client.read()).status == 504
+            assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
+    run(test())
+
+
+def test_a_break_before_the_last_byte_is_written_never_ran() -> None:
+    async def test() -> None:
+        held: list[asyncio.StreamWriter] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            held.append(writer)  # reads nothing: what is sent stays with the sender
+
+        server = await asyncio.start_server(serve, HOST, 0, limit=1)
+        script = Script()
+        sends_first(script, fails_unserved)
+        port = server.sockets[0].getsockname()[1]
+        async with node(script, known_list=known(port)) as client:
+            pool = next(iter(client.node._hub.pools.values()))
+            ended: list[Result] = []
+            exchange = pool.exchange(b"x" * 50_000_000, None, lambda result, response: ended.append(result))
+            await until(lambda: held and not exchange.waiting)
+            held[0].transport.abort()
+            await until(lambda: ended)
+            assert ended == [Result.CONNECT_FAILED]
+        server.close()
+    run(test())
+
+
+def test_a_timed_out_attempt_closes_its_connection_and_its_late_answer_is_dropped() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def late(got: object, writer: asyncio.StreamWriter) -> None:
+            if len(upstream.got) == 1:
+                await release.wait()
+                writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nlate")
+            else:
+                writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nfresh")
+
+        upstream = await Upstream(late).start()
+        script = Script()
+
+        def again(event: api.Event) -> Iterable[api.Action]:
+            if isinstance(event, api.Outcome) and event.result is Result.TIMEOUT:
+                release.set()
+                return [api.Send(event.request, event.upstream)]
+            return ()
+
+        sends_first(script, again, timeout_ns=30 * MS)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).body == b"fresh"
+            assert upstream.opened == 2
+            await until(lambda: upstream.closed == 1)
+            assert [(o.result, o.attempt) for o in script.of(api.Outcome)] == [
+                (Result.TIMEOUT, 0), (Result.OK, 1)]
+    run(test())
+
+
+def test_a_cancelled_attempt_closes_its_connection() -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+        sends_first(script, lambda e: [api.Cancel("1", 0)] if isinstance(e, api.Wake) else fails_unserved(e))
+        async with node(script, upstream) as client:
+            await client.send(request())
+            await until(lambda: upstream.got)
+            client.node.feed(api.Wake("now"))
+            assert (await client.read()).status == 504
+            await until(lambda: upstream.closed == 1)
+            assert [o.result for o in script.of(api.Outcome)] == [Result.CANCELLED]
+    run(test())
+
+
+def test_one_attempt_at_a_time_and_none_after_the_answer() -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+
+        def react(event: api.Event) -> Iterable[api.Action]:
+            if isinstance(event, api.Arrival):
+                to = script.ids()[0]
+                return [api.Send(event.request, to), api.Send(event.request, to)]
+            if isinstance(event, api.Wake):
+                return [api.Fail("1"), api.Fail("1"), api.Send("1", script.ids()[0])]
+            return ()
+
+        script.react = react
+        async with node(script, upstream) as client:
+            await client.send(request())
+            await until(lambda: upstream.got)
+            client.node.feed(api.Wake("now"))
+            assert (await client.read()).status == 504
+            await until(lambda: upstream.closed == 1)
+            outcomes = {(o.attempt, o.result, o.complete) for o in script.of(api.Outcome)}
+            assert outcomes == {(1, Result.MOOT, False), (0, Result.CANCELLED, True), (0, Result.MOOT, True)}
+            assert len(upstream.got) == 1 and script.deepest == 1
+            assert (await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n")).status == 200  # one answer only
+    run(test())
+
+
+def test_a_client_that_goes_away_frees_all() -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            await client.send(request())
+            await until(lambda: upstream.got)
+            client.close()
+            await until(lambda: upstream.closed == 1)
+            assert script.of(api.ClientGone) == [api.ClientGone("1")]
+            assert [(o.result, o.complete) for o in script.of(api.Outcome)] == [(Result.CANCELLED, True)]
+            assert not client.node._calls and not client.node._by_client
+    run(test())
+
+
+def test_what_the_module_leaves_open_fails_at_the_deadline() -> None:
+    async def test() -> None:
+        script = Script()
+        async with node(script) as client:
+            begun = time.monotonic()
+            assert (await client.ask(request(deadline_ms=80))).status == 504
+            assert time.monotonic() - begun > 0.05
+            assert script.of(api.ClientGone) == [api.ClientGone("1")]
+    run(test())
+
+
+def test_a_fault_of_the_module_does_not_stop_the_node() -> None:
+    async def test() -> None:
+        def react(event: api.Event) -> Iterable[api.Action]:
+            if isinstance(event, api.Arrival) and event.request == "1":
+                raise RuntimeError("bug")
+            return [api.Fail(event.request)] if isinstance(event, api.Arrival) else ()
+
+        async with node(Script(react)) as client:
+            assert (await client.ask(request(deadline_ms=50))).status == 504
+            assert (await client.ask(request())).status == 504
+    run(test())
+
+
+def hold_connections(monkeypatch: pytest.MonkeyPatch, until_set: asyncio.Event) -> None:
+    """New connections come up only once the event is set."""
+    loop = asyncio.get_running_loop()
+    original = loop.create_connection
+
+    async def create_connection(*args: object, **options: object) -> object:
+        await until_set.wait()
+        return await original(*args, **options)  # type: ignore[call-overload]
+
+    monkeypatch.setattr(loop, "create_connection", create_connection)
+
+
+@pytest.mark.parametrize("health", ["draining", "removed"])
+def test_a_send_that_waits_for_its_connection_is_called_off_by_a_drain(
+        monkeypatch: pytest.MonkeyPatch, health: str) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        up = asyncio.Event()
+        async with node(script, upstream) as client:
+            await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            await client.read()
+            hold_connections(monkeypatch, up)
+            await client.send(request())
+            await until(lambda: script.of(api.Arrival))
+            row = {**known(upstream.port)["hosts"][0], "health": health}
+            listing = client.node._reader.read({"seq": 2, "whole": False, "hosts": [row]})
+            client.node._listed(listing)
+            assert (await client.read()).status == 504
+            up.set()
+            assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT]
+            assert (await client.ask(request())).status == 504  # nor does a new one go there
+            assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT] * 2
+            assert not upstream.got
+    run(test())
+
+
+def test_a_connection_near_its_idle_limit_is_not_used_again() -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream, conn_idle_ns=15_000 * MS) as client:
+            for opened in (1, 1, 2):
+                assert (await client.ask(request())).status == 200
+                assert upstream.opened == opened
+                if len(upstream.got) == 2:
+                    pool = next(iter(client.node._hub.pools.values()))
+                    pool.idle[0].idle_since -= 12.5  # as if it had stood for so long
+            await until(lambda: upstream.closed == 1)
+    run(test())
+
+
+def test_connections_to_upstreams_are_bounded() -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream, sockets=64 + 16) as client:  # so eight on either side
+            others = [client.another() for _ in range(8)]
+            for other in others[:7]:
+                await other.send(request())
+            await until(lambda: len(upstream.got) == 7)
+            client.node._hub.capacity = 7
+            assert (await client.ask(request())).status == 504
+            assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
+            for other in others:
+                other.close()
+            await until(lambda: client.node._hub.open == 0)
+    run(test())
+
+
+def heard(script: Script, probes: int) -> bool:
+    return len(script.of(api.ProbeResult)) == probes
+
+
+def test_probes_bring_reports() -> None:
+    async def test() -> None:
+        bodies = [b'{"inflight": 3, "queue": 1, "bad": "x"}', b"no json", b"[1]", b'{"inflight": NaN}']
+        statuses = [200, 503, 200, 200]
+
+        async def stats(got: object, writer: asyncio.StreamWriter) -> None:
+            i = len(upstream.got) - 1
+            await answers(statuses[i], bodies[i])(upstream.got[-1], writer)
+
+        upstream = await Upstream(stats).start()
+        script = Script(lambda e: [api.Probe(script.ids()[0])] if isinstance(e, api.Wake) else ())
+        async with node(script, upstream) as client:
+            for i in range(4):
+                client.node.feed(api.Wake("now"))
+                await until(partial(heard, script, i + 1))
+            script.react = lambda e: [api.Probe(99)] if isinstance(e, api.Wake) else ()
+            client.node.feed(api.Wake("now"))
+        assert upstream.got[0].first == "GET /stats HTTP/1.1" and upstream.opened == 1
+        results = [(p.result, p.report) for p in script.of(api.ProbeResult)]
+        assert results == [(Result.OK, {"inflight": 3.0, "queue": 1.0}), (Result.FULL, None),
+                           (Result.OK, None), (Result.OK, {}), (Result.CONNECT_FAILED, None)]
+    run(test())
+
+
+def test_timers_come_back_by_name() -> None:
+    async def test() -> None:
+        script = Script(lambda e: [api.SetTimer(2 * MS, "next")] if e == api.Wake("first") else ())
+        async with node(script) as client:
+            client.node.feed(api.Wake("first"))
+            await until(lambda: api.Wake("next") in script.events)
+    run(test())
+
+
+def test_balancers_hear_each_other() -> None:
+    async def test() -> None:
+        free = [await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, (HOST, 0)) for _ in range(2)]
+        addresses = [transport.get_extra_info("sockname") for transport, _ in free]
+        for transport, _ in free:
+            transport.close()
+        await asyncio.sleep(0)
+        scripts, nodes = [Script(), Script()], []
+        for i, script in enumerate(scripts):
+            config = Config(f"n{i}", (HOST, 0), (HOST, 1), i, 1024, api.Settings(me=i, replicas_of_me=2),
+                            peer_listen=addresses[i], peers=addresses, peers_all=addresses[1])
+            nodes.append(Node(config, script))
+            await nodes[-1].start()
+        scripts[0].react = lambda e: [api.Tell(b"one", 1), api.Tell(b"all"), api.Tell(b"x", 9),
+                                      api.Tell(b"x" * 257)] if isinstance(e, api.Wake) else ()
+        nodes[0].feed(api.Wake("now"))
+        await until(lambda: len(scripts[1].of(api.PeerMessage)) == 2)
+        assert set(scripts[1].of(api.PeerMessage)) == {api.PeerMessage(0, b"one"), api.PeerMessage(0, b"all")}
+        for n in nodes:
+            n.close()
+    run(test())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,129 @@
+"""The program as the deploy file starts it: configuration, SIGTERM, few descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+from asyncio.subprocess import PIPE, Process
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import HOST, PATIENCE_S, Got, Upstream, answers, known, read, request, run, until, written
+
+READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
+SETTINGS = {"profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 3_000_000_000}],
+            "limits": {"send_cap": 2, "retry_after": True}}
+
+
+def config(*upstreams: int, **changes: object) -> dict[str, object]:
+    return {"name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:1", "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": 1024}, "known": known(*upstreams), "settings": SETTINGS, **changes}
+
+
+@asynccontextmanager
+async def program(folder: Path, *upstreams: int,
+                  descriptors: int = 1024) -> AsyncIterator[tuple[Process, int]]:
+    """The running program and its port."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(config(*upstreams)))
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "lanemux", stderr=PIPE, env={**os.environ, "RELAY_CONFIG": str(path)},
+        preexec_fn=limit)
+    assert process.stderr is not None
+    try:
+        line = b""
+        while b"ready on port" not in line:
+            line = await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)
+            assert line, "it ended before it was ready"
+        yield process, int(line.split()[-1])
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+
+
+async def ask(port: int, data: bytes) -> Got:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(data)
+    got = await asyncio.wait_for(read(reader), PATIENCE_S)
+    writer.close()
+    return got
+
+
+def test_sigterm_answers_what_was_taken_and_what_still_comes(tmp_path: Path) -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def answer(got: Got, writer: asyncio.StreamWriter) -> None:
+            if "/slow" in got.first:
+                await release.wait()
+            writer.write(written(200, b"done"))
+
+        upstream, second = await Upstream(answer).start(), await Upstream(answer).start()
+        async with program(tmp_path, upstream.port, second.port) as (process, port):
+            assert (await ask(port, READY)).status == 200
+            idle_reader, idle_writer = await asyncio.open_connection(HOST, port)
+            idle_writer.write(READY)
+            assert (await read(idle_reader)).status == 200
+            slow = asyncio.create_task(ask(port, request("/read/slow", deadline_ms=3000)))
+            await until(lambda: upstream.got or second.got)
+            process.send_signal(signal.SIGTERM)
+            while (await ask(port, READY)).status != 503:  # the signal may take a moment
+                pass
+            late = await ask(port, request("/read/late"))
+            assert (late.status, late.headers["connection"]) == (200, "close")
+            assert await asyncio.wait_for(idle_reader.read(), PATIENCE_S) == b""
+            assert not slow.done() and process.returncode is None
+            release.set()
+            assert (await slow).body == b"done"
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+            idle_writer.close()
+        upstream.stop()
+        second.stop()
+    run(test())
+
+
+def test_too_few_descriptors_are_survived(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        async with program(tmp_path, upstream.port, descriptors=24) as (process, port):
+            idle = [await asyncio.open_connection(HOST, port) for _ in range(40)]
+            assert (await ask(port, READY)).status == 200
+            for _, writer in idle:
+                writer.close()
+            answered = [(await ask(port, request())).status for _ in range(3)]
+            assert answered == [200] * 3 and process.returncode is None
+        upstream.stop()
+    run(test())
+
+
+@pytest.mark.parametrize(("text", "says"), [
+    (None, "No such file"), ("{", "Expecting"), ("[]", ""), ("{}", "'name' is missing"),
+    (json.dumps(config(1, listen="nowhere")), "no address"), (json.dumps(config(1, settings=3)), ""),
+    (json.dumps(config(1, known={"hosts": 3})), "known")])
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, says: str) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "lanemux"], capture_output=True, text=True, check=False,
+                          timeout=60, env={**os.environ, "RELAY_CONFIG": str(path)})
+    assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_no_configuration_is_told() -> None:
+    env = {k: v for k, v in os.environ.items() if k != "RELAY_CONFIG"}
+    done = subprocess.run([sys.executable, "-m", "lanemux"], capture_output=True, text=True, check=False,
+                          timeout=60, env=env)
+    assert done.returncode == 2 and done.stderr == "lanemux: RELAY_CONFIG is not set\n"
