End a given-up attempt before the module hears of it

Seen: by reading the close path: asyncio's abort() closes the socket in the loop's next turn, while the outcome goes to the module at once, which may send the request again in this one. Checked with a probe in a test: when the module heard of a time-out, the upstream's socket had no end to read (test fails before, passes now). Lines: the abort in Connection.close, which now ends the sending side first.

--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -145,6 +146,10 @@
             self._closed = True
             self._pool.hub.open -= 1
         if self._transport is not None:
+            # The transport closes its socket only in the loop's next turn, when the request may have gone out
+            # again: two copies on open connections. What is written here ends at once.
+            with contextlib.suppress(OSError):
+                self._transport.write_eof()
             self._transport.abort()
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -199,6 +200,32 @@
     run(test())
 
 
+def test_a_given_up_attempt_has_ended_before_the_module_hears_of_it() -> None:
+    async def test() -> None:
+        with socket.create_server((HOST, 0)) as listener:
+            listener.setblocking(False)
+            accepted: list[socket.socket] = []
+            ended: list[bytes] = []
+            script = Script()
+
+            def look(event: api.Event) -> Iterable[api.Action]:
+                if isinstance(event, api.Outcome) and event.result is Result.TIMEOUT:
+                    ended.append(accepted[0].recv(65536))  # an end, where nothing else is to be read
+                    return [api.Fail(event.request)]
+                return ()
+
+            sends_first(script, look, timeout_ns=30 * MS)
+            async with node(script, known_list=known(listener.getsockname()[1])) as client:
+                await client.send(request())
+                loop = asyncio.get_running_loop()
+                accepted.append((await loop.sock_accept(listener))[0])
+                assert (await loop.sock_recv(accepted[0], 65536)).startswith(b"GET /read")
+                assert (await client.read()).status == 504
+                assert ended == [b""]
+            accepted[0].close()
+    run(test())
+
+
 def test_a_cancelled_attempt_closes_its_connection() -> None:
     async def test() -> None:
         upstream = await Upstream(silent).start()
