Keep idle connections in one order over all pools

Now the hub keeps them in the order in which they fell idle; closing the oldest and the too old touches only those. Ruled out: a change in what is kept (the tests of the idle limit and of the bound pass as before; one is added for giving up an idle connection).

--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -168,8 +168,12 @@
         return exchange
 
     def reuse(self) -> Connection | None:
-        self.expire(time.monotonic())
-        return self.idle.pop() if self.idle else None
+        self.hub.expire()
+        if not self.idle:
+            return None
+        connection = self.idle[-1]
+        self.drop(connection)
+        return connection
 
     def keep(self, connection: Connection) -> None:
         if not self.ready:
@@ -177,16 +181,14 @@
             return
         connection.idle_since = time.monotonic()
         self.idle.append(connection)
+        self.hub.idle[connection] = None
         if len(self.idle) > KEPT_IDLE:
             self.idle[0].close()
 
     def drop(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
-
-    def expire(self, now: float) -> None:
-        while self.idle and now - self.idle[0].idle_since > self.hub.idle_s:
-            self.idle[0].close()
+            del self.hub.idle[connection]
 
     def close_idle(self) -> None:
         while self.idle:
@@ -209,18 +211,19 @@
         self.max_body = max_body
         self.open = 0  # connections, also those that are only coming up
         self.pools: dict[int, Pool] = {}
+        self.idle: dict[Connection, None] = {}  # of all pools, the longest so first
 
     def make_place(self) -> bool:
         """Is there room for one more connection? An idle one is given up for it."""
         if self.open < self.capacity:
             return True
-        oldest = min((p.idle[0] for p in self.pools.values() if p.idle),
-                     key=lambda c: c.idle_since, default=None)
+        oldest = next(iter(self.idle), None)
         if oldest is not None:
             oldest.close()
         return oldest is not None
 
     def expire(self) -> None:
-        now = time.monotonic()
-        for pool in self.pools.values():
-            pool.expire(now)
+        """Close what has been idle for so long that its upstream may be closing it too."""
+        latest = time.monotonic() - self.idle_s
+        while self.idle and next(iter(self.idle)).idle_since < latest:
+            next(iter(self.idle)).close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -374,6 +374,7 @@
             await until(lambda: len(upstream.got) == 7)
             client.node._hub.capacity = 7
             assert (await client.ask(request())).status == 504
+            assert client.node._hub.open == 7
             assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
             for other in others:
                 other.close()
@@ -385,6 +386,24 @@
     return len(script.of(api.ProbeResult)) == probes
 
 
+def test_an_idle_connection_makes_place_for_one_elsewhere() -> None:
+    async def test() -> None:
+        first, second = await Upstream(answers(200)).start(), await Upstream(answers(200)).start()
+        script = Script()
+        async with node(script, first, second) as client:
+            client.node._hub.capacity = 1
+            for number, upstream in enumerate((first, second)):
+                script.react = partial(sends_to, script, number)
+                assert (await client.ask(request())).status == 200
+                assert len(upstream.got) == 1 and client.node._hub.open == 1
+            await until(lambda: first.closed == 1)
+    run(test())
+
+
+def sends_to(script: Script, number: int, event: api.Event) -> Iterable[api.Action]:
+    return [api.Send(event.request, script.ids()[number])] if isinstance(event, api.Arrival) else ()
+
+
 def test_probes_bring_reports() -> None:
     async def test() -> None:
         bodies = [b'{"inflight": 3, "queue": 1, "bad": "x"}', b"no json", b"[1]", b'{"inflight": NaN}']
