Take only IP addresses where an upstream is to be dialled

Seen: by reading: an entry whose dial held a name would be looked up in a thread, where there is no DNS, and one that no name may hold raises another error than the connect code expects, so that its attempt ended only at its time-out. Such an entry is now left out and logged like any other bad one. Tests: a name, a port too large, an overlong and a broken name.

--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import random
+import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -30,10 +31,16 @@
 
 
 def read_address(text: str) -> Address:
+    """An IP address and a port. A name is none: looking it up would block, and there is no DNS."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
+    host = host.strip("[]")
+    try:
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+    except (OSError, ValueError):
+        port = ""
+    if not (port.isascii() and port.isdigit() and int(port) <= 65535):
         raise BadList(f"no address: {text!r:.80}")
-    return host.strip("[]"), int(port)
+    return host, int(port)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -31,8 +31,9 @@
 
 
 @pytest.mark.parametrize("row", [
-    entry("a", health="odd"), entry("a", dial="nowhere"), entry("a", dial="h:99999"), entry("a", born_ms="x"),
-    {"host": 3}, 7])
+    entry("a", health="odd"), entry("a", dial="nowhere"), entry("a", dial="h:80"),
+    entry("a", dial="127.0.0.1:99999"), entry("a", dial="x" * 300 + ":80"), entry("a", dial="a\0b:80"),
+    entry("a", born_ms="x"), {"host": 3}, 7])
 def test_a_bad_entry_does_not_hide_the_others(row: object) -> None:
     listing = Reader(0).read({"seq": 1, "whole": False, "hosts": [row, entry("b", 81)]})
     assert [e.address[1] for e in listing.entries] == [81]
