Use no connection that its upstream has just closed

Seen: by reading: between an upstream's end on an idle connection and the loop's next turn the connection was still in its pool. A send on it ended at once as a failed connect, inside the call that started it; for a discovery call that left the finished call on record as out, so that the watch would never go on. Checked with a test that fails before (ended within the call) and passes now. Now such a connection is skipped, and an exchange never ends inside its start.

--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -104,10 +104,15 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=0)  # to be told when the last byte is written
 
+    @property
+    def usable(self) -> bool:
+        """Still open. A connection that the other side closed leaves its pool a turn later."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def send(self, exchange: Exchange) -> None:
         self._exchange, self._written = exchange, False
-        if self._transport is None or self._transport.is_closing():
-            self.lose()
+        if self._transport is None or not self.usable:
+            asyncio.get_running_loop().call_soon(self.lose)  # not at once: its sender still sets it up
             return
         self._transport.write(exchange.data)
         self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
@@ -169,11 +174,12 @@
 
     def reuse(self) -> Connection | None:
         self.hub.expire()
-        if not self.idle:
-            return None
-        connection = self.idle[-1]
-        self.drop(connection)
-        return connection
+        while self.idle:
+            connection = self.idle[-1]
+            self.drop(connection)
+            if connection.usable:
+                return connection
+        return None
 
     def keep(self, connection: Connection) -> None:
         if not self.ready:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -362,6 +362,25 @@
     run(test())
 
 
+def test_a_connection_that_its_upstream_has_just_closed_is_not_used_again() -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 200
+            pool = next(iter(client.node._hub.pools.values()))
+            transport = pool.idle[0]._transport
+            assert transport is not None
+            transport.close()  # what the transport does on an end; the pool hears of it a turn later
+            ended: list[Result] = []
+            pool.exchange(b"GET /read HTTP/1.1\r\n\r\n", None, lambda result, response: ended.append(result))
+            assert not ended
+            await until(lambda: ended)
+            assert ended == [Result.OK] and upstream.opened == 2
+    run(test())
+
+
 def test_connections_to_upstreams_are_bounded() -> None:
     async def test() -> None:
         upstream = await Upstream(silent).start()
