Bound what a client can pile up by sending ahead

Seen: by reading: an answer given at once calls for the next waiting request from within itself, and a client that sends ahead without reading its answers grows the write buffer without end. Checked: 4,000 requests in one go ended in a RecursionError and no answers (test fails before, passes now). Lines: ClientConnection.answer and _next. Now one loop works through what waits, and stops while the client does not read; its own reading then stops too.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -42,6 +42,8 @@
         self._waiting: deque[tuple[Message, int]] = deque()
         self._current: Message | None = None
         self._ended = False
+        self._stuffed = False  # the client does not read its answers
+        self._advancing = False
         self._transport: asyncio.Transport | None = None
 
     @property
@@ -71,20 +73,35 @@
             self._current = None
             self._service.gone(self)
 
+    def pause_writing(self) -> None:
+        self._stuffed = True
+
+    def resume_writing(self) -> None:
+        self._stuffed = False
+        self._next()
+
     def _next(self) -> None:
-        while self._current is None and not self._ended:
+        """Go on with what waits. An answer given meanwhile comes back here: not to go deeper each time."""
+        if self._advancing:
+            return
+        self._advancing = True
+        while self._current is None and not self._ended and not self._stuffed:
             if not self._waiting:
                 if self._reader.bad:
                     self._reject()
-                return
-            self._current, received = self._waiting.popleft()
-            if not self._waiting and self._transport:
-                self._transport.resume_reading()
-            self._server.mark(self)
-            if self._current.target.partition(b"?")[0] == READY_PATH:
-                self.answer(200 if self._service.ready else 503)
-            else:
-                self._service.take(self, self._current, received)
+                break
+            self._begin(*self._waiting.popleft())
+        self._advancing = False
+
+    def _begin(self, request: Message, received_ns: int) -> None:
+        self._current = request
+        if not self._waiting and self._transport:
+            self._transport.resume_reading()
+        self._server.mark(self)
+        if request.target.partition(b"?")[0] == READY_PATH:
+            self.answer(200 if self._service.ready else 503)
+        else:
+            self._service.take(self, request, received_ns)
 
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         """The final answer of the current request."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,11 +6,12 @@
 import errno
 import socket
 from collections.abc import Iterable
+from typing import cast
 
 import pytest
 
 from lanemux import interface as api
-from tests.sockets import Script, node, request, run, until
+from tests.sockets import PATIENCE_S, Script, node, request, run, until
 
 READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
 
@@ -78,6 +79,35 @@
     run(test())
 
 
+def test_thousands_of_requests_sent_ahead_are_answered() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            await client.send(READY * 4000)
+            for _ in range(4000):
+                assert (await client.read()).status == 200
+    run(test())
+
+
+def test_a_client_that_reads_no_answer_does_not_fill_the_memory() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            await client.send(READY)
+            assert client.writer is not None
+            cast(asyncio.Transport, client.writer.transport).pause_reading()
+            server_side = next(iter(client.node.server._connections))
+            while not server_side._stuffed:
+                await client.send(READY * 4000)
+                await asyncio.sleep(0)
+            assert server_side._transport is not None
+            await until(lambda: not cast(asyncio.Transport, server_side._transport).is_reading())
+            assert server_side._transport.get_write_buffer_size() < 256 * 1024
+            cast(asyncio.Transport, client.writer.transport).resume_reading()
+            assert client.reader is not None
+            while server_side._stuffed:
+                assert await asyncio.wait_for(client.reader.read(65536), PATIENCE_S)
+    run(test())
+
+
 def test_a_request_in_pieces_counts_from_its_last_byte() -> None:
     async def test() -> None:
         script = Script(fails_all)
