Count the module's times from the moment it decided

Ruled out: the module leaving requests open (its give-up comes before the deadline), a lost connection. A test stalls the process for 20 ms after the decision: 504 before, the module's refusal now. Conclusion: a stall costs a try its attempt, no longer its proper answer.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -86,6 +86,7 @@
         self._probes = 0
         self._events: list[api.Event] = []
         self._feeding = False
+        self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
         self._quiet = asyncio.Event()
         self._sweep: asyncio.TimerHandle | None = None
@@ -173,8 +174,9 @@
             self._feeding = False
 
     def _decide(self, batch: list[api.Event]) -> list[api.Action]:
+        self._decided_ns = time.monotonic_ns()
         try:
-            return self._module.handle(time.monotonic_ns(), batch)
+            return self._module.handle(self._decided_ns, batch)
         except Exception:  # a fault in the decisions costs these requests their time, not the process
             log.exception("the module failed on %.200r", batch)
             return []
@@ -202,7 +204,8 @@
             case api.FetchList():
                 self._discovery.fetch()
             case api.SetTimer():
-                self._loop.call_later(action.delay_ns / SECOND, self.feed, api.Wake(action.name))
+                due = (self._decided_ns + action.delay_ns) / SECOND
+                self._loop.call_at(due, self.feed, api.Wake(action.name))
             case api.Note():
                 log.info("module: %s", action.text)
             case _:
@@ -286,7 +289,8 @@
         number = call.sends if call is not None else 0
         pool = self._hub.pools.get(action.upstream)
         left = call.deadline_ns - NODE_EARLY_NS - now if call is not None else 0
-        timeout = min(action.timeout_ns, left) if action.timeout_ns else left
+        # A stall since the decision must not push the time-out past the deadline: the module is told in time.
+        timeout = min(self._decided_ns + action.timeout_ns - now, left) if action.timeout_ns else left
         if call is not None:
             call.sends += 1
         if (call is None or call.out is not None or pool is None or not pool.ready or timeout <= 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -295,6 +295,29 @@
     run(test())
 
 
+def test_a_stall_after_the_decision_does_not_put_off_its_time_out() -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+
+        def react(event: api.Event) -> Iterable[api.Action]:
+            if isinstance(event, api.Arrival):
+                timeout = event.deadline_ns - time.monotonic_ns()
+                time.sleep(0.02)  # the process gets no core for a while
+                return [api.Send(event.request, script.ids()[0], timeout), api.SetTimer(timeout, "end")]
+            if isinstance(event, api.Outcome) and event.result is Result.TIMEOUT:
+                return [api.Refuse(event.request)]
+            return ()
+
+        script.react = react
+        async with node(script, upstream) as client:
+            assert (await client.ask(request(deadline_ms=150))).status == 503
+            assert [o.result for o in script.of(api.Outcome)] == [Result.TIMEOUT]
+            await until(lambda: script.of(api.Wake))
+            assert not script.of(api.ClientGone)
+    run(test())
+
+
 def test_a_fault_of_the_module_does_not_stop_the_node() -> None:
     async def test() -> None:
         def react(event: api.Event) -> Iterable[api.Action]:
