Set time-outs and deadlines as points in time, not as waits

Checked: the node's deadline and an attempt's time-out were still set as waits from a moment read a little earlier, so that a stall between reading and setting could put the one behind the other.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -62,7 +62,6 @@
     timer: asyncio.TimerHandle | None = None
     sends: int = 0
     out: Exchange | None = None
-    upstream: int = 0  # where that is
     over: bool = False
 
 
@@ -232,8 +231,7 @@
         # A number of our own: nothing forbids two clients to use the same id at once.
         call = Call(str(self._count), client, request, deadline_ns)
         self._calls[call.id] = self._by_client[client] = call
-        left = (deadline_ns - NODE_EARLY_NS - time.monotonic_ns()) / SECOND
-        call.timer = self._loop.call_later(max(0.0, left), self._out_of_time, call)
+        call.timer = self._loop.call_at((deadline_ns - NODE_EARLY_NS) / SECOND, self._out_of_time, call)
         cookies = (c.strip() for c in request.header(b"cookie").decode("latin-1").split(";"))
         key = next((c[5:] for c in cookies if c.startswith("user=")), "")
         cost_us = whole_number(request.header(b"req-cost")) or 0
@@ -288,19 +286,19 @@
         call = self._calls.get(action.request)
         number = call.sends if call is not None else 0
         pool = self._hub.pools.get(action.upstream)
-        left = call.deadline_ns - NODE_EARLY_NS - now if call is not None else 0
         # A stall since the decision must not push the time-out past the deadline: the module is told in time.
-        timeout = min(self._decided_ns + action.timeout_ns - now, left) if action.timeout_ns else left
+        end = call.deadline_ns - NODE_EARLY_NS if call is not None else now
+        if action.timeout_ns:
+            end = min(end, self._decided_ns + action.timeout_ns)
         if call is not None:
             call.sends += 1
-        if (call is None or call.out is not None or pool is None or not pool.ready or timeout <= 0
+        if (call is None or call.out is not None or pool is None or not pool.ready or end <= now
                 or number >= self._limits.max_attempts):
             self.feed(api.Outcome(action.request, number, action.upstream, api.Result.MOOT, 0, call is None))
             return
-        call.upstream = action.upstream
-        call.out = Exchange(pool, self._attempt(call.request, timeout),
+        call.out = Exchange(pool, self._attempt(call.request, end - now),
                             self._when_ended(call, number, action.upstream, now))
-        call.out.start(timeout / SECOND)
+        call.out.start(end / SECOND)
 
     def _attempt(self, request: Message, timeout_ns: int) -> bytes:
         headers = [(k, v) for k, v in request.end_to_end() if k != b"req-deadline-ms"]
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -40,10 +40,10 @@
         """No byte of it has been sent yet."""
         return not self.over and self._connection is None
 
-    def start(self, timeout_s: float | None) -> None:
-        if timeout_s is not None:
-            self._timer = asyncio.get_running_loop().call_later(
-                max(0.0, timeout_s), self.finish, Result.TIMEOUT)
+    def start(self, end_s: float | None) -> None:
+        """Send it as soon as there is a connection; it times out at that time of the loop's clock."""
+        if end_s is not None:
+            self._timer = asyncio.get_running_loop().call_at(end_s, self.finish, Result.TIMEOUT)
         connection = self.pool.reuse()
         if connection is not None:
             self.carry(connection)
@@ -169,7 +169,7 @@
 
     def exchange(self, data: bytes, timeout_s: float | None, done: Done) -> Exchange:
         exchange = Exchange(self, data, done)
-        exchange.start(timeout_s)
+        exchange.start(None if timeout_s is None else asyncio.get_running_loop().time() + timeout_s)
         return exchange
 
     def reuse(self) -> Connection | None:
