End the watch when the module asks for it

Seen: by reading: of the module's actions only Subscribe(off) was not carried out; the watch went on. Lines: Node._carry_out. A call that is given up now closes its connection and says nothing, also at the end of the process. Test: off, on and a fetch of the whole list against a discovery on loopback.

--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -148,14 +148,18 @@
         if self._fetch is None:
             self._fetch = self._get("", self._fetched)
 
-    def stop(self) -> None:
-        calls, self._call, self._fetch = (self._call, self._fetch), None, None
-        for call in calls:
-            if call is not None:
-                call.over = True
+    def unwatch(self) -> None:
+        call, self._call = self._call, None
+        if call is not None:
+            call.abandon()
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
+
+    def stop(self) -> None:
+        self.unwatch()
+        if self._fetch is not None:
+            self._fetch.abandon()
         self._pool.close_idle()
 
     def _get(self, query: str, done: Callable[[Listing | None], None]) -> Exchange:
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -200,6 +200,8 @@
             case api.Subscribe():
                 if action.on:
                     self._discovery.watch()
+                else:
+                    self._discovery.unwatch()
             case api.FetchList():
                 self._discovery.fetch()
             case api.SetTimer():
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -74,17 +74,20 @@
         connection.send(self)
 
     def finish(self, result: Result, response: Message | None = None) -> None:
+        """End it and say so, once."""
+        if not self.over:
+            self.abandon(response is not None)
+            self._done(result, response)
+
+    def abandon(self, answered: bool = False) -> None:
         """End it; a connection on which the answer is still to come is closed and never used again."""
-        if self.over:
-            return
         self.over = True
         if self._timer is not None:
             self._timer.cancel()
         if self._opening is not None:
             self._opening.cancel()
-        if self._connection is not None and response is None:
+        if self._connection is not None and not answered:
             self._connection.close()
-        self._done(result, response)
 
 
 class Connection(asyncio.Protocol):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -107,3 +107,22 @@
             pool = next(iter(client.node._hub.pools.values()))
             await until(lambda: pool.address == ("127.0.0.2", 6))
     run(test())
+
+
+def test_the_module_ends_the_watch_and_fetches_the_whole_list() -> None:
+    async def test() -> None:
+        steps: dict[str, api.Action] = {
+            "off": api.Subscribe(False), "on": api.Subscribe(True), "fetch": api.FetchList()}
+        registry = Registry()
+        script = Script(lambda e: [steps[e.name]] if isinstance(e, api.Wake) else ())
+        async with node(script, registry=registry, known_list=known(5)) as client:
+            await until(lambda: registry.calls)
+            client.node.feed(api.Wake("off"))
+            assert client.node._discovery._pool.hub.open == 0
+            client.node.feed(api.Wake("on"))
+            await until(lambda: len(registry.calls) == 2)
+            client.node.feed(api.Wake("fetch"))
+            await until(lambda: len(script.of(api.ListUpdate)) == 2)
+            assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL and not client.node._hub.pools
+            assert registry.calls[2][1] == "/registry/instances"
+    run(test())
