SIGHUP reads the configuration again and discovery moves to its new address

Cause: no handler in __main__, so the default action of SIGHUP ended the process; and Discovery knew one address for good.

Now the file is read again (a bad one is logged and changes nothing; what needs a restart is named), and the new address is asked at once for the whole list, again and again until it answers. The old watch stays until then; when the old address closes first it is not asked again. Of several moves the last counts. JSON that is nested too deep is a bad file or a bad list, not an exception that ends the watch.

--- a/lanemux/__main__.py
+++ b/lanemux/__main__.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import os
 import signal
@@ -16,9 +15,12 @@
 
 from lanemux.drill import read_settings
 from lanemux.net.discovery import BadList, read_address
+from lanemux.net.http import read_json
 from lanemux.net.node import Config, Node
 from lanemux.policy import Balancer
 
+log = logging.getLogger(__name__)
+
 LINES_A_SECOND = 20
 
 
@@ -47,17 +49,16 @@
 def read_config(path: str) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-        return _config(raw)
+            return _config(read_json(file.read()))
     except OSError as error:
         raise BadConfig(f"{path}: {error.strerror}") from None
     except KeyError as error:
         raise BadConfig(f"{path}: {error} is missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise BadConfig(f"{path}: {error}") from None
 
 
-def _config(raw: dict[str, Any]) -> Config:
+def _config(raw: Any) -> Config:
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
     return Config(
         name=str(raw["name"]), listen=read_address(raw["listen"]), discovery=read_address(raw["discovery"]),
@@ -69,16 +70,31 @@
         peers_all=read_address(peers_all) if peers_all else None)
 
 
-async def serve(config: Config) -> None:
+def reload(path: str, old: Config, node: Node) -> None:
+    """Take up a new configuration as far as that goes without a start; a bad one changes nothing."""
+    try:
+        new = read_config(path)
+    except BadConfig as error:
+        log.warning("%s: reload: %s; the old configuration stays", old.name, error)
+        return
+    log.info("%s: reload: discovery at %s:%d", old.name, *new.discovery)
+    for name in ("name", "listen", "sockets", "settings", "peer_listen", "peers", "peers_all"):
+        if getattr(new, name) != getattr(old, name):
+            log.warning("%s: reload: another %s needs a restart", old.name, name)
+    node.move_discovery(new.discovery)
+
+
+async def serve(config: Config, path: str) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()))
+    loop.add_signal_handler(signal.SIGHUP, reload, path, config, node)
     port = await node.start()
-    logging.info("%s: ready on port %d", config.name, port)
+    log.info("%s: ready on port %d", config.name, port)
     await stop.wait()
-    logging.info("%s: stopping", config.name)
+    log.info("%s: stopping", config.name)
     await node.drain()
 
 
@@ -88,6 +104,7 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler],
                         format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # so that it ends nothing before there is a node to reload
     try:
         if not path:
             raise BadConfig("RELAY_CONFIG is not set")
@@ -96,7 +113,7 @@
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, path))
     except BadList as error:
         print(f"lanemux: {path}: known: {error}", file=sys.stderr)
         return 2
--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import json
 import logging
 import random
 import socket
@@ -12,7 +11,7 @@
 from dataclasses import dataclass
 
 from lanemux import interface as api
-from lanemux.net.http import Message, write_request
+from lanemux.net.http import Message, read_json, write_request
 from lanemux.net.upstream import Address, Exchange, Hub, Pool
 
 log = logging.getLogger(__name__)
@@ -20,9 +19,9 @@
 LIST_PATH = "/registry/instances"
 MAX_LIST = 1024 * 1024  # bytes of a list
 WAIT_MS = 10_000  # that a watch call may wait: silence for longer shows that discovery is down
-OVERDUE_S = 1.0  # beyond that
+OVERDUE_S = 1.0  # beyond that, and for an answer that waits for nothing
 EMPTY_S = 0.02  # an agent that answers at once with nothing must not be asked without pause
-FIRST_RETRY_S, LAST_RETRY_S = 0.05, 2.0
+FIRST_RETRY_S, LAST_RETRY_S = 0.05, 1.0
 STATES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
 
 
@@ -112,70 +111,137 @@
                 del self._hosts[number]
 
 
+class Source:
+    """One address of discovery, and the calls to it."""
+
+    def __init__(self, address: Address, reader: Reader) -> None:
+        self.address = address
+        self._pool = Pool(Hub(2, 2.0, 0.0, MAX_LIST), address)
+        self._host = f"{address[0]}:{address[1]}".encode()
+        self._reader = reader
+
+    def get(self, query: str, wait_s: float, done: Callable[[Listing | None], None]) -> Exchange:
+        data = write_request(b"GET", (LIST_PATH + query).encode(), [(b"Host", self._host)])
+        return self._pool.exchange(data, wait_s + OVERDUE_S,
+                                   lambda result, response: done(self._read(result, response)))
+
+    def _read(self, result: api.Result, response: Message | None) -> Listing | None:
+        if result is not api.Result.OK or response is None or response.status != 200:
+            log.info("discovery: call failed: %s %s", result.value, response.status if response else "")
+            return None
+        try:
+            return self._reader.read(read_json(response.body))
+        except ValueError as error:
+            log.warning("discovery: %.120s", error)
+            return None
+
+    def close(self) -> None:
+        self._pool.close_idle()
+
+
 class Discovery:
     """Watches the list. Where it is pushed, the watch never ends; where it is asked, the module says when."""
 
     def __init__(self, address: Address, reader: Reader, pushed: bool, rng: random.Random,
                  heard: Callable[[Listing | None], None]) -> None:
-        hub = Hub(2, 2.0, 0.0, MAX_LIST)
-        self._pool = Pool(hub, address)
-        self._host = f"{address[0]}:{address[1]}".encode()
         self._reader = reader
+        self._source = Source(address, reader)
+        self._successor: Source | None = None  # the new address, until it has told the whole list
         self._pushed = pushed
         self._rng = rng
         self._heard = heard  # a listing, or None for a failed call
         self._version: int | None = None
+        self._watching = False
         self._call: Exchange | None = None
         self._fetch: Exchange | None = None
+        self._handover: Exchange | None = None  # the call to the successor
         self._retry: asyncio.TimerHandle | None = None
+        self._handover_retry: asyncio.TimerHandle | None = None
         self._failures = 0
+        self._handover_failures = 0
 
     def take_known(self, listing: Listing) -> None:
         self._version = listing.version
 
     def watch(self) -> None:
         """Ask for what is newer than what is known; a call that is out already serves."""
+        self._watching = True
         if self._call is not None:
             return
-        if self._retry is not None:
-            self._retry.cancel()
-            self._retry = None
+        self._cancel_retry()
         query = "" if self._version is None else f"?after={self._version}&wait_ms={WAIT_MS}"
-        self._call = self._get(query, self._answered)
+        self._call = self._source.get(query, WAIT_MS / 1000, self._answered)
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
         if self._fetch is None:
-            self._fetch = self._get("", self._fetched)
+            self._fetch = self._source.get("", 0.0, self._fetched)
 
     def unwatch(self) -> None:
+        self._watching = False
+        self._end_call()
+
+    def _end_call(self) -> None:
         call, self._call = self._call, None
         if call is not None:
             call.abandon()
+        self._cancel_retry()
+
+    def _cancel_retry(self) -> None:
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
 
+    def move(self, address: Address) -> None:
+        """Go over to another address. The watch on the old one stays until the new one has answered."""
+        self._forget_successor()  # of several moves in a row the last one counts
+        if address != self._source.address:
+            self._successor = Source(address, self._reader)
+            self._handover_failures = 0
+            self._ask_successor()
+        elif self._watching and self._call is None:
+            self.watch()  # back to an address whose watch had ended
+
+    def _forget_successor(self) -> None:
+        if self._handover is not None:
+            self._handover.abandon()
+        if self._handover_retry is not None:
+            self._handover_retry.cancel()
+        if self._successor is not None:
+            self._successor.close()
+        self._successor = self._handover = self._handover_retry = None
+
+    def _ask_successor(self) -> None:
+        self._handover_retry = None
+        if self._successor is not None:
+            self._handover = self._successor.get("", 0.0, self._succeeded)
+
+    def _succeeded(self, listing: Listing | None) -> None:
+        self._handover = None
+        if self._successor is None:
+            return
+        if listing is None or not listing.whole:
+            self._handover_failures += 1
+            self._handover_retry = asyncio.get_running_loop().call_later(
+                self._pause_s(self._handover_failures), self._ask_successor)
+            return
+        self._end_call()
+        if self._fetch is not None:  # what the whole list was asked for, this one answers
+            self._fetch.abandon()
+            self._fetch = None
+        self._source.close()
+        self._source, self._successor = self._successor, None
+        self._failures, self._version = 0, listing.version
+        if self._watching:
+            self.watch()
+        self._tell(listing)
+
     def stop(self) -> None:
         self.unwatch()
+        self._forget_successor()
         if self._fetch is not None:
             self._fetch.abandon()
-        self._pool.close_idle()
-
-    def _get(self, query: str, done: Callable[[Listing | None], None]) -> Exchange:
-        data = write_request(b"GET", (LIST_PATH + query).encode(), [(b"Host", self._host)])
-        return self._pool.exchange(data, WAIT_MS / 1000 + OVERDUE_S,
-                                   lambda result, response: done(self._read(result, response)))
-
-    def _read(self, result: api.Result, response: Message | None) -> Listing | None:
-        if result is not api.Result.OK or response is None or response.status != 200:
-            log.info("discovery: call failed: %s %s", result.value, response.status if response else "")
-            return None
-        try:
-            return self._reader.read(json.loads(response.body))
-        except ValueError as error:
-            log.warning("discovery: %.120s", error)
-            return None
+        self._source.close()
 
     def _fetched(self, listing: Listing | None) -> None:
         self._fetch = None
@@ -190,11 +256,14 @@
                 self.watch()  # first of all: a watch that pauses for 200 ms is a new one
             else:
                 self._watch_later(EMPTY_S)
-        elif self._pushed:
-            wait = min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** min(self._failures - 1, 10))
-            self._watch_later(wait * self._rng.uniform(0.75, 1.25))
+        elif self._pushed and self._successor is None:  # else the watch goes on there
+            self._watch_later(self._pause_s(self._failures))
         self._tell(listing)
 
+    def _pause_s(self, failures: int) -> float:
+        wait = min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** min(failures - 1, 10))
+        return wait * self._rng.uniform(0.75, 1.25)
+
     def _watch_later(self, wait_s: float) -> None:
         self._retry = asyncio.get_running_loop().call_later(wait_s, self.watch)
 
--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -131,6 +132,14 @@
     return int(text) if text.isdigit() and len(text) <= 15 else None
 
 
+def read_json(text: bytes | str) -> object:
+    """What a JSON text says; ValueError also for one that is nested too deep to be read."""
+    try:
+        return json.loads(text)
+    except RecursionError:
+        raise ValueError("nested too deep") from None
+
+
 def load_report(value: object) -> dict[str, float] | None:
     """A load report as the module takes it: the finite numbers of a JSON object."""
     if not isinstance(value, dict):
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -144,6 +144,10 @@
         self.close()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
+    def move_discovery(self, address: Address) -> None:
+        """The configuration names another address for discovery."""
+        self._discovery.move(address)
+
     def close(self) -> None:
         """Stop everything at once; what is open fails."""
         for call in list(self._calls.values()):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,7 @@
 
 from lanemux import interface as api
 from lanemux.net.discovery import BadList, Reader
-from tests.sockets import Registry, Script, entry, known, node, run, until, written
+from tests.sockets import HOST, Registry, Script, entry, known, node, run, until, written
 
 
 def test_a_host_has_the_same_number_everywhere() -> None:
@@ -118,7 +118,7 @@
         async with node(script, registry=registry, known_list=known(5)) as client:
             await until(lambda: registry.calls)
             client.node.feed(api.Wake("off"))
-            assert client.node._discovery._pool.hub.open == 0
+            assert client.node._discovery._source._pool.hub.open == 0
             client.node.feed(api.Wake("on"))
             await until(lambda: len(registry.calls) == 2)
             client.node.feed(api.Wake("fetch"))
@@ -126,3 +126,89 @@
             assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL and not client.node._hub.pools
             assert registry.calls[2][1] == "/registry/instances"
     run(test())
+
+
+def hosts(script: Script) -> list[int]:
+    """The numbers of upstreams in the last whole list."""
+    return [u.id for u in [e for e in script.of(api.ListUpdate) if e.kind is api.ListKind.FULL][-1].upstreams]
+
+
+async def second(*rows: str, broken: bytes = b"") -> Registry:
+    registry = Registry()
+    registry.rows = {host: entry(host, 9) for host in rows}
+    registry.broken, registry.version = broken, 3
+    await registry.upstream.start()
+    return registry
+
+
+def test_a_move_asks_the_new_address_for_the_whole_list_and_watches_there() -> None:
+    async def test() -> None:
+        old, script = Registry(), Script()
+        new = await second("s8", "s9")
+        async with node(script, registry=old, known_list=known(5)) as client:
+            await until(lambda: old.calls)
+            left = client.node._discovery._source
+            client.node.move_discovery((HOST, new.upstream.port))
+            await until(lambda: len(new.calls) == 2)
+            assert new.calls[0][1] == "/registry/instances"
+            assert new.calls[1][1].startswith("/registry/instances?after=3&")
+            assert len(hosts(script)) == 2 and len(client.node._hub.pools) == 2
+            assert left._pool.hub.open == 0
+            new.change("s7")
+            await until(lambda: len(client.node._hub.pools) == 3)
+        new.upstream.stop()
+    run(test())
+
+
+def test_the_old_watch_stays_until_the_new_address_answers() -> None:
+    async def test() -> None:
+        old, script = Registry(), Script()
+        new = await second("s9", broken=written(503))
+        async with node(script, registry=old, known_list=known(5)) as client:
+            await until(lambda: old.calls)
+            client.node.move_discovery((HOST, new.upstream.port))
+            await until(lambda: len(new.calls) == 2)
+            old.change("s1")
+            await until(lambda: len(client.node._hub.pools) == 2)
+            new.broken = b""
+            await until(lambda: len(client.node._hub.pools) == 1)
+        new.upstream.stop()
+    run(test())
+
+
+def test_an_old_address_that_closes_is_not_asked_again() -> None:
+    async def test() -> None:
+        old, script = Registry(), Script()
+        new = await second("s9", broken=written(503))
+        async with node(script, registry=old, known_list=known(5)) as client:
+            await until(lambda: old.calls)
+            client.node.move_discovery((HOST, new.upstream.port))
+            old.broken = written(503)
+            old.change("s1")  # the watch ends
+            await until(lambda: client.node._discovery._call is None)
+            assert client.node._discovery._retry is None
+            new.broken = b""
+            await until(lambda: len(new.calls) > 1 and "after=3" in new.calls[-1][1])
+        new.upstream.stop()
+    run(test())
+
+
+def test_of_several_moves_the_last_one_counts_also_back_to_the_first() -> None:
+    async def test() -> None:
+        old, script = Registry(), Script()
+        new = [await second(f"s{i}") for i in (7, 8)]
+        async with node(script, registry=old, known_list=known(5)) as client:
+            await until(lambda: old.calls)
+            addresses = [(HOST, r.upstream.port) for r in (*new, old)]
+            for address in addresses:
+                client.node.move_discovery(address)
+            old.change("s1")
+            await until(lambda: len(client.node._hub.pools) == 2)
+            for address in addresses[:2]:
+                client.node.move_discovery(address)
+            await until(lambda: len(new[1].calls) == 2)
+            assert not new[0].calls and client.node._discovery._successor is None
+            assert hosts(script) == [client.node._reader.number("s8")]
+        for registry in new:
+            registry.upstream.stop()
+    run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,7 +16,20 @@
 
 import pytest
 
-from tests.sockets import HOST, PATIENCE_S, Got, Upstream, answers, known, read, request, run, until, written
+from tests.sockets import (
+    HOST,
+    PATIENCE_S,
+    Got,
+    Registry,
+    Upstream,
+    answers,
+    known,
+    read,
+    request,
+    run,
+    until,
+    written,
+)
 
 READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
 SETTINGS = {"profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 3_000_000_000}],
@@ -95,6 +108,35 @@
     run(test())
 
 
+def test_sighup_moves_discovery_and_survives_a_bad_file(tmp_path: Path) -> None:
+    async def test() -> None:
+        registries = [Registry(), Registry()]
+        for registry in registries:
+            await registry.upstream.start()
+        upstream = await Upstream(answers(200)).start()
+        path = tmp_path / "config.json"
+        async with program(tmp_path, upstream.port) as (process, port):
+            for text in ("{", "[" * 100_000, json.dumps(config(listen=3))):
+                path.write_text(text)
+                process.send_signal(signal.SIGHUP)
+                line = b""
+                while b"the old configuration stays" not in line:
+                    assert process.stderr is not None
+                    line = await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)
+                    assert line, "it ended"
+            assert (await ask(port, request())).status == 200
+            for registry in registries:
+                path.write_text(json.dumps(config(discovery=f"{HOST}:{registry.upstream.port}")))
+                process.send_signal(signal.SIGHUP)
+                await until(lambda r=registry: len(r.calls) >= 2)  # type: ignore[misc]
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)  # also while it drains
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+        for server in (upstream, *(r.upstream for r in registries)):
+            server.stop()
+    run(test())
+
+
 def test_too_few_descriptors_are_survived(tmp_path: Path) -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
