R comes back from a short trouble within a few intervals

Traced: a trouble of about two seconds made attempts time out; R was cut interval by interval to 35 a second while 290 were asked for, and stayed there with no upstream holding anything: 10% an interval is ten seconds of climbing, and meanwhile requests came out of their throttle with so little time left that they timed out and cut R further. Policy: Rate.adjust, and the four places that count against it.

Now R climbs by half an interval while it is well under the rate that failed last, a cut counts what lies over the tolerated share, and what a request suffers that its own throttle held for half its time is not counted.

Checked and ruled out: hints do not tell the requests that can't be served in time well enough to refuse them.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -25,6 +25,8 @@
 FEEDBACK_NS = SECOND // 2
 TOLERATED = 0.1  # share of bad outcomes that says nothing
 DEEPEST_CUT = 0.3  # of R in one feedback interval
+CLIMB, RETURN = 1.1, 1.5  # R's rise in an interval, and while it is well under what failed last
+WELL_UNDER = 0.8
 SICK_PART = 0.5  # the worse half of the upstreams may fail without R being judged
 LIMIT_MAX, LOAD_MAX = 64, 1e6
 KEPT = 0.98  # of evidence on what requests take, an outcome
@@ -85,6 +87,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     over: bool = False
     begun: bool = False  # its stream has begun
+    hurried: bool = False  # half its time went by in its throttle: a late end says nothing of the upstreams
     place: str = ""  # "held" by its throttle, in the "line", or ""
     give_up_ns: int = 0  # waiting longer than this is of no use
     asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
@@ -191,6 +194,7 @@
     def __init__(self, throttles: Sequence[Throttle], now: int) -> None:
         self.throttles = throttles
         self.value = START_RATE
+        self.failed = 0.0  # the rate at which too many failed, fading with each cut
         self.since = now
         self.sent = 0.0  # attempts ended a second
         self.served = START_RATE  # and those of them in time
@@ -213,10 +217,13 @@
         self.sent = (self.good + sum(bad)) * SECOND / elapsed
         if share > TOLERATED:
             # After a shrink R stands far above what is served: come down to that first.
-            cut = min(self.value, 1.2 * self.sent + 1) * (1 - min(DEEPEST_CUT, share / 2))
-            self.value = max(1.0, 0.9 * self.served, cut)
+            rate = min(self.value, 1.2 * self.sent + 1)
+            self.failed = max(0.9 * self.failed, rate)
+            self.value = max(1.0, 0.9 * self.served, rate * (1 - min(DEEPEST_CUT, share - TOLERATED)))
         elif total and any(t.short for t in self.throttles):
-            self.value = min(START_RATE, self.value * 1.1 + 0.5)
+            # A short trouble cuts R several times: what it served before must not take ten seconds to reach.
+            rise = RETURN if self.value < WELL_UNDER * self.failed else CLIMB
+            self.value = min(START_RATE, self.value * rise + 0.5)
         for t in self.throttles:
             t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
             t.asked, t.short = 0, False
@@ -585,11 +592,12 @@
 
     def _admit(self, r: Request, now: int) -> None:
         r.place = ""
+        r.hurried = 2 * (r.aim_ns - now) < r.cls.aim_ns
         part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
         # A class with much time must not make the line too long for those with little.
         spare = min(r.give_up_ns - now, self.patience_ns)
         if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
-            self.rate.unplaced += 1  # the line is too long already: better said at once
+            self.rate.unplaced += not r.hurried  # the line is too long already: better said at once
             self._refuse(r, now)
             return
         r.pool.line.append(r)
@@ -625,11 +633,11 @@
             if server.own:
                 self.crowding.done[min(server.inflight, LIMIT_MAX + 1)] += 1
             self.rate.good += now <= r.aim_ns
-            self.rate.bad[server.id] += now > r.aim_ns  # late is what a crowded fleet shows first
+            self.rate.bad[server.id] += now > r.aim_ns and not r.hurried  # crowding shows in it first
             if server.strikes:
                 server.strikes = server.barred_ns = 0
         elif e.result in FAILURES:
-            self.rate.bad[server.id] += 1
+            self.rate.bad[server.id] += e.result is not api.Result.TIMEOUT or not r.hurried
             if e.result is api.Result.TIMEOUT:
                 # It would have taken longer: what is cut off must not flatten the slope.
                 self.crowding.crowd(a, max(1.3 * e.took_ns, self.crowding.time(a.load)))
@@ -703,7 +711,7 @@
     def _look(self, what: str, about: Request | Throttle | None, extra: int, now: int) -> None:
         if isinstance(about, Request):
             if what == "give up" and about.place and now >= about.give_up_ns:
-                self.rate.unplaced += about.place == "line"
+                self.rate.unplaced += about.place == "line" and not about.hurried
                 self._refuse(about, now)
             elif what == "overdue":
                 self._overdue(about, extra, now)
@@ -749,7 +757,7 @@
                     and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
             if full or (server is None and choices is not None):
                 # All that it may go to are busy, or would answer late: it must not stop the line.
-                self.rate.unplaced += 1
+                self.rate.unplaced += not r.hurried
                 self._refuse(r, now)
             elif server is not None:
                 pool.line.popleft()
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -7,8 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lanemux.policy import Pool, Request, Throttle
-from tests.bench import MS, READ, SECOND
+from lanemux import interface as api
+from lanemux.policy import FEEDBACK_NS, Balancer, Pool, Rate, Request, Throttle
+from tests.bench import MS, READ, SECOND, START, arrival, upstreams
+from tests.bench import settings as bench_settings
 
 
 def throttle(bank: int, hold: int, u: int, rate: float = 1.0) -> Throttle:
@@ -105,3 +107,51 @@
     for t in throttles:
         assert t.u == t.bank + t.hold
     assert len({round(t.credit, 3) for t in throttles}) > 10
+
+
+def test_a_short_trouble_costs_the_rate_only_a_moment() -> None:
+    t = throttle(9, 9, 9)
+    rate = Rate([t], 0)
+    now = 0
+
+    def interval(good: int, bad_at_each: int) -> None:
+        nonlocal now
+        now += FEEDBACK_NS
+        rate.good, t.asked, t.short = good, good, True
+        rate.bad.update({i: bad_at_each for i in range(8) if bad_at_each})
+        rate.adjust(now, 8)
+
+    interval(150, 0)
+    for _ in range(6):
+        interval(int(min(rate.value, 300) / 4), int(min(rate.value, 300) / 32))
+    assert rate.value < 160
+    for _ in range(4):
+        interval(int(rate.value / 2), 0)
+    assert rate.value > 230
+
+
+def timed_out(rate_a_second: float) -> int:
+    """What counts against the rate when a request's one attempt ends with its time."""
+    config = bench_settings(tenants={"ash": api.Tenant("ash")}, limits=api.Limits(max_attempts=1))
+    balancer = Balancer(config, 1, START)
+    balancer.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(6))])
+    t = balancer.throttles["ash"]
+    t.set_rate(rate_a_second, START)
+    t.u, t.credit = t.hold, 0.0  # no token: the request waits for one
+    event: api.Event = arrival(1, START)
+    now = START
+    for _ in range(20):
+        for action in balancer.handle(now, [event]):
+            if isinstance(action, api.Send):
+                now += action.timeout_ns
+                balancer.handle(now, [api.Outcome("r1", 0, action.upstream, api.Result.TIMEOUT, 1)])
+                return sum(balancer.rate.bad.values())
+            if isinstance(action, api.SetTimer):
+                event, due = api.Wake(action.name), now + action.delay_ns
+        now = due
+    raise AssertionError("never sent")
+
+
+def test_what_its_own_throttle_delayed_does_not_count_against_the_rate() -> None:
+    assert timed_out(100.0) == 1  # it was held for 10 ms of its 300
+    assert timed_out(5.0) == 0  # for 200
