Pass on a good answer whatever comes behind it; bound all that upstreams send

No body was longer than its one length, so what lies behind a whole answer is none of it.

Now the whole answer goes on, the connection is closed and meets no other request. Also, each with a failing test first: a load report that is a huge number or nested deep raised out of the done call, so the module never heard the outcome and held the attempt for ever; negative figures passed; a length over the limit was read up to it; a transfer coding other than chunked was passed on undecoded; trailers became headers; chunk extensions, heads that come in one read, and 1xx answers had no bound. The last message stayed in memory with an idle connection.

Found by the probes' test: Hub.open was counted when the connecting task first ran, so what was begun in the same turn went over the limit on descriptors; a place is taken at once now, and one place in eight is no probe's.

httptools was probed: it turns away both framings at once, doubled, signed, empty and overlong lengths by itself.

--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import httptools
 
 MAX_BODY = 64 * 1024
-MAX_HEAD = 16 * 1024
+MAX_HEAD = 16 * 1024  # bytes of a head, or of a body's trailers with it
+FRAMING = 8  # times its body that a chunked message may take: a byte a chunk takes six
+MOST_LOAD = 1e12  # of any figure in a load report; what is above has no meaning
+MAX_ANNOUNCED = 16  # 1xx answers ahead of an answer
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate",
                         b"proxy-authorization", b"te", b"trailer", b"transfer-encoding", b"upgrade",
                         b"expect", b"content-length"})
-REASONS = {200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 413: "Content Too Large",
+REASONS = {200: "OK", 400: "Bad Request", 405: "Method Not Allowed",
+           408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 Headers = Iterable[tuple[bytes, bytes]]
@@ -47,7 +50,9 @@
         self._parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
         self._max_body = max_body
         self._ready: list[Message] = []
-        self._head_fed = 0  # of a head that is not whole yet
+        self._fed = 0  # bytes of a message that is not whole yet, its framing included
+        self._announced = 0  # 1xx answers ahead of the one that counts
+        self.begun = False  # a message has begun that is not whole yet
         self.bad = 0  # what to tell a peer that sent what HTTP or our limits do not allow; reading is over
         self._fresh()
 
@@ -55,59 +60,84 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._target = b""
         self._body = bytearray()
+        self._head_size = 0
         self._in_body = False
-        self._too_big = False
 
     def feed(self, data: bytes) -> list[Message]:
         """The messages that are now whole; `bad` is set if what came after them can't be read."""
-        if not self._in_body:
-            self._head_fed += len(data)
-        self._ready = []
+        self._fed += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._ready = self._ready[:-1]  # no other protocol is spoken here
-            self.bad = 400
+            self._refuse(400)
         except httptools.HttpParserError:
-            self.bad = 400
-        if self._too_big:
-            self.bad = 413
-        elif not self._in_body and self._head_fed > MAX_HEAD:
-            self.bad = self.bad or 431  # a head without end must not fill the memory
-        return self._ready
+            self._refuse(400)
+        if not self._in_body and self._fed > MAX_HEAD:
+            self._refuse(431)  # a head without end must not fill the memory
+        elif self._fed > MAX_HEAD + FRAMING * self._max_body:
+            self._refuse(413)  # nor must chunk extensions without end keep the parser busy
+        if self.bad:
+            self._fresh()
+        ready, self._ready = self._ready, []
+        return ready
+
+    def _refuse(self, status: int) -> None:
+        self.bad = self.bad or status
 
     # -- called by httptools --
 
     def on_message_begin(self) -> None:
-        self._fresh()
+        self.begun = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
+        self._count(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        self._count(len(name) + len(value) + 4)
+        # Behind a chunked body come trailers. They must not pass for headers that the head did not have.
+        if not self._in_body and not self.bad:
+            self._headers.append((name.lower(), value))
+
+    def _count(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > MAX_HEAD:
+            self._refuse(431)
 
     def on_headers_complete(self) -> None:
         self._in_body = True
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            self._refuse(400)
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > self._max_body:
+                self._refuse(413)  # not only when that much has come
+            elif name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+                self._refuse(400)  # a coding that would have to be undone
 
     def on_body(self, data: bytes) -> None:
         if len(self._body) + len(data) > self._max_body:
-            self._too_big = True  # the rest is only counted off
-            self._body.clear()
-        elif not self._too_big:
+            self._refuse(413)
+        if not self.bad:
             self._body += data
 
     def on_message_complete(self) -> None:
-        if self._too_big:
+        if self.bad:
             return
         message = Message(self._headers, bytes(self._body), self._parser.should_keep_alive())
         if isinstance(self._parser, httptools.HttpRequestParser):
             message.method, message.target = self._parser.get_method(), self._target
         else:
             message.status = self._parser.get_status_code()
-        self._head_fed, self._in_body = 0, False
-        if message.status == 0 or message.status >= 200:  # 1xx only announces the answer
+        self._fed, self.begun = 0, False
+        self._fresh()
+        if message.status == 0 or message.status >= 200:
             self._ready.append(message)
+            self._announced = 0
+            return
+        self._announced += 1  # 1xx only announces the answer
+        if self._announced > MAX_ANNOUNCED:
+            self._refuse(400)
 
 
 def _head(first: bytes, headers: Headers, body: bytes, with_length: bool) -> bytes:
@@ -140,9 +170,13 @@
         raise ValueError("nested too deep") from None
 
 
-def load_report(value: object) -> dict[str, float] | None:
-    """A load report as the module takes it: the finite numbers of a JSON object."""
+def load_report(text: bytes) -> dict[str, float] | None:
+    """A load report as the module takes it: the numbers of a JSON object that a load can be."""
+    try:
+        value = read_json(text)
+    except ValueError:
+        return None
     if not isinstance(value, dict):
         return None
     return {k: float(v) for k, v in value.items()
-            if isinstance(v, int | float) and not isinstance(v, bool) and math.isfinite(v)}
+            if isinstance(v, int | float) and not isinstance(v, bool) and 0 <= v <= MOST_LOAD}
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
 import time
@@ -28,6 +27,7 @@
 RESERVED_DESCRIPTORS = 64  # for the loop, listening, discovery, peers and logs
 PROBE_TIMEOUT_S = 0.05
 MAX_PROBES = 256  # probes out at once
+PROBE_SPARE = 8  # one in so many places for connections is none for a probe: attempts come first
 FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
 SWEEP_S = 1.0
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
@@ -326,7 +326,7 @@
         return ended
 
     def _report(self, response: Message | None) -> dict[str, float] | None:
-        return _parsed(response.header(b"srv-load")) if response is not None else None
+        return load_report(response.header(b"srv-load")) if response is not None else None
 
     def _cancel(self, action: api.Cancel) -> None:
         call = self._calls.get(action.request)
@@ -347,11 +347,12 @@
             report = None
             if response is not None:
                 result = api.Result.OK if response.status == 200 else api.Result.FULL
-                report = _parsed(response.body)
+                report = load_report(response.body)
             self.feed(api.ProbeResult(upstream, result, time.monotonic_ns() - now, report))
 
         host = "{}:{}".format(*pool.address).encode()
-        pool.exchange(write_request(b"GET", self._probe_path, [(b"Host", host)]), PROBE_TIMEOUT_S, ended)
+        pool.exchange(write_request(b"GET", self._probe_path, [(b"Host", host)]), PROBE_TIMEOUT_S, ended,
+                      self._hub.capacity // PROBE_SPARE)
 
     def _listed(self, listing: Listing | None) -> None:
         if listing is None:
@@ -397,10 +398,3 @@
     if response.status in (503, 504) and response.header(b"srv-declined") == b"1":
         return api.Result.FULL
     return api.Result.ERROR
-
-
-def _parsed(text: bytes) -> dict[str, float] | None:
-    try:
-        return load_report(json.loads(text)) if text else None
-    except ValueError:
-        return None
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -26,12 +26,14 @@
     `done` is called once: with RESULT OK and the response, whatever its status, or with what went wrong.
     """
 
-    def __init__(self, pool: Pool, data: bytes, done: Done) -> None:
+    def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0) -> None:
         self.pool = pool
+        self.spare = spare  # places that it must leave to others
         self.data = data
         self.over = False
         self._done = done
         self._connection: Connection | None = None
+        self._coming: Connection | None = None
         self._opening: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -47,26 +49,23 @@
         connection = self.pool.reuse()
         if connection is not None:
             self.carry(connection)
-        elif not self.pool.hub.make_place():
+        elif not self.pool.hub.make_place(self.spare):
             asyncio.get_running_loop().call_soon(self.finish, Result.CONNECT_FAILED)
         else:
-            self._opening = asyncio.get_running_loop().create_task(self._open())
+            # Its place is taken here: what is begun in the same turn must find it taken.
+            self._coming = Connection(self.pool)
+            self._opening = asyncio.get_running_loop().create_task(self._open(self._coming))
 
-    async def _open(self) -> None:
-        connection = Connection(self.pool)
+    async def _open(self, connection: Connection) -> None:
         host, port = self.pool.address
         try:
             async with asyncio.timeout(self.pool.hub.connect_timeout_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
         except (OSError, TimeoutError):
             self._opening = None
-            connection.close()
             self.finish(Result.CONNECT_FAILED)
-        except asyncio.CancelledError:  # given up while it came up
-            connection.close()
-            raise
         else:
-            self._opening = None
+            self._opening = self._coming = None
             self.carry(connection)
 
     def carry(self, connection: Connection) -> None:
@@ -86,6 +85,8 @@
             self._timer.cancel()
         if self._opening is not None:
             self._opening.cancel()
+        if self._coming is not None:
+            self._coming.close()
         if self._connection is not None and not answered:
             self._connection.close()
 
@@ -105,6 +106,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        if self._closed:  # given up while it came up
+            self._transport.abort()
         self._transport.set_write_buffer_limits(high=0)  # to be told when the last byte is written
 
     @property
@@ -126,11 +129,13 @@
     def data_received(self, data: bytes) -> None:
         responses = self._reader.feed(data)
         exchange = self._exchange
-        if exchange is None or self._reader.bad or len(responses) > 1:
+        if exchange is None or (self._reader.bad and not responses):
             self.lose()  # nobody asked for it, or it can't be read
         elif responses:
             self._exchange = None
-            if responses[0].keep_alive and self._written:
+            # What comes behind a whole answer takes nothing from it, but it must not meet the next request.
+            alone = len(responses) == 1 and not (self._reader.begun or self._reader.bad)
+            if alone and responses[0].keep_alive and self._written:
                 self._pool.keep(self)
             else:
                 self.close()
@@ -170,8 +175,8 @@
     ready: bool = True  # it may be sent something new
     idle: list[Connection] = field(default_factory=list)
 
-    def exchange(self, data: bytes, timeout_s: float | None, done: Done) -> Exchange:
-        exchange = Exchange(self, data, done)
+    def exchange(self, data: bytes, timeout_s: float | None, done: Done, spare: int = 0) -> Exchange:
+        exchange = Exchange(self, data, done, spare)
         exchange.start(None if timeout_s is None else asyncio.get_running_loop().time() + timeout_s)
         return exchange
 
@@ -222,9 +227,9 @@
         self.pools: dict[int, Pool] = {}
         self.idle: dict[Connection, None] = {}  # of all pools, the longest so first
 
-    def make_place(self) -> bool:
+    def make_place(self, spare: int = 0) -> bool:
         """Is there room for one more connection? An idle one is given up for it."""
-        if self.open < self.capacity:
+        if self.open < self.capacity - spare:
             return True
         oldest = next(iter(self.idle), None)
         if oldest is not None:
