Bound clients in time and turn away what is not one plain request

Cause: server.py had no clock at all, took what was sent ahead, and node.take looked at neither method nor body nor whose id it was.

Now a connection has 2.25 s from connecting, or from a later request's first byte, for the whole request; one timer looks at that, at those turned away that stay (0.5 s) and at the idle (30 s). What is sent ahead of an answer ends the connection with 400 and calls off the request in hand. A method that does not go with the class, a body with GET, two ids, an id that is open already (409) are turned away; the open one is not touched. Place for new connections is made first by those that leave, then by those that owe a request and are not just come, then by the idle. Descriptors: 32 are kept aside, not 64 (256 leave 112 for clients, not 96).

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -21,10 +21,11 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
+METHODS = {api.Effect.SAFE: b"GET", api.Effect.KEYED: b"POST", api.Effect.UNSAFE: b"POST"}
 MODULE_EARLY_NS = 4 * MS  # the module's deadline comes so much before the client's, for the way back
 NODE_EARLY_NS = 3 * MS // 2  # and the node's own, for what the module left open
 LONGEST_DEADLINE_MS = 600_000
-RESERVED_DESCRIPTORS = 64  # for the loop, listening, discovery, peers and logs
+RESERVED_DESCRIPTORS = 32  # for the loop, listening, discovery, peers, logs, and what closes a turn later
 PROBE_TIMEOUT_S = 0.05
 MAX_PROBES = 256  # probes out at once
 PROBE_SPARE = 8  # one in so many places for connections is none for a probe: attempts come first
@@ -81,6 +82,7 @@
         self._loop = asyncio.get_running_loop()
         self._calls: dict[str, Call] = {}
         self._by_client: dict[ClientConnection, Call] = {}
+        self._ids: set[bytes] = set()  # that clients gave to their open requests
         self._count = 0
         self._probes = 0
         self._events: list[api.Event] = []
@@ -221,11 +223,19 @@
     def take(self, client: ClientConnection, request: Message, received_ns: int) -> None:
         """A client's request: refused here only if it can't be understood or there is no room."""
         name = request.target[1:].partition(b"?")[0].partition(b"/")[0].decode("latin-1")
+        cls = self.config.settings.classes.get(name)
         wait_ms = whole_number(request.header(b"req-deadline-ms"))
-        if request.method not in (b"GET", b"POST"):
+        ids = [value for key, value in request.headers if key == b"req-id"]
+        if request.method not in METHODS.values():
             client.answer(405, [(b"Allow", b"GET, POST")])
-        elif name not in self.config.settings.classes or not request.header(b"req-id") or not wait_ms:
+        elif cls is None or len(ids) != 1 or not ids[0] or not wait_ms or b"#" in request.target:
             client.answer(400)
+        elif request.method != METHODS[cls.effect]:
+            client.answer(405, [(b"Allow", METHODS[cls.effect])])
+        elif request.method == b"GET" and request.body:
+            client.answer(400)  # an upstream reads no body there and would take it for the next request
+        elif ids[0] in self._ids:
+            client.answer(409)  # whose answer would it be?
         elif self._limits.max_open and len(self._calls) >= self._limits.max_open:
             client.answer(503, [(b"Retry-After", FULL_RETRY_S)])
         else:
@@ -234,7 +244,7 @@
 
     def _open(self, client: ClientConnection, request: Message, name: str, deadline_ns: int) -> None:
         self._count += 1
-        # A number of our own: nothing forbids two clients to use the same id at once.
+        self._ids.add(request.header(b"req-id"))
         call = Call(str(self._count), client, request, deadline_ns)
         self._calls[call.id] = self._by_client[client] = call
         call.timer = self._loop.call_at((deadline_ns - NODE_EARLY_NS) / SECOND, self._out_of_time, call)
@@ -280,6 +290,7 @@
             call.timer.cancel()
         del self._calls[call.id]
         del self._by_client[call.client]
+        self._ids.discard(call.request.header(b"req-id"))
         if call.out is not None:
             call.out.finish(api.Result.CANCELLED)
         if self._stopping and not self._calls:
@@ -398,3 +409,4 @@
     if response.status in (503, 504) and response.header(b"srv-declined") == b"1":
         return api.Result.FULL
     return api.Result.ERROR
+
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -6,7 +6,6 @@
 import logging
 import socket
 import time
-from collections import deque
 from typing import Protocol, cast
 
 from lanemux.net.http import Headers, Message, MessageReader, write_response
@@ -15,10 +14,14 @@
 
 READY_PATH = b"/health/ready"
 BACKLOG = 1024
-ACCEPTS = 64  # connections accepted before other work gets its turn
+ACCEPTS = 16  # connections accepted before other work gets its turn
 ACCEPT_PAUSE_S = 0.05  # after the system had no descriptor to give
-MAX_WAITING = 8  # requests that one connection may send ahead of its answers
-LINGER_S = 0.5  # a client whose request was cut off may still read the answer for so long
+LINGER_S = 0.5  # a client that was turned away may still read the answer for so long
+DRAIN = 256 * 1024  # and so much of what it goes on sending is read: unread input would reset the answer
+SPEAK_S = 2.25  # from connecting, or a request's first byte, to its last one
+IDLE_S = 30.0  # between requests: clients that keep a connection for good must not fill the table
+FRESH_S = 0.05  # so young a connection makes no place for others: its request may be on the way
+TICK_S = 0.25  # how often the times above are looked at
 
 
 class Service(Protocol):
@@ -33,70 +36,79 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """One client's connection; it has one request at a time with the service, the others wait in order."""
+    """One client's connection: one request at a time. Sending one ahead of an answer ends it."""
 
     def __init__(self, server: Server, service: Service) -> None:
         self._server = server
         self._service = service
         self._reader = MessageReader()
-        self._waiting: deque[tuple[Message, int]] = deque()
         self._current: Message | None = None
         self._ended = False
-        self._stuffed = False  # the client does not read its answers
-        self._advancing = False
+        self._drained = 0  # bytes read since its end
         self._transport: asyncio.Transport | None = None
+        self.since = 0.0  # it has been in its place of the server's tables since then
 
     @property
     def busy(self) -> bool:
         return self._current is not None
 
+    @property
+    def speaking(self) -> bool:
+        """A request has begun to come."""
+        return self._reader.begun
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        if self._ended:  # it had to make place before it came up
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        if self._ended or self._reader.bad:
+        if self._ended:
+            self._drained += len(data)
+            if self._drained > DRAIN and self._transport is not None:
+                self._transport.pause_reading()
             return
-        received = time.monotonic_ns()
-        self._waiting += ((m, received) for m in self._reader.feed(data))
-        if len(self._waiting) > MAX_WAITING and self._transport:
-            self._transport.pause_reading()
-        self._next()
+        received, began = time.monotonic_ns(), self._reader.begun
+        requests = self._reader.feed(data)
+        if self.busy:
+            if requests or self._reader.begun or self._reader.bad:  # an empty line is none of these
+                self._ahead()
+        elif self._reader.bad:
+            self.turn_away(self._reader.bad)
+        elif len(requests) > 1 or (requests and self._reader.begun):
+            self.turn_away(400)
+        elif requests:
+            self._begin(requests[0], received)
+        elif self._reader.begun and not began:
+            self._server.await_request(self)
+
+    def _ahead(self) -> None:
+        """More came while a request is in hand: neither is served."""
+        self._current = None
+        self._service.gone(self)
+        self.turn_away(400)
 
     def eof_received(self) -> None:
         """A client that ends its sending has gone away: the transport closes."""
 
     def connection_lost(self, error: Exception | None) -> None:
         self._ended = True
-        self._waiting.clear()
         self._server.forget(self)
         if self.busy:
             self._current = None
             self._service.gone(self)
 
     def pause_writing(self) -> None:
-        self._stuffed = True
+        """It does not read its answers: no more requests of it, and its time runs."""
+        if self._transport is not None and not self._ended:
+            self._transport.pause_reading()
 
     def resume_writing(self) -> None:
-        self._stuffed = False
-        self._next()
-
-    def _next(self) -> None:
-        """Go on with what waits. An answer given meanwhile comes back here: not to go deeper each time."""
-        if self._advancing:
-            return
-        self._advancing = True
-        while self._current is None and not self._ended and not self._stuffed:
-            if not self._waiting:
-                if self._reader.bad:
-                    self._reject()
-                break
-            self._begin(*self._waiting.popleft())
-        self._advancing = False
+        if self._transport is not None and not self._ended:
+            self._transport.resume_reading()
 
     def _begin(self, request: Message, received_ns: int) -> None:
         self._current = request
-        if not self._waiting and self._transport:
-            self._transport.resume_reading()
         self._server.mark(self)
         if request.target.partition(b"?")[0] == READY_PATH:
             self.answer(200 if self._service.ready else 503)
@@ -107,44 +119,82 @@
         """The final answer of the current request."""
         if self._current is None or self._transport is None:
             return
-        # What a client has sent ahead is taken too: it is answered before the connection ends.
-        last = not self._current.keep_alive or (self._server.draining and not self._waiting)
+        last = not self._current.keep_alive or self._server.draining
         self._current = None
         self._transport.write(write_response(status, headers, body, last))
         if last:
             self.close()
         else:
             self._server.mark(self)
-            self._next()
 
-    def _reject(self) -> None:
-        if self._transport is None:
+    def turn_away(self, status: int) -> None:
+        """Say what is wrong and end the connection."""
+        if self._ended:
             return
         self._ended = True
-        self._transport.write(write_response(self._reader.bad, (), b"", True))
+        self._server.leave(self)
+        if self._transport is None:
+            return
+        self._transport.write(write_response(status, (), b"", True))
         # Closing at once, with unread input, resets the connection: the answer would be lost on its way.
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
     def close(self) -> None:
-        """Close the connection between requests; what has been answered is still written."""
+        """Close the connection between requests; what has been answered is still written, for a while."""
         self._ended = True
-        if self._transport:
+        self._server.leave(self)
+        if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        self._ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Table:
+    """Connections in the order in which they came to it."""
+
+    def __init__(self) -> None:
+        self._members: dict[ClientConnection, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __contains__(self, client: ClientConnection) -> bool:
+        return client in self._members
+
+    def add(self, client: ClientConnection) -> None:
+        self._members.pop(client, None)
+        client.since = asyncio.get_running_loop().time()
+        self._members[client] = None
+
+    def discard(self, client: ClientConnection) -> None:
+        self._members.pop(client, None)
+
+    def oldest(self, age_s: float = 0.0) -> ClientConnection | None:
+        """The first that came, if it has been here for so long."""
+        client = next(iter(self._members), None)
+        if client is None or asyncio.get_running_loop().time() - client.since < age_s:
+            return None
+        return client
+
 
 class Server:
-    """Listens, and bounds the connections: idle ones make place, and new ones wait with the system."""
+    """Listens, bounds the connections and the times that clients may take for what they owe."""
 
     def __init__(self, service: Service, capacity: int) -> None:
         self._service = service
         self._capacity = capacity
         self._connections: set[ClientConnection] = set()
-        self._idle: dict[ClientConnection, None] = {}  # no request in hand, the longest so first
+        self._idle = Table()  # between requests
+        self._awaited = Table()  # a request of theirs is due: the first one, or one that has begun
+        self._leaving = Table()  # closed or turned away, their last bytes still on the way
         self._adopting: set[asyncio.Task[object]] = set()
         self._socket: socket.socket | None = None
         self._accepting = False
+        self._ticking: asyncio.TimerHandle | None = None
         self.draining = False
 
     def listen(self, host: str, port: int) -> int:
@@ -156,23 +206,40 @@
         self._socket.bind((host, port))
         self._socket.listen(BACKLOG)
         self._resume()
+        self._tick()
         return int(self._socket.getsockname()[1])
 
+    def _tick(self) -> None:
+        while (client := self._awaited.oldest(SPEAK_S)) is not None:
+            if client.speaking:
+                client.turn_away(408)
+            else:
+                client.close()
+        while (client := self._idle.oldest(IDLE_S)) is not None:
+            client.close()
+        while (client := self._leaving.oldest(LINGER_S)) is not None:
+            self.forget(client)
+            client.abort()
+        self._ticking = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
     def _resume(self) -> None:
         if self._socket is not None and not self._accepting:
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
-    def _pause(self) -> None:
+    def _pause(self, for_s: float | None = None) -> None:
         if self._socket is not None and self._accepting:
             self._accepting = False
             asyncio.get_running_loop().remove_reader(self._socket)
+            if for_s is not None:
+                asyncio.get_running_loop().call_later(for_s, self._resume)
 
     def _accept(self) -> None:
         assert self._socket is not None
         for _ in range(ACCEPTS):
-            if len(self._connections) >= self._capacity and not self._idle:
-                self._pause()  # all are busy; the first to end lets the next one in
+            if len(self._connections) >= self._capacity and self._dispensable() is None:
+                # Where all are busy, the first to end lets the next one in.
+                self._pause(FRESH_S if self._awaited else None)
                 return
             try:
                 accepted, _ = self._socket.accept()
@@ -181,19 +248,23 @@
             except OSError as error:  # no descriptor left: asyncio's own server would stop for a second
                 log.warning("accept: %s", error)
                 self._evict()
-                self._pause()
-                asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume)
+                self._pause(ACCEPT_PAUSE_S)
                 return
             if len(self._connections) >= self._capacity:
                 self._evict()  # not before one has come: it might be the last that came
             self._adopt(accepted)
 
+    def _dispensable(self) -> ClientConnection | None:
+        """Who makes place for a new one: first who is leaving, then who owes a request, then who is idle."""
+        return (self._leaving.oldest() or self._awaited.oldest(FRESH_S)
+                or (self._idle.oldest() if not self._awaited else self._idle.oldest(SPEAK_S)))
+
     def _adopt(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = ClientConnection(self, self._service)
         self._connections.add(client)
-        self._idle[client] = None
+        self._awaited.add(client)
         task: asyncio.Task[object] = asyncio.get_running_loop().create_task(self._attach(client, accepted))
         self._adopting.add(task)
         task.add_done_callback(self._adopting.discard)
@@ -207,28 +278,44 @@
 
     def mark(self, client: ClientConnection) -> None:
         """The connection has become busy or idle."""
-        self._idle.pop(client, None)
+        self._awaited.discard(client)
+        self._idle.discard(client)
         if not client.busy:
-            self._idle[client] = None
+            self._idle.add(client)
             self._resume()
 
+    def await_request(self, client: ClientConnection) -> None:
+        """A request has begun to come: the rest is due."""
+        if client in self._idle:  # for the first request, the time runs from connecting
+            self._idle.discard(client)
+            self._awaited.add(client)
+
+    def leave(self, client: ClientConnection) -> None:
+        self._awaited.discard(client)
+        self._idle.discard(client)
+        if client in self._connections:
+            self._leaving.add(client)
+
     def forget(self, client: ClientConnection) -> None:
         self._connections.discard(client)
-        self._idle.pop(client, None)
+        for table in (self._idle, self._awaited, self._leaving):
+            table.discard(client)
         self._resume()
 
     def _evict(self) -> bool:
-        """Close the connection that has been idle for longest."""
-        client = next(iter(self._idle), None)
+        """Make place for one connection at once."""
+        client = self._dispensable()
         if client is None:
             return False
         self.forget(client)
-        client.close()
+        client.abort()
         return True
 
     def close_idle(self) -> None:
-        while self._evict():
-            pass
+        """Close all on which no whole request has come."""
+        for table in (self._idle, self._awaited):
+            while (client := table.oldest()) is not None:
+                client.close()
 
     def stop_listening(self) -> None:
         self._pause()
@@ -239,6 +326,8 @@
     def abort(self) -> None:
         """Give up what is left, at the end of the process."""
         self.stop_listening()
+        if self._ticking is not None:
+            self._ticking.cancel()
         for task in self._adopting:
             task.cancel()
         for client in list(self._connections):
