Answer what comes late in a drain; a row that can't be read ends no upstream

Seen (failing test): after SIGTERM, calls may run out during the half second of late arrivals. That set the event that drain() waits for, and it stayed set: whatever was taken after that was answered 504 as soon as the listening ended. It is cleared now before the wait.

Also tested: in a whole list a row that can't be read counted as missing and removed an upstream that was there, now the last one known stays; a removed host needs no address; a start in the future (clocks differ) could make the warmth of a cold upstream negative and divide by zero.

--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import socket
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 LIST_PATH = "/registry/instances"
+MS = 1_000_000
 MAX_LIST = 1024 * 1024  # bytes of a list
 WAIT_MS = 10_000  # that a watch call may wait: silence for longer shows that discovery is down
 OVERDUE_S = 1.0  # beyond that, and for an answer that waits for nothing
@@ -64,6 +66,7 @@
         self._offset_ns = unix_offset_ns  # from the module's clock to Unix time
         self._ids: dict[str, int] = {}
         self._hosts: dict[int, str] = {}
+        self._last: dict[str, Entry] = {}
 
     def read(self, raw: object) -> Listing:
         if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
@@ -85,13 +88,18 @@
             born_ms, cell, weight = row.get("born_ms") or 0, row.get("block") or 0, row.get("share") or 1.0
             if not (isinstance(born_ms, int) and isinstance(cell, int) and isinstance(weight, int | float)):
                 raise BadList("an entry's figures are no numbers")
-            started = born_ms * 1_000_000 - self._offset_ns if born_ms else 0
-            upstream = api.Upstream(self.number(str(row["host"])), state, str(row.get("site") or ""), cell,
+            # No start lies in the future: clocks differ a little, and what is younger than new has no warmth.
+            started = min(born_ms * MS - self._offset_ns, time.monotonic_ns()) if born_ms > 0 else 0
+            gone = state is api.State.GONE
+            address = ("", 0) if gone else read_address(str(row.get("dial")))
+            host = str(row["host"])
+            upstream = api.Upstream(self.number(host), state, str(row.get("site") or ""), cell,
                                     float(weight), started, str(row.get("class") or ""))
-            return Entry(upstream, read_address(str(row.get("dial"))))
-        except (KeyError, BadList) as error:  # one bad row must not hide the others
-            log.warning("discovery: entry %.80s left out: %r", row.get("host"), error)
-            return None
+            self._last[host] = Entry(upstream, address)
+            return self._last[host]
+        except (KeyError, ValueError, OverflowError) as error:  # one bad row must not hide the others
+            log.warning("discovery: entry %.80s can't be read: %r", row.get("host"), error)
+            return self._last.get(str(row.get("host")))  # nor end an upstream that is there
 
     def number(self, host: str) -> int:
         """A number below 2^32, the same in every process; the next free one where two hosts collide."""
@@ -106,6 +114,7 @@
 
     def _forget(self, hosts: Iterable[str]) -> None:
         for host in hosts:
+            self._last.pop(host, None)
             number = self._ids.pop(host, None)
             if number is not None:
                 del self._hosts[number]
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -139,6 +139,7 @@
         await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
         self.server.close_idle()
         if self._calls:
+            self._quiet.clear()  # it may have been quiet before the last ones came
             try:
                 await asyncio.wait_for(self._quiet.wait(), end - self._loop.time())
             except TimeoutError:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from lanemux import interface as api
@@ -33,12 +35,28 @@
 @pytest.mark.parametrize("row", [
     entry("a", health="odd"), entry("a", dial="nowhere"), entry("a", dial="h:80"),
     entry("a", dial="127.0.0.1:99999"), entry("a", dial="x" * 300 + ":80"), entry("a", dial="a\0b:80"),
-    entry("a", born_ms="x"), {"host": 3}, 7])
+    entry("a", born_ms="x"), entry("a", share=10**400), {"host": 3}, 7])
 def test_a_bad_entry_does_not_hide_the_others(row: object) -> None:
     listing = Reader(0).read({"seq": 1, "whole": False, "hosts": [row, entry("b", 81)]})
     assert [e.address[1] for e in listing.entries] == [81]
 
 
+def test_a_row_that_cannot_be_read_does_not_end_an_upstream_that_is_there() -> None:
+    reader = Reader(0)
+    first = reader.read(known(1, 2))
+    again = reader.read({"seq": 2, "whole": True, "hosts": [entry("s0", health="odd"), entry("s1", 2)]})
+    assert again.entries == first.entries
+    gone = reader.read({"seq": 3, "whole": False, "hosts": [entry("s0", health="removed", dial="")]})
+    assert [e.upstream.state for e in gone.entries] == [api.State.GONE]
+    assert not reader.read({"seq": 4, "whole": True, "hosts": []}).entries and not reader._last
+
+
+def test_no_upstream_starts_in_the_future() -> None:
+    row = entry("a", 80, born_ms=4 * 10**12)
+    started = Reader(0).read({"seq": 1, "whole": True, "hosts": [row]}).entries[0].upstream.started_ns
+    assert started <= time.monotonic_ns()
+
+
 @pytest.mark.parametrize("raw", [3, {}, {"hosts": []}, {"hosts": [], "seq": "1", "whole": True},
                                  {"hosts": {}, "seq": 1, "whole": True}])
 def test_what_is_no_list_is_told(raw: object) -> None:
@@ -83,7 +101,7 @@
 
 
 @pytest.mark.parametrize("broken", [
-    written(503), written(200, b"no json"), written(200, b"[]"), b"garbage",
+    written(503), written(200, b"no json"), written(200, b"[]"), written(200, b"[" * 50_000), b"garbage",
     b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n"])
 def test_a_discovery_that_fails_costs_nothing_that_is_known(broken: bytes) -> None:
     async def test() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,7 @@
     HOST,
     MS,
     Answer,
+    Got,
     Script,
     Upstream,
     answers,
@@ -193,6 +194,32 @@
     run(test())
 
 
+def test_requests_that_come_late_in_a_drain_are_answered_too() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def answer(got: Got, writer: asyncio.StreamWriter) -> None:
+            if "/late" in got.first:
+                await release.wait()
+            writer.write(written(200, b"it"))
+
+        upstream = await Upstream(answer).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            draining = asyncio.create_task(client.node.drain())
+            await until(lambda: not client.node.ready)
+            assert (await client.ask(request())).status == 200  # for a moment none is open
+            assert client.node._quiet.is_set()
+            late = client.another()
+            await late.send(request("/read/late"))
+            await until(lambda: client.node.server._socket is None)
+            asyncio.get_running_loop().call_later(0.1, release.set)
+            assert (await late.read()).body == b"it"
+            await draining
+    run(test())
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def test() -> None:
         upstream = await Upstream(silent).start()
