Ask no upstream for its load that told it within five milliseconds

A look that is out or answered within RECENT_NS serves the next request too; own sends are counted on it as before.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -36,6 +36,7 @@
 LOOKS = 3  # upstreams asked for their load before a send, where that is cheap
 LOOK_PRICE = 0.01  # most that the looks of a request may cost
 LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
+RECENT_NS = LOOK_NS // 2  # a look so new is not asked for again: a busy proxy would ask for more than changes
 LINE_PART = 0.5  # of a request's time to spare may go by in the line
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
@@ -263,6 +264,7 @@
     sharers: float = 1.0  # proxies that have it in their home
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
+    asked_ns: int = 0  # the last look at it
 
     def hear(self, load: float | None, now: int) -> None:
         """Take a reported load; what cannot be one (negative, huge, not a number) says nothing."""
@@ -614,7 +616,10 @@
         if self.fleet.looks:
             # Own counts say little where proxies are many: the drawn upstreams are asked, the request waits.
             r.asked, r.asked_ns = list(dict.fromkeys(self.fleet.draw(r.pool, LOOKS, now))), now
-            self.actions += [api.Probe(s.id) for s in r.asked]
+            for s in r.asked:
+                if now - max(s.load_ns, s.asked_ns) >= RECENT_NS:
+                    s.asked_ns = now
+                    self.actions.append(api.Probe(s.id))
             self._later(now + LOOK_NS, "look", r)
 
     def _probed(self, e: api.ProbeResult, now: int) -> None:
@@ -753,10 +758,11 @@
         fleet, limits = self.fleet, self.settings.limits
         while pool.line:
             r = pool.line[0]
-            if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns < r.asked_ns for s in r.asked):
+            old = r.asked_ns - RECENT_NS
+            if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns <= old for s in r.asked):
                 break
             choices = self._choices(r) if r.attempts else None
-            fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
+            fresh = [s for s in r.asked if s.load_ns > old and fleet.fit(s, now)]
             r.asked = []
             server = fleet.pick(pool, now, fresh or choices)
             full = (server is not None and server.load >= 1 and server.told(now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -218,6 +218,16 @@
     assert len(desk.sends["r1"]) == 1
 
 
+def test_an_upstream_just_asked_is_not_asked_again() -> None:
+    # A busy proxy would spend itself on looks that tell it nothing new.
+    desk = probing(servers=1)
+    counts = []
+    for number in range(4):
+        counts.append(sum(isinstance(a, api.Probe) for a in desk.give(arrival(number, desk.now))))
+        desk.now += 2 * MS
+    assert counts == [1, 0, 0, 1]
+
+
 def test_refuses_when_all_asked_upstreams_would_answer_late() -> None:
     desk = probing()
     asked = [a.upstream for a in desk.give(arrival(1, desk.now)) if isinstance(a, api.Probe)]
