End connections with their answer while places are scarce

The module refused nothing (traced). Of 384 descriptors 128, exactly the third that clients may hold, were connections that had asked once and stayed; whoever had none could not get one.

While more than two fifths of the places are taken, an answer now says Connection: close, as the protocol allows either side.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -20,9 +20,10 @@
 DRAIN = 256 * 1024  # and so much of what it goes on sending is read: unread input would reset the answer
 FLUSH_S = 3.0  # and for the last bytes of a large answer to go out
 SPEAK_S = 2.25  # from connecting, or a request's first byte, to its last one
-IDLE_S = 30.0  # between requests: clients that keep a connection for good must not fill the table
+IDLE_S = 2.0  # between requests, the least that is promised: some keep theirs for good
+ROOMY = 0.4  # of the places; while more are taken, answers end their connections
 FRESH_S = 0.05  # so young a connection makes no place for others: its request may be on the way
-TICK_S = 0.25  # how often the times above are looked at
+TICK_S = 0.1  # how often the times above are looked at
 
 
 class Service(Protocol):
@@ -125,7 +126,7 @@
         """The final answer of the current request."""
         if self._current is None or self._transport is None:
             return
-        last = not self._current.keep_alive or self._server.draining
+        last = not self._current.keep_alive or self._server.draining or self._server.crowded
         self._current = None
         self._transport.write(write_response(status, headers, body, last))
         if last:
@@ -305,6 +306,11 @@
         if client in self._connections:
             (self._flushing if flushing else self._leaving).add(client)
 
+    @property
+    def crowded(self) -> bool:
+        """So many connections are held that clients without one may find none."""
+        return len(self._connections) > ROOMY * self._capacity
+
     @property
     def flushing(self) -> bool:
         return bool(self._flushing) or any(client.flushing for client in self._connections)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -163,6 +163,21 @@
     run(test())
 
 
+def test_a_connection_that_is_kept_without_asking_is_closed_after_two_seconds() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            assert (await client.ask(READY)).status == 200
+            ages(server._idle, 1.8)
+            server._tick()
+            assert (await client.ask(READY)).status == 200  # which begins its time anew
+            ages(server._idle, 2.0)
+            server._tick()
+            assert await client.closed()
+            await until(lambda: not server._connections)
+    run(test())
+
+
 def test_a_first_byte_does_not_put_off_the_time_since_connecting() -> None:
     async def test() -> None:
         async with node(Script()) as client:
@@ -272,7 +287,8 @@
             for other in busy:
                 await other.send(request())
             await until(lambda: len(script.of(api.Arrival)) == 7)
-            assert (await client.ask(READY)).status == 200
+            got = await client.another().ask(READY)  # with most places taken, its answer ends its connection
+            assert got.status == 200 and got.headers["connection"] == "close"
             assert await idle.closed()
             await client.send(request())
             await until(lambda: len(script.of(api.Arrival)) == 8)
