--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -21,7 +21,7 @@
 FLUSH_S = 3.0  # and for the last bytes of a large answer to go out
 SPEAK_S = 2.25  # from connecting, or a request's first byte, to its last one
 IDLE_S = 2.0  # between requests, the least that is promised: some keep theirs for good
-ROOMY = 0.4  # of the places; while more are taken, answers end their connections
+ROOMY = 0.6  # of the places; while more are taken, answers end their connections
 FRESH_S = 0.05  # so young a connection makes no place for others: its request may be on the way
 TICK_S = 0.1  # how often the times above are looked at
 
