Start every command by one command line, and read the operators' own file

The kit and all later subsystems need commands and settings of their own, off on the platform. What was lanemux/__main__.py is lanemux/net/daemon.py, unchanged; lanemux/cli.py starts it, and imports nothing else when there are no arguments. `check` reads both files and opens nothing.

--- a/lanemux/__main__.py
+++ b/lanemux/__main__.py
@@ -1,140 +1,14 @@
-"""One real balancer: reads its configuration, runs the node, ends on a signal.
+"""`python -m lanemux`: the command line, which starts one balancer unless told otherwise."""
 
-    RELAY_CONFIG=config.json python -m lanemux
-"""
-
-from __future__ import annotations
-
-import asyncio
-import logging
-import os
-import signal
 import sys
-import time
-from typing import Any
-
-from lanemux.drill import read_settings
-from lanemux.net.discovery import BadList, read_address
-from lanemux.net.http import read_json
-from lanemux.net.node import Config, Node
-from lanemux.policy import Balancer
-
-log = logging.getLogger(__name__)
-
-LINES_A_SECOND = 20
-REST_MAX_S = 1.0  # with little of a processor, serving slowly beats not serving
-STOP_LATE_S = 0.15  # a stop may come so long after the time was spent
-
-
-class BadConfig(Exception):
-    """The configuration is missing or can't be used."""
-
-
-class RateLimit(logging.Filter):
-    """Lets so many log lines a second through, and says how many it kept back."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._second = self._lines = self._dropped = 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        second = int(time.monotonic())
-        if second != self._second:
-            if self._dropped:
-                record.msg, record.args = f"{record.getMessage()} ({self._dropped} lines left out)", ()
-            self._second, self._lines, self._dropped = second, 0, 0
-        self._lines += 1
-        self._dropped += self._lines > LINES_A_SECOND
-        return self._lines <= LINES_A_SECOND
-
-
-def read_config(path: str) -> Config:
-    try:
-        with open(path, encoding="utf-8") as file:
-            return _config(read_json(file.read()))
-    except OSError as error:
-        raise BadConfig(f"{path}: {error.strerror}") from None
-    except KeyError as error:
-        raise BadConfig(f"{path}: {error} is missing") from None
-    except (ValueError, TypeError, AttributeError, OverflowError) as error:
-        raise BadConfig(f"{path}: {error}") from None
-
-
-def _config(raw: Any) -> Config:
-    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
-    limits = raw.get("limits") or {}
-    return Config(
-        name=str(raw["name"]), listen=read_address(raw["listen"]), discovery=read_address(raw["discovery"]),
-        seed=int.from_bytes(str(raw["seed"]).encode(), "big"),
-        sockets=int(limits.get("sockets") or 1024),
-        settings=read_settings(raw["settings"]), known=raw.get("known"),
-        peer_listen=read_address(peer_listen) if peer_listen else None,
-        peers=[read_address(a) for a in raw.get("peers") or ()],
-        peers_all=read_address(peers_all) if peers_all else None,
-        cores=float(limits.get("cores") or 0.0))
-
-
-def reload(path: str, old: Config, node: Node) -> None:
-    """Take up a new configuration as far as that goes without a start; a bad one changes nothing."""
-    try:
-        new = read_config(path)
-    except BadConfig as error:
-        log.warning("%s: reload: %s; the old configuration stays", old.name, error)
-        return
-    log.info("%s: reload: discovery at %s:%d", old.name, *new.discovery)
-    for name in ("name", "listen", "sockets", "cores", "settings", "peer_listen", "peers", "peers_all"):
-        if getattr(new, name) != getattr(old, name):
-            log.warning("%s: reload: another %s needs a restart", old.name, name)
-    node.move_discovery(new.discovery)
-
-
-def rest_s(cores: float, spent_s: float) -> float:
-    """How long until the processor time that the start has cost is paid for out of the share of it.
-
-    Guards against saying ready on credit: a process that has overspent is stopped until it is even, and the
-    first clients would wait out that stop. Harm: a restarted balancer is back some tenths of a second later;
-    clients that come all the same are served."""
-    return min(REST_MAX_S, spent_s / cores + STOP_LATE_S) if cores > 0 else 0.0
-
 
-async def serve(config: Config, path: str) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()))
-    loop.add_signal_handler(signal.SIGHUP, reload, path, config, node)
-    port = await node.start(rest_s(config.cores, time.process_time()))
-    log.info("%s: ready on port %d", config.name, port)
-    await stop.wait()
-    log.info("%s: stopping", config.name)
-    await node.drain()
+from lanemux.cli import main
 
 
-def main() -> int:
-    handler = logging.StreamHandler()
-    handler.addFilter(RateLimit())
-    logging.basicConfig(level=logging.INFO, handlers=[handler],
-                        format="%(asctime)s %(levelname)s %(message)s")
-    path = os.environ.get("RELAY_CONFIG")
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # so that it ends nothing before there is a node to reload
-    try:
-        if not path:
-            raise BadConfig("RELAY_CONFIG is not set")
-        config = read_config(path)
-    except BadConfig as error:
-        print(f"lanemux: {error}", file=sys.stderr)
-        return 2
-    try:
-        asyncio.run(serve(config, path))
-    except BadList as error:
-        print(f"lanemux: {path}: known: {error}", file=sys.stderr)
-        return 2
-    except OSError as error:
-        print(f"lanemux: {config.name}: {error}", file=sys.stderr)
-        return 1
-    return 0
+def run() -> None:
+    """The `lanemux` command of an installed package."""
+    sys.exit(main(sys.argv[1:]))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run()
--- /dev/null
+++ b/lanemux/cli.py
@@ -0,0 +1,94 @@
+"""The command line. Each command's code is imported only when it is asked for.
+
+    python -m lanemux [serve] [--operators FILE]          one balancer, from RELAY_CONFIG
+    python -m lanemux check [--operators FILE] [CONFIG]   read the files as the daemon would; open nothing
+
+Exit status 2 means bad use or a file that can't be used, with one line for each fault on standard error.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import argparse
+
+USAGE_STATUS = 2
+OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
+COMMANDS = ("serve", "check")
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run one command and give its exit status."""
+    if not argv and not os.environ.get(OPERATORS_VARIABLE):
+        return _daemon()  # as the platform starts it: nothing else is imported
+    command, rest = (argv[0], argv[1:]) if argv and not argv[0].startswith("--") else ("serve", argv)
+    if argv[:1] in (["--help"], ["-h"]):
+        print(__doc__)
+        return 0
+    if command == "serve":
+        return _serve(rest)
+    if command == "check":
+        return _check(rest)
+    print(f"lanemux: no command {command!r}; there are {', '.join(COMMANDS)}", file=sys.stderr)
+    return USAGE_STATUS
+
+
+def _daemon() -> int:
+    from lanemux.net.daemon import main as daemon
+
+    return daemon()
+
+
+def _serve(rest: Sequence[str]) -> int:
+    from lanemux.checked import Faulty
+    from lanemux.operators import load
+
+    options = _arguments("serve", rest)
+    try:
+        load(options.operators)
+    except Faulty as error:
+        return _faults(error.faults)
+    return _daemon()
+
+
+def _check(rest: Sequence[str]) -> int:
+    from lanemux.checked import Faulty
+    from lanemux.net.daemon import BadConfig, read_config
+    from lanemux.operators import load
+
+    options = _arguments("check", rest)
+    faults: list[str] = []
+    path = options.config or os.environ.get("RELAY_CONFIG")
+    try:
+        load(options.operators)
+    except Faulty as error:
+        faults += error.faults
+    try:
+        if path:
+            read_config(path)
+    except BadConfig as error:
+        faults.append(str(error))
+    if not path and not options.operators:
+        faults.append("nothing to check: name a CONFIG or --operators FILE")
+    return _faults(faults)
+
+
+def _arguments(command: str, rest: Sequence[str]) -> argparse.Namespace:
+    """The options of `serve` and `check`; ends the process with status 2 on any other."""
+    import argparse
+
+    parser = argparse.ArgumentParser(f"lanemux {command}", allow_abbrev=False)
+    parser.add_argument("--operators", metavar="FILE", default=os.environ.get(OPERATORS_VARIABLE))
+    if command == "check":
+        parser.add_argument("config", nargs="?", metavar="CONFIG")
+    return parser.parse_args(rest)
+
+
+def _faults(faults: Sequence[str]) -> int:
+    for fault in faults:
+        print(f"lanemux: {fault}", file=sys.stderr)
+    return USAGE_STATUS if faults else 0
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,84 @@
+"""The command line and the operators' file: what each takes, and that bad ones cost one line a fault."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from lanemux.checked import Faulty
+from lanemux.operators import MAX_FILE, Operators, load
+from tests.test_process import config
+
+ROOT = Path(__file__).parent.parent
+OPTIONAL = ("argparse", "tomllib", "lanemux.rehearsal", "lanemux.operators", "lanemux.checked")
+
+
+def lanemux(*words: str, **variables: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "lanemux", *words], capture_output=True, text=True, cwd=ROOT,
+                          env={"PATH": "/usr/bin:/bin", **variables}, timeout=30)
+
+
+def faults(tmp_path: Path, text: str) -> list[str]:
+    path = tmp_path / "operators.toml"
+    path.write_text(text)
+    with pytest.raises(Faulty) as caught:
+        load(str(path))
+    return caught.value.faults
+
+
+def test_the_example_is_all_off_and_shows_every_key() -> None:
+    example = ROOT / "deploy" / "operators.toml"
+    assert load(str(example)) == Operators()
+    shown = [line.removeprefix("# ") for line in example.read_text().splitlines()
+             if line.startswith("# [") or " = " in line.partition("#")[2].partition("#")[0]]
+    table = tomllib.loads("\n".join(shown))
+    assert {section: set(keys) for section, keys in table.items()} == {
+        "rehearsal": {"scenarios_directory"}}
+
+
+def test_each_fault_of_the_file_is_one_line_with_file_key_and_what_is_allowed(tmp_path: Path) -> None:
+    lines = faults(tmp_path, '[rehearsal]\nscenarios_directory = 4\nspeed = 1\n[warp]\n')
+    assert len(lines) == 3
+    assert all(line.startswith(str(tmp_path / "operators.toml")) for line in lines)
+    text = "\n".join(lines)
+    assert "rehearsal.scenarios_directory: '4' is not text" in text
+    assert "rehearsal.speed: unknown key; allowed: scenarios_directory" in text
+    assert "warp: unknown key; allowed: rehearsal" in text
+
+
+@pytest.mark.parametrize("text", ["a = ", "a = " + "[" * 5000, "x" * (MAX_FILE + 1)])
+def test_a_file_that_is_no_toml_is_one_fault(tmp_path: Path, text: str) -> None:
+    assert len(faults(tmp_path, text)) == 1
+
+
+def test_check_reads_both_files_and_opens_nothing(tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.json", tmp_path / "bad.json"
+    good.write_text(json.dumps(config(1)))
+    bad.write_text("{}")
+    (tmp_path / "bad.toml").write_text("[warp]\n")
+    assert lanemux("check", str(good)).returncode == 0
+    assert lanemux("check", RELAY_CONFIG=str(good)).returncode == 0
+    both = lanemux("check", "--operators", str(tmp_path / "bad.toml"), str(bad))
+    assert both.returncode == 2 and len(both.stderr.splitlines()) == 2
+    assert lanemux("check").returncode == 2
+
+
+@pytest.mark.parametrize("words", [("--operators", "/nowhere.toml"), ("serve", "--speed"), ("fly",),
+                                   ("check", "--operators", "/nowhere.toml")])
+def test_bad_use_ends_with_status_2_and_a_line(words: tuple[str, ...]) -> None:
+    ended = lanemux(*words)
+    assert ended.returncode == 2 and ended.stderr
+
+
+def test_the_platforms_start_imports_nothing_that_is_optional() -> None:
+    # Guards the memory and the start of the daemon: what is switched off must not be loaded.
+    look = ("import sys; sys.argv = ['lanemux']\nfrom lanemux.cli import main\nassert main([]) == 2\n"
+            f"print([m for m in {OPTIONAL!r} if m in sys.modules])")
+    ended = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, cwd=ROOT,
+                           env={"PATH": "/usr/bin:/bin"}, timeout=30)
+    assert ended.stdout.strip() == "[]" and "RELAY_CONFIG is not set" in ended.stderr
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from lanemux.__main__ import REST_MAX_S, STOP_LATE_S, rest_s
+from lanemux.net.daemon import REST_MAX_S, STOP_LATE_S, rest_s
 from tests.sockets import (
     HOST,
     PATIENCE_S,
