Add a rehearsal kit: stand-in boxes, discovery, callers, rules' checker and figures

`python -m lanemux rehearse` draws a plan from a scenario and a seed, starts balancers as real processes, plays them four request classes, freezes, deploys and deaths, and judges by the books of boxes and callers alone: where a book knows an instant only within bounds, it accuses on the end that excuses. Scenarios: calm, friday-rush, month-end, back-to-school, each with a short form.

The kit's processes switch the garbage collector off while they run: a pass over the books had stood still for 47 ms, and one run in five was called not valid for it.

--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -2,6 +2,7 @@
 
     python -m lanemux [serve] [--operators FILE]          one balancer, from RELAY_CONFIG
     python -m lanemux check [--operators FILE] [CONFIG]   read the files as the daemon would; open nothing
+    python -m lanemux rehearse ...                        a day of service on this machine's loopback
 
 Exit status 2 means bad use or a file that can't be used, with one line for each fault on standard error.
 """
@@ -18,7 +19,7 @@
 
 USAGE_STATUS = 2
 OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
-COMMANDS = ("serve", "check")
+COMMANDS = ("serve", "check", "rehearse")
 
 
 def main(argv: Sequence[str]) -> int:
@@ -33,6 +34,10 @@
         return _serve(rest)
     if command == "check":
         return _check(rest)
+    if command == "rehearse":
+        from lanemux.rehearsal.command import main as rehearse
+
+        return rehearse(rest)
     print(f"lanemux: no command {command!r}; there are {', '.join(COMMANDS)}", file=sys.stderr)
     return USAGE_STATUS
 
--- /dev/null
+++ b/lanemux/rehearsal/boxes_process.py
@@ -0,0 +1,56 @@
+"""The process in which the boxes run, apart from the callers: one core each."""
+
+from __future__ import annotations
+
+import asyncio
+from multiprocessing.connection import Connection
+from typing import Any
+
+from lanemux.rehearsal.books import BoxBooks
+from lanemux.rehearsal.boxes import Boxes, World, reserve
+from lanemux.rehearsal.looks import WatchedSelector, quiet_collector
+from lanemux.rehearsal.plan import draw
+from lanemux.rehearsal.scenario import Scenario
+
+
+def main(pipe: Connection, scenario: Scenario, seed: int, prefix: str) -> None:
+    """Serve until told to stop. The parent is told the addresses, of boxes that fall, and the books."""
+    selector = WatchedSelector()
+    loop = asyncio.SelectorEventLoop(selector)
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(_serve(pipe, scenario, seed, prefix, selector))
+    except (KeyboardInterrupt, EOFError, BrokenPipeError):
+        pass  # the parent has gone
+    finally:
+        loop.close()
+
+
+async def _serve(pipe: Connection, scenario: Scenario, seed: int, prefix: str, looks: WatchedSelector) -> None:
+    loop = asyncio.get_running_loop()
+    plan = draw(scenario, seed)
+    asks = {name: ask for ask in plan.asks for name in ask.ids}
+    world = World(loop, plan, looks, BoxBooks(), int(loop.time() * 1e9), asks,
+                  lambda box, at: pipe.send(("fell", box, at)))
+    addresses = reserve(plan, prefix)
+    boxes = Boxes(world, addresses)
+    boxes.open()
+    pipe.send(("addresses", addresses, plan.digest()))
+    _, world.zero_ns = await receive(loop, pipe)
+    quiet_collector()
+    boxes.begin()
+    await receive(loop, pipe)
+    pipe.send(("books", boxes.end()))
+    await asyncio.sleep(0)  # closed transports end in the loop's next turn
+
+
+async def receive(loop: asyncio.AbstractEventLoop, pipe: Connection) -> tuple[Any, ...]:
+    """The next message of a pipe, without blocking the loop."""
+    ready = asyncio.Event()
+    loop.add_reader(pipe.fileno(), ready.set)
+    try:
+        await ready.wait()
+    finally:
+        loop.remove_reader(pipe.fileno())
+    message: tuple[Any, ...] = pipe.recv()
+    return message
--- /dev/null
+++ b/lanemux/rehearsal/command.py
@@ -0,0 +1,121 @@
+"""`python -m lanemux rehearse`: options, scenarios by name or file, reports, exit status."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import shlex
+import sys
+from collections.abc import Sequence
+from importlib import resources
+from pathlib import Path
+
+from lanemux.checked import Faulty
+from lanemux.operators import load, read_text
+from lanemux.rehearsal import report
+from lanemux.rehearsal.callers import Callers
+from lanemux.rehearsal.run import CannotRun, Run, rehearse
+from lanemux.rehearsal.scenario import MAX_BALANCERS, MAX_BOXES, Scenario, checked, read_scenario
+
+KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
+DEFAULT = "calm-short"
+
+
+def main(argv: Sequence[str]) -> int:
+    """Play one scenario. 0: rules kept and valid; 1: a rule broken; 2: bad use; 3: not valid."""
+    options = _options(argv)
+    try:
+        operators = load(options.operators)
+        if options.list:
+            for name, title in sorted(_known(operators.rehearsal.scenarios_directory).items()):
+                print(f"{name:<24}{title}")
+            return KEPT
+        name = options.scenario
+        scenario = _overridden(find(name, operators.rehearsal.scenarios_directory), options)
+    except Faulty as error:
+        for fault in error.faults:
+            print(f"lanemux: {fault}", file=sys.stderr)
+        return BAD_USE
+    command = shlex.split(options.program) if options.program else [sys.executable, "-m", "lanemux"]
+    try:
+        run = asyncio.run(rehearse(scenario, options.seed, command, _progress if sys.stderr.isatty() else None))
+    except (CannotRun, OSError) as error:
+        print(f"lanemux: {error}", file=sys.stderr)
+        return BAD_USE
+    if sys.stderr.isatty():
+        print(file=sys.stderr)
+    print(report.as_text(run, name))
+    if options.json:
+        Path(options.json).write_text(json.dumps(report.as_json(run, name), indent=1) + "\n")
+    return status(run)
+
+
+def status(run: Run) -> int:
+    """The exit status that a run comes to. A run that is not valid accuses nobody."""
+    if not run.validity.valid:
+        return NOT_VALID
+    return KEPT if run.kept else BROKEN
+
+
+def find(name: str, directory: str = "") -> Scenario:
+    """A scenario by the path of its file, or by its name among the operators' own and the kit's."""
+    if name.endswith(".toml"):
+        return read_scenario(read_text(Path(name)), name)
+    own = Path(directory) / f"{name}.toml" if directory else None
+    if own is not None and own.is_file() and "/" not in name:
+        return read_scenario(read_text(own), str(own))
+    ours = resources.files("lanemux.rehearsal") / "scenarios" / f"{name}.toml"
+    if "/" in name or not ours.is_file():
+        raise Faulty([f"no scenario {name!r}; there are {', '.join(sorted(_known(directory)))}"])
+    return read_scenario(ours.read_text(), name)
+
+
+def _known(directory: str) -> dict[str, str]:
+    """The titles of all scenarios that have a name."""
+    titles = {}
+    for entry in (resources.files("lanemux.rehearsal") / "scenarios").iterdir():
+        if entry.name.endswith(".toml"):
+            titles[entry.name.removesuffix(".toml")] = read_scenario(entry.read_text(), entry.name).title
+    for path in Path(directory).glob("*.toml") if directory else ():
+        titles[path.stem] = read_scenario(read_text(path), str(path)).title
+    return titles
+
+
+def _options(argv: Sequence[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser("lanemux rehearse", allow_abbrev=False, description=(
+        "Play a day of service against balancers started on this machine's loopback, and judge it."))
+    parser.add_argument("scenario", nargs="?", default=DEFAULT, metavar="NAME|FILE.toml")
+    parser.add_argument("--seed", type=int, default=1, metavar="N")
+    parser.add_argument("--seconds", type=float, metavar="S", help="length of the run")
+    parser.add_argument("--rate", type=float, metavar="R", help="asks a second")
+    parser.add_argument("--balancers", type=int, metavar="N", help=f"at most {MAX_BALANCERS}")
+    parser.add_argument("--boxes", type=int, metavar="N", help=f"at most {MAX_BOXES}")
+    parser.add_argument("--program", metavar="CMD", help="what starts one balancer; default: this build")
+    parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--list", action="store_true", help="the scenarios that have a name")
+    parser.add_argument("--operators", metavar="FILE", default=os.environ.get("LANEMUX_OPERATORS"))
+    return parser.parse_args(argv)
+
+
+def _overridden(scenario: Scenario, options: argparse.Namespace) -> Scenario:
+    """The scenario with what the command line says otherwise, held to the same limits as the file."""
+    limits = [("--seconds", options.seconds, 1, 3600), ("--rate", options.rate, 0.1, 5000),
+              ("--balancers", options.balancers, 1, MAX_BALANCERS), ("--boxes", options.boxes, 1, MAX_BOXES)]
+    faults = [f"{name}: {value:g} is not from {low:g} to {high:g}" for name, value, low, high in limits
+              if value is not None and not low <= value <= high]
+    if faults:
+        raise Faulty(faults)
+    fleet = dataclasses.replace(scenario.fleet, balancers=options.balancers or scenario.fleet.balancers,
+                                boxes=options.boxes or scenario.fleet.boxes)
+    load_ = dataclasses.replace(scenario.load, rate=options.rate or scenario.load.rate)
+    return checked(dataclasses.replace(scenario, fleet=fleet, load=load_,
+                                       seconds=options.seconds or scenario.seconds), "command line")
+
+
+def _progress(at_s: float, callers: Callers) -> None:
+    whole = callers.plan.scenario.seconds
+    print(f"\r{min(at_s, whole):5.0f} of {whole:.0f} s   {callers.asked} asks   "
+          f"{len(callers.books.tries)} tries ", end="", file=sys.stderr, flush=True)
--- /dev/null
+++ b/lanemux/rehearsal/looks.py
@@ -0,0 +1,57 @@
+"""When a loop last looked at its sockets: the bounds on when something came, and how late the loop runs."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import selectors
+import time
+from typing import Protocol
+
+TICK_S = 0.005  # how often lateness is measured
+
+
+class Looks(Protocol):
+    """The last three looks of a loop at its sockets, in nanoseconds of its clock, the latest one last."""
+
+    looks_ns: list[int]
+
+
+class WatchedSelector(selectors.EpollSelector):
+    """Notes when each of the last looks came back. What a look reports was not there at the one before it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.looks_ns = [0, 0, 0]
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(timeout)
+        self.looks_ns = [*self.looks_ns[1:], time.monotonic_ns()]
+        return ready
+
+
+class Lateness:
+    """Measures how late a loop runs what is due."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, book: list[int]) -> None:
+        self._loop, self._book = loop, book
+        self._due = loop.time() + TICK_S
+        self._handle = loop.call_at(self._due, self._tick)
+
+    def _tick(self) -> None:
+        now = self._loop.time()
+        self._book.append(int((now - self._due) * 1e9))
+        self._due = now + TICK_S
+        self._handle = self._loop.call_at(self._due, self._tick)
+
+    def stop(self) -> None:
+        self._handle.cancel()
+
+
+def quiet_collector() -> None:
+    """Switch the cyclic garbage collector off: passes over the growing books stood still for some 40 ms.
+
+    The books are bounded by the scenario's asks, and what a run leaves in cycles is small beside them."""
+    gc.collect()
+    gc.freeze()
+    gc.disable()
--- /dev/null
+++ b/lanemux/rehearsal/rules.py
@@ -0,0 +1,122 @@
+"""The rules' checker: what the books of boxes, callers and discovery prove against the balancers. No I/O.
+
+It never takes a balancer's word, and where a book holds two ends of an instant it accuses only on the end that
+excuses. Rules (BRIEF, PROTOCOL): `lost` every request taken has one final answer in time, made for it; `twice`
+one attempt out at a time; `drain` nothing new to a box some time after its drain is told; `cold` no cold box is
+pushed over. Beside them `foreign`: boxes are sent nothing but what callers sent.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lanemux.rehearsal.books import NEVER, Attempt, BoxBooks, CallerBooks, Life, Told, Try
+from lanemux.rehearsal.plan import MS, Plan
+
+LIMIT_GRACE_NS = 50 * MS  # each time limit is so much longer on sockets (PROTOCOL)
+RULES = ("lost", "twice", "drain", "cold", "foreign")
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken rule: when, whose request, at which box, and the events that prove it."""
+
+    rule: str
+    at_ns: int
+    request: str
+    box: str
+    proof: str
+
+
+def check(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> list[Violation]:
+    """All that the books prove, in order of time."""
+    names = [box.host for box in plan.boxes]
+    by_id: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in boxes.attempts:
+        by_id[attempt.id].append(attempt)
+    found = [*_lost(callers, by_id, names), *_twice(by_id, names),
+             *_drains(boxes.attempts, callers.told, callers.balancers_down, names,
+                      int(plan.scenario.fleet.drain_grace_ms * MS) + LIMIT_GRACE_NS)]
+    for oddity in (*boxes.oddities, *callers.oddities):
+        box = names[oddity.box] if oddity.box >= 0 else ""
+        found.append(Violation(oddity.rule, oddity.at_ns, oddity.id, box, oddity.what))
+    return sorted(found, key=lambda v: (v.at_ns, v.rule, v.request))
+
+
+def counts(violations: Iterable[Violation]) -> dict[str, int]:
+    """How often each rule was broken."""
+    sums = dict.fromkeys(RULES, 0)
+    for violation in violations:
+        sums[violation.rule] += 1
+    return sums
+
+
+def _s(at_ns: int) -> str:
+    return f"{at_ns / 1e9:.4f} s"
+
+
+def _lost(callers: CallerBooks, by_id: dict[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
+    for entry in callers.tries:
+        if not entry.sent_ns or _was_down(entry, callers.balancers_down):
+            continue
+        where = f"sent to balancer {entry.balancer} at {_s(entry.sent_ns)}"
+        if entry.how == "lost":
+            yield Violation("lost", entry.end_ns, entry.id, "", f"{where}; its connection ended at "
+                            f"{_s(entry.end_ns)} with no whole answer")
+        elif entry.how == "silent":
+            yield Violation("lost", entry.end_ns, entry.id, "", f"{where}, to be answered by "
+                            f"{_s(entry.deadline_ns)}; nothing had come at {_s(entry.end_ns)}")
+        elif entry.how == "answered" and entry.status == 200:
+            made = [a for a in by_id.get(entry.id, []) if a.digest]
+            if entry.digest not in {a.digest for a in made}:
+                boxes = ", ".join(f"{names[a.box]} at {_s(a.end_ns)}" for a in made) or "no box"
+                yield Violation("lost", entry.end_ns, entry.id, "", f"{where}; the body served at "
+                                f"{_s(entry.end_ns)} was made by no box for it (made for it by {boxes})")
+
+
+def _was_down(entry: Try, down: list[Life]) -> bool:
+    """Its balancer was killed while it held the request: that is the caller's to retry."""
+    return any(life.who == entry.balancer and life.from_ns <= entry.end_ns and entry.sent_ns <= life.to_ns
+               for life in down)
+
+
+def _twice(by_id: dict[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
+    for name, attempts in by_id.items():
+        ordered = sorted(attempts, key=lambda a: a.whole_ns)
+        for i, first in enumerate(ordered):
+            for second in ordered[i + 1:]:
+                # The first was still open when the second had come whole.
+                if first.open_ns > second.whole_ns and second.open_ns >= second.whole_ns:
+                    yield Violation("twice", second.whole_ns, name, names[second.box], (
+                        f"out at {names[first.box]} from {_s(first.whole_ns)} until after {_s(first.open_ns)} "
+                        f"({first.how}), and at {names[second.box]} from {_s(second.whole_ns)} ({second.how})"))
+                    break
+
+
+def _drains(attempts: list[Attempt], told: list[Told], down: list[Life], names: list[str],
+            grace_ns: int) -> Iterable[Violation]:
+    closed: dict[tuple[int, int], list[tuple[int, int, str]]] = defaultdict(list)
+    for entry in sorted(told, key=lambda t: _told_at(t)):
+        spans, at = closed[entry.balancer, entry.box], _told_at(entry)
+        if entry.health == "up":
+            if spans and spans[-1][1] == NEVER:
+                spans[-1] = (spans[-1][0], at, spans[-1][2])
+        elif at < NEVER and (not spans or spans[-1][1] < NEVER):
+            spans.append((at, NEVER, entry.health))
+    for attempt in attempts:
+        for from_ns, to_ns, health in closed.get((attempt.balancer, attempt.box), ()):
+            # A balancer that was started again since begins with the list that it was given then.
+            new = any(life.who == attempt.balancer and from_ns < life.to_ns <= attempt.first_lo_ns for life in down)
+            if from_ns + grace_ns < attempt.first_lo_ns < to_ns and not new:
+                yield Violation("drain", attempt.first_lo_ns, attempt.id, names[attempt.box], (
+                    f"balancer {attempt.balancer} was told {health!r} at {_s(from_ns)} and sent this no sooner than "
+                    f"{_s(attempt.first_lo_ns)}, {(attempt.first_lo_ns - from_ns) / 1e6:.0f} ms later"))
+
+
+def _told_at(told: Told) -> int:
+    """When it counts as told: written to the balancer, or some seconds after the agent had it."""
+    if told.written_ns < 0:
+        return -1
+    return min(told.written_ns or NEVER, told.due_ns or NEVER)
--- /dev/null
+++ b/lanemux/rehearsal/service.py
@@ -0,0 +1,193 @@
+"""The figures of a run: service is worth answered in time over worth asked. No I/O.
+
+An ask and its retries are one: one worth, however many tries, answered if any of them is answered within the
+aim, counted from the time at which the ask was due. Worth counts for each unit of work.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, dataclass, field
+
+from lanemux.rehearsal.books import BoxBooks, CallerBooks, Try
+from lanemux.rehearsal.plan import MS, SECOND, Ask, Plan
+
+WORST_S = 10  # length of the worst stretch
+BIN_NS = SECOND // 2  # of the plots
+HEAVY_PART = 0.1  # the heaviest tenth by the cost hint, which is all that a balancer knows
+
+
+@dataclass(slots=True)
+class Point:
+    """Half a second of a run, for the plots."""
+
+    at_s: float
+    asked: dict[str, float] = field(default_factory=lambda: defaultdict(float))  # worth by class
+    earned: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    refused: int = 0
+    failed: int = 0
+    unanswered: int = 0
+    attempts: int = 0
+    tries: int = 0
+
+
+@dataclass(slots=True)
+class Figures:
+    """All figures of a run; shares lie in [0, 1], times are milliseconds."""
+
+    service: float = 0.0
+    worst_10_s: float = 0.0
+    by_class: dict[str, float] = field(default_factory=dict)
+    by_partner: dict[str, float] = field(default_factory=dict)  # within its share
+    heavy: float = 0.0  # of the asks with the largest cost hints
+    asked: int = 0
+    answered_in_time: int = 0
+    answered_late: int = 0
+    tries: int = 0
+    refused: int = 0  # tries
+    failed: int = 0  # tries answered with anything else but 200
+    unreached: int = 0  # tries that found no balancer
+    attempts: int = 0
+    attempts_per_ask: float = 0.0
+    probes_per_ask: float = 0.0
+    declined: int = 0  # attempts that boxes turned away
+    cancelled: int = 0  # and that the balancer gave up
+    first_attempt_p50_ms: float = 0.0
+    first_attempt_p99_ms: float = 0.0
+    answer_p50_ms: float = 0.0
+    answer_p99_ms: float = 0.0
+    refusal_p50_share: float = 0.0  # of a try's time that had gone by when it was refused
+    connections_most: int = 0  # open at all boxes at once
+    cold_budget_most: float = 0.0  # of what a cold box bears, the most that it was sent
+    descriptors_most: int = 0
+    memory_most_mb: float = 0.0
+
+    def table(self) -> dict[str, object]:
+        return asdict(self)
+
+
+def quantile(values: Sequence[float], part: float) -> float:
+    """The value below which this part of them lies; 0 of nothing."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
+
+
+@dataclass(slots=True)
+class Result:
+    """What became of one ask."""
+
+    ask: Ask
+    worth: float
+    served_ns: int  # from the time it was due to its answer; -1: none
+    in_time: bool
+
+
+def results(plan: Plan, tries: Iterable[Try]) -> list[Result]:
+    """Every ask that counts, with its first answer, whichever try and balancer it came by."""
+    served: dict[int, int] = {}
+    for entry in tries:
+        if entry.how == "answered" and entry.status == 200:
+            served[entry.ask] = min(served.get(entry.ask, entry.end_ns), entry.end_ns)
+    classes = {c.name: c for c in plan.scenario.classes}
+    found = []
+    for ask in plan.asks:
+        if ask.at_ns < plan.scenario.warm_up_s * SECOND:
+            continue
+        cls = classes[ask.class_name]
+        took = served[ask.number] - ask.at_ns if ask.number in served else -1
+        found.append(Result(ask, cls.worth * ask.work_ns, took, 0 <= took <= cls.aim_ms * MS))
+    return found
+
+
+def _share(rows: Iterable[Result]) -> float:
+    asked = earned = 0.0
+    for r in rows:
+        asked += r.worth
+        earned += r.worth * r.in_time
+    return earned / asked if asked else 0.0
+
+
+def _grouped(rows: Iterable[Result], key: Callable[[Result], str]) -> dict[str, list[Result]]:
+    groups: dict[str, list[Result]] = defaultdict(list)
+    for r in rows:
+        groups[key(r)].append(r)
+    return groups
+
+
+def _worst(plan: Plan, rows: list[Result]) -> float:
+    """The lowest share of any ten seconds (the whole run, if it is shorter)."""
+    first, last = int(plan.scenario.warm_up_s), int(plan.scenario.seconds)
+    seconds = _grouped(rows, lambda r: str(r.ask.at_ns // SECOND))
+    shares = [_share(r for s in range(at, at + WORST_S) for r in seconds.get(str(s), ()))
+              for at in range(first, max(first, last - WORST_S) + 1)]
+    return min(shares, default=0.0)
+
+
+def _partners(plan: Plan, rows: list[Result]) -> dict[str, float]:
+    """Each partner's share of worth answered in time, of what it asked within its share of all that was asked."""
+    whole = sum(p.share for p in plan.scenario.partners)
+    asked_in_all = sum(r.worth for r in rows)
+    figures = {}
+    for name, own in _grouped(rows, lambda r: r.ask.partner).items():
+        share = next(p.share for p in plan.scenario.partners if p.name == name) / whole
+        asked, earned = sum(r.worth for r in own), sum(r.worth * r.in_time for r in own)
+        within = min(asked, share * asked_in_all)
+        figures[name] = min(1.0, earned / within) if within else 0.0
+    return figures
+
+
+def figures(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> Figures:
+    """The figures of a run, from the books alone."""
+    rows = results(plan, callers.tries)
+    counted = {r.ask.number for r in rows}
+    tries = [t for t in callers.tries if t.ask in counted]
+    by_id = {t.id: t for t in tries}
+    attempts = [a for a in boxes.attempts if a.id in by_id]
+    refused = [t for t in tries if t.how == "answered" and t.status in (429, 503)]
+    first: dict[str, int] = {}
+    for a in attempts:
+        first[a.id] = min(first.get(a.id, a.whole_ns), a.whole_ns)
+    waits = [(at - by_id[name].sent_ns) / MS for name, at in first.items() if by_id[name].sent_ns]
+    took = [r.served_ns / MS for r in rows if r.served_ns >= 0]
+    hints = quantile([r.ask.hint_us for r in rows], 1 - HEAVY_PART)
+    how = Counter(a.how for a in attempts)
+    asks = max(1, len(rows))
+    return Figures(
+        service=_share(rows), worst_10_s=_worst(plan, rows),
+        by_class={c: _share(own) for c, own in sorted(_grouped(rows, lambda r: r.ask.class_name).items())},
+        by_partner=dict(sorted(_partners(plan, rows).items())),
+        heavy=_share(r for r in rows if r.ask.hint_us >= hints),
+        asked=len(rows), answered_in_time=sum(r.in_time for r in rows),
+        answered_late=sum(r.served_ns >= 0 and not r.in_time for r in rows),
+        tries=len(tries), refused=len(refused),
+        failed=sum(t.how == "answered" and t.status not in (200, 429, 503) for t in tries),
+        unreached=sum(t.how == "refused" for t in tries),
+        attempts=len(attempts), attempts_per_ask=len(attempts) / asks, probes_per_ask=boxes.probes / asks,
+        declined=how["declined"], cancelled=how["cancelled"],
+        first_attempt_p50_ms=quantile(waits, 0.5), first_attempt_p99_ms=quantile(waits, 0.99),
+        answer_p50_ms=quantile(took, 0.5), answer_p99_ms=quantile(took, 0.99),
+        refusal_p50_share=quantile([(t.end_ns - t.sent_ns) / max(1, t.deadline_ns - t.sent_ns) for t in refused], 0.5),
+        connections_most=boxes.open_most, cold_budget_most=boxes.pushed_most,
+        descriptors_most=callers.descriptors_most, memory_most_mb=callers.memory_most_mb)
+
+
+def over_time(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> list[Point]:
+    """The run in steps, for the plots: worth by when it was asked, the rest by when it happened."""
+    points = [Point(i * BIN_NS / SECOND) for i in range(int(plan.scenario.seconds * SECOND // BIN_NS) + 1)]
+
+    def point(at_ns: int) -> Point:
+        return points[min(len(points) - 1, max(0, at_ns // BIN_NS))]
+
+    for r in results(plan, callers.tries):
+        point(r.ask.at_ns).asked[r.ask.class_name] += r.worth
+        point(r.ask.at_ns).earned[r.ask.class_name] += r.worth * r.in_time
+    for t in callers.tries:
+        p = point(t.end_ns)
+        p.tries += 1
+        p.refused += t.how == "answered" and t.status in (429, 503)
+        p.failed += t.how == "answered" and t.status not in (200, 429, 503)
+        p.unanswered += t.how in ("lost", "silent", "refused")
+    for a in boxes.attempts:
+        point(a.whole_ns).attempts += 1
+    return points
--- /dev/null
+++ b/tests/rehearsal/test_pure.py
@@ -0,0 +1,238 @@
+"""The kit's models, plan, figures and framing, without sockets."""
+
+from __future__ import annotations
+
+import dataclasses
+import subprocess
+import sys
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lanemux.checked import Faulty
+from lanemux.rehearsal import framing
+from lanemux.rehearsal.books import BoxBooks, CallerBooks, Try
+from lanemux.rehearsal.box import BoxModel
+from lanemux.rehearsal.command import _known, find
+from lanemux.rehearsal.plan import MS, SECOND, Box, draw
+from lanemux.rehearsal.scenario import Fleet, Scenario, read_scenario
+from lanemux.rehearsal.service import figures, results
+from lanemux.rehearsal.validity import judge
+
+BOX = Box("q-1", "woodbrook", 0, "box-a", 0, 1.0, 2, 0.0, 100.0, 0.31, 8 * SECOND, 10**18, 0.0, 2 * MS, 0, 0, 1)
+MEAN = 75 * MS
+
+
+def model(cold: bool = False, **fleet: float) -> BoxModel:
+    return BoxModel(BOX, Fleet(full_tax=0.0, **fleet), 0, cold)  # type: ignore[arg-type]
+
+
+# ---- a box ---------------------------------------------------------------------------------------------
+
+
+def test_a_box_works_one_at_a_time_queues_two_and_turns_the_rest_away() -> None:
+    box = model()
+    jobs = [box.offer(100 * MS, MEAN) for _ in range(4)]
+    assert [job is not None for job in jobs] == [True, True, True, False]
+    assert (box.report().inflight, box.report().queue) == (3, 2)
+    assert box.advance(100 * MS + 1) == [jobs[0]]
+    assert box.advance(301 * MS) == [jobs[1], jobs[2]]
+    assert box.next_ns() is None
+
+
+def test_while_it_is_frozen_no_work_is_done_and_the_report_stays() -> None:
+    box = model()
+    job = box.offer(50 * MS, MEAN)
+    assert box.report().inflight == 1
+    box.advance(20 * MS)
+    box.freeze(260 * MS)
+    assert box.advance(259 * MS) == [] and box.next_ns() == 290 * MS + 1
+    assert box.advance(289 * MS) == []
+    assert box.advance(290 * MS + 1) == [job]
+
+
+def test_a_neighbour_takes_its_share() -> None:
+    box = model()
+    box.stolen = 0.5
+    job = box.offer(50 * MS, MEAN)
+    assert box.advance(99 * MS) == [] and box.advance(101 * MS) == [job]
+
+
+def test_a_cold_box_begins_at_its_share_and_is_warm_in_time() -> None:
+    box = model(cold=True)
+    assert box.warmth() == 0.31
+    box.advance(4 * SECOND)
+    assert box.warmth() == pytest.approx(0.655)
+    box.advance(8 * SECOND)
+    assert box.warmth() == 1.0 and not box.cold
+
+
+def test_a_cold_box_falls_over_when_it_is_sent_too_much_within_the_window_and_only_then() -> None:
+    # 2.5 x 0.31 x 1.5 s and the slack: 1.31 s of work at once.
+    box = model(cold=True)
+    for _ in range(17):
+        box.offer(75 * MS, MEAN)
+    assert not box.fallen and 0.9 < box.pushed_most < 1
+    box.offer(75 * MS, MEAN)  # turned away, and a push all the same
+    assert box.fallen
+    spread = model(cold=True)
+    for i in range(60):
+        spread.advance(i * 100 * MS)
+        spread.offer(75 * MS, MEAN)
+    assert not spread.fallen
+    warm = model()
+    for _ in range(60):
+        warm.offer(75 * MS, MEAN)
+    assert not warm.fallen
+
+
+def test_one_heavy_request_alone_pushes_nobody_over() -> None:
+    box = model(cold=True)
+    box.offer(29 * MEAN, MEAN)
+    assert not box.fallen
+
+
+def test_a_cancel_leaves_running_work_and_drops_waiting_work_only_on_some_days() -> None:
+    for drops in (False, True):
+        box = dataclasses.replace(model(), cancels_queued=drops)
+        first, second = box.offer(50 * MS, MEAN), box.offer(50 * MS, MEAN)
+        assert first is not None and second is not None
+        box.cancel(first)
+        box.cancel(second)
+        assert len(box.running) == 1 and len(box.queue) == (0 if drops else 1)
+
+
+def test_a_draining_box_turns_new_work_away_and_finishes_what_it_has() -> None:
+    box = model()
+    job = box.offer(50 * MS, MEAN)
+    box.draining = True
+    assert box.offer(50 * MS, MEAN) is None
+    assert box.advance(51 * MS) == [job]
+
+
+# ---- the plan ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("name", sorted(_known("")))
+def test_every_scenario_of_the_kit_is_sound_and_its_plan_the_same_in_any_process(name: str) -> None:
+    scenario = find(name)
+    if not name.endswith("-short"):
+        scenario = dataclasses.replace(scenario, seconds=min(scenario.seconds, 12.0))
+    plan = draw(scenario, 7)
+    assert len(plan.asks) > 50 and all(a.at_ns <= b.at_ns for a, b in zip(plan.asks, plan.asks[1:], strict=False))
+    assert len({i for a in plan.asks for i in a.ids}) == sum(len(a.ids) for a in plan.asks)
+    assert plan.digest() != draw(scenario, 8).digest()
+    told = {n.box for n in plan.notices if n.health == "up"}
+    assert told == {h.who for h in plan.happenings if h.what in ("start", "return")}
+    if name == "month-end-short":
+        look = ("from lanemux.rehearsal.command import find\nfrom lanemux.rehearsal.plan import draw\n"
+                f"print(draw(find({name!r}), 7).digest())")
+        other = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, check=True,
+                               env={"PYTHONHASHSEED": "12345"})
+        assert other.stdout.strip() == plan.digest()
+
+
+def test_friday_freezes_the_stated_part_for_the_stated_times() -> None:
+    plan = draw(find("friday-rush"), 3)
+    freezes = [h for h in plan.happenings if h.what == "freeze"]
+    assert 0.35 * 40 - 1 <= len({h.who for h in freezes}) <= 0.41 * 40 + 1
+    assert all(66 * MS <= h.until_ns - h.at_ns <= 240 * MS for h in freezes)
+
+
+def test_month_end_replaces_almost_all_boxes_and_kills_a_quarter_together() -> None:
+    plan = draw(find("month-end"), 3)
+    drained = {h.who for h in plan.happenings if h.what == "drain"}
+    assert len(drained) == 12 and len(plan.boxes) == 24
+    died = [h for h in plan.happenings if h.what == "die" and h.who not in drained]
+    assert len(died) == 3 and len({h.at_ns for h in died}) == 1
+    for box in drained:  # told that it drains before it is told that it is gone
+        at = {n.health: n.at_ns for n in plan.notices if n.box == box}
+        assert at["draining"] <= at["removed"]
+
+
+@pytest.mark.parametrize(("text", "fault"), [
+    ("", "title: missing"), ('title = "x"\nspeed = 1', "unknown key"),
+    ('title = "x"\nseconds = 0', "a number from 1 to 3600"),
+    ('title = "x"\n[fleet]\nboxes = 1.5', "a whole number"),
+    ('title = "x"\n[callers]\ntry_share = [0.5, 0.4]', "low end lies above"),
+    ('title = "x"\n[callers]\ntry_share = [0.5]', "a list of 2"),
+    ('title = "x"\n[[faults]]\nkind = "rain"', "one of freeze, neighbour"),
+    ('title = "x"\n[[faults]]\nkind = "heavy"\nclass_name = "cheque"', "no class 'cheque'"),
+    ('title = "x"\nseconds = 3600\n[load]\nrate = 5000', "over 200000 asks"),
+])
+def test_a_bad_scenario_is_told_with_file_key_and_what_is_allowed(text: str, fault: str) -> None:
+    with pytest.raises(Faulty) as caught:
+        read_scenario(text, "my.toml")
+    assert len(caught.value.faults) == 1 and fault in caught.value.faults[0]
+    assert caught.value.faults[0].startswith("my.toml: ")
+
+
+# ---- figures -------------------------------------------------------------------------------------------
+
+
+def played(*ends: tuple[int, int, int, float]) -> tuple[Scenario, CallerBooks]:
+    """Books of tries (ask, number, status, ms after the ask was due) of a plan with seed 1."""
+    scenario = dataclasses.replace(find("calm-short"), seconds=2.0, warm_up_s=0.0)
+    plan, books = draw(scenario, 1), CallerBooks()
+    for ask, number, status, after_ms in ends:
+        row = plan.asks[ask]
+        books.tries.append(Try(ask, number, row.ids[number], number, "/", sent_ns=row.at_ns, end_ns=row.at_ns + int(
+            after_ms * MS), how="answered", status=status, deadline_ns=row.at_ns + row.try_ns))
+    return scenario, books
+
+
+def test_a_retry_is_counted_with_its_first_try_whichever_balancer_answers() -> None:
+    # Refused by balancer 0, served by balancer 1 within the aim of the first try: one ask, one worth.
+    scenario, books = played((0, 0, 503, 20), (0, 1, 200, 250), (1, 0, 503, 20), (1, 1, 200, 270))
+    rows = {r.ask.number: r for r in results(draw(scenario, 1), books.tries)}
+    assert rows[0].in_time and not rows[1].in_time  # 270 ms: within the aim of the retry, not of the ask
+    found = figures(draw(scenario, 1), BoxBooks(), books)
+    assert (found.asked, found.answered_in_time, found.tries) == (len(rows), 1, 4)
+    assert found.service == pytest.approx(rows[0].worth / sum(r.worth for r in rows.values()))
+
+
+def test_two_answers_to_one_ask_count_once() -> None:
+    scenario, books = played((0, 0, 200, 240), (0, 1, 200, 250))
+    assert figures(draw(scenario, 1), BoxBooks(), books).answered_in_time == 1
+
+
+def test_a_late_kit_calls_its_run_not_valid() -> None:
+    assert judge(BoxBooks(lag_ns=[MS] * 100), CallerBooks(late_ns=[MS] * 100)).valid
+    assert not judge(BoxBooks(lag_ns=[MS] * 100), CallerBooks(late_ns=[MS] * 90 + [20 * MS] * 10)).valid
+    assert not judge(BoxBooks(lag_ns=[MS] * 100 + [60 * MS]), CallerBooks()).valid
+    assert not judge(BoxBooks(), CallerBooks(waited_share=0.5)).valid
+
+
+# ---- framing -------------------------------------------------------------------------------------------
+
+
+@given(st.lists(st.binary(max_size=300), max_size=4), st.lists(st.integers(1, 50), min_size=1, max_size=20))
+def test_messages_are_the_same_however_their_bytes_are_cut(bodies: list[bytes], cuts: list[int]) -> None:
+    data = b"".join(framing.answer(200, body) for body in bodies)
+    framer, at = framing.Framer(answers=True), 0
+    found: list[framing.Message] = []
+    while at < len(data):
+        size = cuts[len(found) % len(cuts)]
+        found += framer.feed(data[at:at + size])
+        at += size
+    assert [m.body for m in found] == bodies and not framer.begun
+
+
+def test_chunked_answers_announced_ones_and_ones_that_end_by_close_are_read() -> None:
+    framer = framing.Framer(answers=True)
+    (whole,) = framer.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n")
+    assert (whole.status, whole.body) == (200, b"abcde")
+    assert framer.feed(b"HTTP/1.1 200 OK\r\n\r\nabc") == []
+    last = framer.end()
+    assert last is not None and last.body == b"abc"
+
+
+@pytest.mark.parametrize("data", [
+    b"GET\r\n\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 abc X\r\n\r\n", b"x" * (framing.MAX_HEAD + 1),
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+def test_what_is_no_answer_is_unreadable(data: bytes) -> None:
+    with pytest.raises(framing.Unreadable):
+        framing.Framer(answers=True).feed(data)
--- /dev/null
+++ b/tests/rehearsal/test_rules.py
@@ -0,0 +1,97 @@
+"""The rules' checker on books written by hand: what proves a broken rule, and what excuses."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lanemux.rehearsal.books import Attempt, BoxBooks, CallerBooks, Life, Oddity, Told, Try
+from lanemux.rehearsal.command import find
+from lanemux.rehearsal.plan import MS, draw
+from lanemux.rehearsal.rules import Violation, check, counts
+
+PLAN = draw(find("calm-short"), 1)
+T = 1000 * MS
+
+
+def attempt(box: int, whole: int, open_: int, how: str = "answered", name: str = "a", digest: str = "d",
+            balancer: int = 0, first: int | None = None) -> Attempt:
+    return Attempt(box, balancer, name, "/", whole if first is None else first, whole, open_, open_, how, digest)
+
+
+def served(name: str = "a", digest: str = "d", how: str = "answered", status: int = 200) -> Try:
+    return Try(0, 0, name, 0, "/", T, T + 300 * MS, T + 100 * MS, how, status, digest)
+
+
+def found(attempts: list[Attempt], tries: list[Try], told: list[Told] | None = None,
+          down: list[Life] | None = None, oddities: list[Oddity] | None = None) -> list[Violation]:
+    return check(PLAN, BoxBooks(attempts=attempts), CallerBooks(
+        tries=tries, told=told or [], balancers_down=down or [], oddities=oddities or []))
+
+
+def test_an_honest_request_breaks_nothing() -> None:
+    assert found([attempt(0, T + MS, T + 90 * MS)], [served()]) == []
+    assert found([attempt(0, T + MS, T + 9 * MS, "declined", digest=""), attempt(1, T + 10 * MS, T + 90 * MS)],
+                 [served()]) == []
+
+
+def test_a_body_that_was_made_for_another_request_is_lost() -> None:
+    (broken,) = found([attempt(0, T, T + 90 * MS), attempt(1, T, T + 90 * MS, name="b", digest="e")],
+                      [served(digest="e")])
+    assert broken.rule == "lost" and broken.request == "a" and PLAN.boxes[0].host in broken.proof
+    assert [v.rule for v in found([], [served()])] == ["lost"]  # nor one that no box made
+
+
+def test_no_answer_and_a_connection_that_ends_without_one_are_lost() -> None:
+    assert [v.rule for v in found([], [served(how="silent", status=0), served(how="lost", status=0)])] == ["lost"] * 2
+
+
+def test_who_left_who_found_no_balancer_and_what_a_killed_balancer_held_are_not_lost() -> None:
+    assert found([], [served(how="left", status=0), served(how="refused", status=0)]) == []
+    unsent = dataclasses.replace(served(how="lost", status=0), sent_ns=0)
+    assert found([], [unsent]) == []
+    killed = [Life(0, "down", T + 50 * MS, T + 400 * MS)]
+    assert found([], [served(how="lost", status=0)], down=killed) == []
+    assert len(found([], [served(how="lost", status=0)], down=[Life(1, "down", T, T + 400 * MS)])) == 1
+
+
+def test_two_attempts_at_once_are_proved_by_the_first_still_open_when_the_second_is_whole() -> None:
+    both = [attempt(0, T, T + 90 * MS), attempt(1, T + 50 * MS, T + 95 * MS)]
+    (broken,) = found(both, [served()])
+    assert broken.rule == "twice" and broken.box == PLAN.boxes[1].host
+
+
+def test_a_close_that_a_frozen_box_saw_late_excuses() -> None:
+    # Closed at an unknown time after its last look at T + 40 ms; the box wrote it down at T + 240 ms.
+    late = dataclasses.replace(attempt(0, T, T + 40 * MS, "cancelled", digest=""), end_ns=T + 240 * MS)
+    assert found([late, attempt(1, T + 50 * MS, T + 90 * MS)], [served()]) == []
+
+
+TOLD = [Told(0, 3, "draining", T, T + 6000 * MS)]
+
+
+def test_a_send_after_a_drain_was_told_breaks_the_rule_from_its_grace_on() -> None:
+    def sends(after_ms: int, balancer: int = 0, told: list[Told] | None = None,
+              down: list[Life] | None = None) -> list[str]:
+        at = T + after_ms * MS
+        rows = [attempt(3, at, at + 50 * MS, balancer=balancer)]
+        return [v.rule for v in found(rows, [served()], TOLD if told is None else told, down)]
+
+    assert sends(540) == [] and sends(560) == ["drain"]
+    assert sends(560, balancer=1) == []  # it has not been told
+    up = Told(0, 3, "up", T + 300 * MS, T + 9000 * MS)
+    assert sends(560, told=[*TOLD, up]) == []
+    unread = [Told(0, 3, "removed", 0, T)]  # the agent had it 6 s ago, and the balancer never asked
+    assert sends(560, told=unread) == ["drain"]
+    started_anew = [Life(0, "down", T + 10 * MS, T + 200 * MS)]
+    assert sends(560, down=started_anew) == []
+
+
+def test_a_first_byte_that_may_have_come_before_the_grace_was_over_excuses() -> None:
+    frozen = attempt(3, T + 700 * MS, T + 800 * MS, first=T + 500 * MS)
+    assert found([frozen], [served()], TOLD) == []
+
+
+def test_what_the_stand_ins_saw_counts_and_is_told_with_its_box() -> None:
+    broken = found([], [], oddities=[Oddity(T, "cold", "pushed over", box=2), Oddity(T, "foreign", "x", "id")])
+    assert counts(broken) == {"lost": 0, "twice": 0, "drain": 0, "cold": 1, "foreign": 1}
+    assert broken[0].box == PLAN.boxes[2].host
