--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -138,6 +138,14 @@
         return 0
 
 
+def pressed_ns() -> int:
+    """How long anything on this machine has waited for a processor (Linux, /proc/pressure/cpu); 0 if not told."""
+    try:
+        return int(Path("/proc/pressure/cpu").read_text().splitlines()[0].rpartition("total=")[2]) * 1000
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
 def usage(pid: int) -> tuple[int, float]:
     """Open descriptors and resident memory in MB of a process; zeros if it is gone."""
     try:
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -260,6 +260,7 @@
             for connection in list(self._connections):
                 connection.see()
             self._work()
+            self._schedule()
 
     def vanish(self) -> None:
         """Cut off in silence: open connections stay open, new ones never come up."""
@@ -297,7 +298,7 @@
         now = self.world.now()
         self.still = True
         self._unwatch()
-        self._begin_life(state)
+        self._begin_life(state, now)
         for connection in self._connections:
             connection.blind(now)
         if self._timer is not None:
@@ -319,9 +320,9 @@
             self._end_life("shared")
             self._schedule()
 
-    def _begin_life(self, state: str) -> None:
+    def _begin_life(self, state: str, at_ns: int | None = None) -> None:
         if state not in self._life:
-            self._life[state] = Life(self.number, state, self.world.now())
+            self._life[state] = Life(self.number, state, self.world.now() if at_ns is None else at_ns)
             self.world.books.lives.append(self._life[state])
 
     def _end_life(self, state: str) -> None:
--- a/lanemux/rehearsal/report.py
+++ b/lanemux/rehearsal/report.py
@@ -14,6 +14,7 @@
     return {
         "scenario": name, "title": run.plan.scenario.title, "seed": run.plan.seed, "digest": run.digest,
         "valid": run.validity.valid, "rules": counts(run.violations), "crashes": run.crashes,
+        "expectations_missed": run.missed,
         **run.figures.table(),
         "validity": {k: getattr(run.validity, k) for k in run.validity.__dataclass_fields__},
         "violations": [{"rule": v.rule, "at_s": v.at_ns / 1e9, "request": v.request, "box": v.box, "proof": v.proof}
@@ -29,6 +30,8 @@
         ("by class", "   ".join(f"{c} {v:.3f}" for c, v in f.by_class.items())),
         ("by partner", f"worst {min(f.by_partner.values(), default=0.0):.3f} "
                        f"({min(f.by_partner, key=lambda p: f.by_partner[p], default='-')})"),
+        ("frozen", f"blindness {f.blindness:.2f} (1: as by chance)   connections {f.connections_most}   "
+                   f"refusals at {f.refusal_p50_share:.2f} of their time"),
         ("asks", f"{f.asked}   in time {f.answered_in_time}   late {f.answered_late}   tries {f.tries}"),
         ("tries", f"refused {f.refused}   failed {f.failed}   no balancer {f.unreached}"),
         ("attempts", f"{f.attempts_per_ask:.2f} an ask   turned away {f.declined}   given up {f.cancelled}   "
@@ -36,6 +39,7 @@
         ("times, ms", f"first attempt p50 {f.first_attempt_p50_ms:.1f} p99 {f.first_attempt_p99_ms:.1f}   "
                       f"answer p50 {f.answer_p50_ms:.0f} p99 {f.answer_p99_ms:.0f}"),
         ("rules", "   ".join(f"{rule} {n}" for rule, n in rules.items())),
+        ("expected", "; ".join(run.missed) or "met"),
         ("valid", "yes" if run.validity.valid else "NO: " + "; ".join(run.validity.reasons)),
         ("plan", f"seed {run.plan.seed}   digest {run.digest}"),
     ]
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from lanemux.rehearsal import boxes_process
-from lanemux.rehearsal.balancers import Balancer, Place, free_port, usage, waited_ns
+from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns, usage, waited_ns
 from lanemux.rehearsal.books import BoxBooks, CallerBooks, Life
 from lanemux.rehearsal.boxes import Address
 from lanemux.rehearsal.callers import GRACE_NS, Callers, Front
@@ -25,7 +25,7 @@
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation, check
 from lanemux.rehearsal.scenario import Scenario
-from lanemux.rehearsal.service import Figures, figures
+from lanemux.rehearsal.service import Figures, figures, missed
 from lanemux.rehearsal.validity import Validity, judge
 
 LEAD_S = 0.3  # from the last balancer's readiness to the first ask
@@ -49,11 +49,13 @@
     violations: list[Violation]
     validity: Validity
     crashes: list[str] = field(default_factory=list)
+    missed: list[str] = field(default_factory=list)  # expectations of the scenario
     wall_s: float = 0.0
 
     @property
     def kept(self) -> bool:
-        return not self.violations and not self.crashes
+        """No rule broken, no balancer crashed, no expectation missed."""
+        return not (self.violations or self.crashes or self.missed)
 
 
 Progress = Callable[[float, Callers], None]
@@ -178,19 +180,22 @@
                 self._at(happening.at_ns, self._to_balancer, happening, front)
         lateness = Lateness(self._loop, self.books.lag_ns)
         quiet_collector()
+        pressed, began = pressed_ns(), self.now()
         callers.begin()
         self._spawn(self._monitor(progress))
         await callers.done.wait()
         longest = max(c.deadline_ms for c in scenario.classes) / 1000
         await asyncio.sleep(longest + GRACE_NS / 1e9)
         lateness.stop()
+        self.books.pressed_share = (pressed_ns() - pressed) / max(1, self.now() - began)
         await self._stop_balancers()
         self._pipe.send(("stop",))
         boxes = await self._box_books
         for life in self._down.values():
             life.to_ns = self.now()
-        return Run(self.plan, self.plan.digest(), boxes, self.books, figures(self.plan, boxes, self.books),
-                   check(self.plan, boxes, self.books), judge(boxes, self.books), self.books.crashes)
+        found = figures(self.plan, boxes, self.books)
+        return Run(self.plan, self.plan.digest(), boxes, self.books, found, check(self.plan, boxes, self.books),
+                   judge(boxes, self.books), self.books.crashes, missed(self.plan, found))
 
     def _at(self, at_ns: int, do: Callable[..., object], *args: object) -> None:
         self._timers.append(self._loop.call_at((self._zero_ns + at_ns) / 1e9, do, *args))
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -134,6 +134,20 @@
     die_in_drain: float = bounded(0, 1, 0.1)  # deploy: share of boxes that die before their drain is over
 
 
+@dataclass(frozen=True, slots=True)
+class Expect:
+    """[expect]: figures that a sound build reaches here on any seed; one missed fails the run like a rule.
+
+    They catch what breaks no rule of a single request: refusals held back, heavy requests never served, frozen
+    boxes taken for healthy, connections that pile up."""
+
+    service_least: float = bounded(0, 1, 0.0)
+    heavy_least: float = bounded(0, 1, 0.0)  # service of the tenth with the largest cost hints
+    refusal_p50_share_most: float = bounded(0, 1, 1.0)  # of a try's time, gone by at half of the refusals
+    blindness_most: float = bounded(0, 1e6, 1e6)  # attempts that met a frozen box; 1: as many as by chance
+    connections_per_box_most: float = bounded(0, 1e6, 1e6)
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """A whole scenario file."""
@@ -146,6 +160,7 @@
     callers: Callers = field(default_factory=Callers)
     discovery: Discovery = field(default_factory=Discovery)
     network: Network = field(default_factory=Network)
+    expect: Expect = field(default_factory=Expect)
     classes: tuple[RequestClass, ...] = ()
     partners: tuple[Partner, ...] = ()
     faults: tuple[Fault, ...] = ()
--- a/lanemux/rehearsal/service.py
+++ b/lanemux/rehearsal/service.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict, dataclass, field
 
-from lanemux.rehearsal.books import BoxBooks, CallerBooks, Try
+from lanemux.rehearsal.books import Attempt, BoxBooks, CallerBooks, Life, Try
 from lanemux.rehearsal.plan import MS, SECOND, Ask, Plan
 
 WORST_S = 10  # length of the worst stretch
@@ -58,6 +58,8 @@
     answer_p50_ms: float = 0.0
     answer_p99_ms: float = 0.0
     refusal_p50_share: float = 0.0  # of a try's time that had gone by when it was refused
+    refusal_p90_share: float = 0.0
+    blindness: float = 0.0  # attempts that met a frozen box, over what chance would send there
     connections_most: int = 0  # open at all boxes at once
     cold_budget_most: float = 0.0  # of what a cold box bears, the most that it was sent
     descriptors_most: int = 0
@@ -137,6 +139,19 @@
     return figures
 
 
+def _blindness(plan: Plan, boxes: BoxBooks, attempts: list[Attempt]) -> float:
+    """How far attempts went to boxes that stood still: 0 never, 1 as often as blind chance would."""
+    end = int(plan.scenario.seconds * SECOND)
+    frozen = [life for life in boxes.lives if life.state == "frozen"]
+    spans: dict[int, list[Life]] = defaultdict(list)
+    for life in frozen:
+        spans[life.who].append(life)
+    met = sum(any(s.from_ns <= a.first_lo_ns and a.first_lo_ns < s.to_ns <= a.whole_ns for s in spans[a.box])
+              for a in attempts)
+    chance = sum(min(s.to_ns, end) - s.from_ns for s in frozen) / (end * plan.scenario.fleet.boxes)
+    return met / len(attempts) / chance if attempts and chance > 0 else 0.0
+
+
 def figures(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> Figures:
     """The figures of a run, from the books alone."""
     rows = results(plan, callers.tries)
@@ -152,6 +167,7 @@
     took = [r.served_ns / MS for r in rows if r.served_ns >= 0]
     hints = quantile([r.ask.hint_us for r in rows], 1 - HEAVY_PART)
     how = Counter(a.how for a in attempts)
+    waited = [(t.end_ns - t.sent_ns) / max(1, t.deadline_ns - t.sent_ns) for t in refused]
     asks = max(1, len(rows))
     return Figures(
         service=_share(rows), worst_10_s=_worst(plan, rows),
@@ -167,11 +183,23 @@
         declined=how["declined"], cancelled=how["cancelled"],
         first_attempt_p50_ms=quantile(waits, 0.5), first_attempt_p99_ms=quantile(waits, 0.99),
         answer_p50_ms=quantile(took, 0.5), answer_p99_ms=quantile(took, 0.99),
-        refusal_p50_share=quantile([(t.end_ns - t.sent_ns) / max(1, t.deadline_ns - t.sent_ns) for t in refused], 0.5),
+        refusal_p50_share=quantile(waited, 0.5), refusal_p90_share=quantile(waited, 0.9),
+        blindness=_blindness(plan, boxes, attempts),
         connections_most=boxes.open_most, cold_budget_most=boxes.pushed_most,
         descriptors_most=callers.descriptors_most, memory_most_mb=callers.memory_most_mb)
 
 
+def missed(plan: Plan, found: Figures) -> list[str]:
+    """The scenario's expectations that the figures do not meet, each in one line."""
+    expect, boxes = plan.scenario.expect, plan.scenario.fleet.boxes
+    least = [("service", found.service, expect.service_least), ("heavy", found.heavy, expect.heavy_least)]
+    most = [("refusal_p50_share", found.refusal_p50_share, expect.refusal_p50_share_most),
+            ("blindness", found.blindness, expect.blindness_most),
+            ("connections_per_box", found.connections_most / boxes, expect.connections_per_box_most)]
+    return [*(f"{name} {value:.3f} is under {bound:g}" for name, value, bound in least if value < bound),
+            *(f"{name} {value:.3f} is over {bound:g}" for name, value, bound in most if value > bound)]
+
+
 def over_time(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> list[Point]:
     """The run in steps, for the plots: worth by when it was asked, the rest by when it happened."""
     points = [Point(i * BIN_NS / SECOND) for i in range(int(plan.scenario.seconds * SECOND // BIN_NS) + 1)]
--- a/lanemux/rehearsal/validity.py
+++ b/lanemux/rehearsal/validity.py
@@ -15,6 +15,7 @@
 LATE_P99_NS = 10 * MS  # a hundredth of a 264 ms aim's figures may shift by so much
 LATE_MOST_NS = 45 * MS  # the rules' limits are 50 ms longer on sockets: lateness must stay under that
 WAITED_MOST = 0.05  # share of a second that a process may wait for a processor
+PRESSED_MOST = 0.03  # share of the run that anything may: 0.2% on an idle machine, 8% beside a busy process a core
 
 
 @dataclass(slots=True)
@@ -29,11 +30,12 @@
     boxes_late_p99_ms: float = 0.0
     boxes_late_most_ms: float = 0.0
     waited_most_share: float = 0.0
+    pressed_share: float = 0.0
 
 
 def judge(boxes: BoxBooks, callers: CallerBooks) -> Validity:
     """Call the run valid, or say why not."""
-    found = Validity(waited_most_share=callers.waited_share)
+    found = Validity(waited_most_share=callers.waited_share, pressed_share=callers.pressed_share)
     for name, book in (("asks", callers.late_ns), ("callers", callers.lag_ns), ("boxes", boxes.lag_ns)):
         p99, most = quantile(book, 0.99), max(book, default=0)
         setattr(found, f"{name}_late_p99_ms", p99 / MS)
@@ -45,5 +47,7 @@
             found.reasons.append(f"{name} were up to {most / MS:.0f} ms late")
     if callers.waited_share > WAITED_MOST:
         found.reasons.append(f"a process waited for a processor for {callers.waited_share:.0%} of a second")
+    if callers.pressed_share > PRESSED_MOST:
+        found.reasons.append(f"the machine's processors were taken for {callers.pressed_share:.0%} of the run")
     found.valid = not found.reasons
     return found
--- /dev/null
+++ b/tests/rehearsal/broken/late_drain.py
@@ -0,0 +1,23 @@
+"""Acts on drains and removals a second and a half after it was told."""
+
+import sys
+from typing import Any
+
+from lanemux import interface as api
+from lanemux.net import daemon
+from lanemux.net.node import Node
+
+LATE_S = 1.5
+listed = Node._listed
+
+
+def later(self: Any, listing: Any) -> None:
+    ends = listing is not None and any(e.upstream.state is not api.State.READY for e in listing.entries)
+    if ends:
+        self._loop.call_later(LATE_S, listed, self, listing)
+    else:
+        listed(self, listing)
+
+
+Node._listed = later  # type: ignore[method-assign]
+sys.exit(daemon.main())
--- /dev/null
+++ b/tests/rehearsal/broken/never_answers.py
@@ -0,0 +1,23 @@
+"""Never answers one request in a thousand."""
+
+import random
+import sys
+from typing import Any
+
+from lanemux.net import daemon
+from lanemux.net.node import Node
+
+SHARE = 0.001
+finish = Node._finish
+draw = random.Random()
+
+
+def silent(self: Any, call: Any, status: int, headers: Any = (), body: bytes = b"") -> None:
+    if not call.over and draw.random() < SHARE:
+        self._drop(call)
+    else:
+        finish(self, call, status, headers, body)
+
+
+Node._finish = silent  # type: ignore[method-assign]
+sys.exit(daemon.main())
--- /dev/null
+++ b/tests/rehearsal/broken/refuses_heavy.py
@@ -0,0 +1,23 @@
+"""Refuses every request whose cost hint is above 130 ms."""
+
+import sys
+from typing import Any
+
+from lanemux import interface as api
+from lanemux.net import daemon
+from lanemux.net.node import Node
+
+MOST_NS = 130_000_000
+feed = Node.feed
+
+
+def light_only(self: Any, *events: api.Event) -> None:
+    for event in events:
+        if isinstance(event, api.Arrival) and event.cost_hint_ns > MOST_NS:
+            self._final(event.request, 503)
+        else:
+            feed(self, event)
+
+
+Node.feed = light_only  # type: ignore[method-assign]
+sys.exit(daemon.main())
--- /dev/null
+++ b/tests/rehearsal/test_broken.py
@@ -0,0 +1,124 @@
+"""Whole rehearsals: the healthy build breaks no rule, and each broken build is caught by what it breaks.
+
+A machine that is too busy makes a run not valid: then nothing is claimed of figures or of the healthy build,
+while what the books prove against a broken one is proof all the same.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent
+ABREAST = max(1, (os.cpu_count() or 1) // 2)  # runs beside one another: each keeps some two cores busy in part
+TIMEOUT_S = 90
+BRIEF = ("--seconds", "5")  # for builds that break a rule at every hundredth request
+
+HEALTHY = ("calm-short", "friday-rush-short", "month-end-short", "back-to-school-short")
+BY_RULE = (("two_at_once", "friday-rush-short", "twice"), ("late_drain", "month-end-short", "drain"),
+           ("swaps_bodies", "friday-rush-short", "lost"), ("answers_twice", "friday-rush-short", "lost"),
+           ("resends_silently", "friday-rush-short", "twice"), ("floods_cold", "month-end-short", "cold"),
+           ("ignores_deadlines", "friday-rush-short", "lost"))
+BY_FIGURE = (("old_reports", "friday-rush-short", "blindness"), ("holds_refusals", "friday-rush-short", "refusal_p50"),
+             ("refuses_heavy", "friday-rush-short", "heavy"),
+             ("leaks_connections", "friday-rush-short", "connections_per_box"))
+
+
+@dataclass(frozen=True)
+class Played:
+    status: int
+    report: dict[str, Any]
+    text: str
+
+
+def play(folder: Path, scenario: str, build: str = "", seed: int = 1) -> Played:
+    """One rehearsal from the command line."""
+    brief = BRIEF if scenario == "friday-rush-short" and build in {b for b, _, _ in BY_RULE} else ()
+    path = folder / f"{build or 'healthy'}-{scenario}-{seed}.json"
+    program = ["--program", f"{sys.executable} -m tests.rehearsal.broken.{build}"] if build else []
+    ended = subprocess.run(
+        [sys.executable, "-m", "lanemux", "rehearse", scenario, "--seed", str(seed), "--json", str(path), *program,
+         *brief], cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+    assert path.is_file(), ended.stderr
+    return Played(ended.returncode, json.loads(path.read_text()), ended.stdout)
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> dict[tuple[str, str], Played]:
+    folder = tmp_path_factory.mktemp("rehearsals")
+    pairs = [("", name) for name in HEALTHY] + [(build, name) for build, name, _ in (*BY_RULE, *BY_FIGURE)]
+    with ThreadPoolExecutor(ABREAST) as pool:
+        return dict(zip(pairs, pool.map(lambda pair: play(folder, pair[1], pair[0]), pairs), strict=True))
+
+
+@pytest.mark.parametrize("name", HEALTHY)
+def test_the_healthy_build_is_not_accused(played: dict[tuple[str, str], Played], name: str) -> None:
+    run = played["", name]
+    if run.report["valid"]:
+        assert run.status == 0, run.text
+        assert run.report["service"] > 0.4 and not any(run.report["rules"].values())
+    else:
+        assert run.status == 3, run.text
+
+
+@pytest.mark.parametrize(("build", "name", "rule"), BY_RULE)
+def test_a_broken_build_is_caught_by_its_rule(played: dict[tuple[str, str], Played], build: str, name: str,
+                                              rule: str) -> None:
+    run = played[build, name]
+    assert run.status == (1 if run.report["valid"] else 3), run.text
+    assert run.report["rules"][rule] > 0, run.text
+    first = next(v for v in run.report["violations"] if v["rule"] == rule)
+    assert first["proof"] and first["at_s"] > 0
+
+
+@pytest.mark.parametrize(("build", "name", "figure"), BY_FIGURE)
+def test_a_broken_build_is_caught_by_its_figure(played: dict[tuple[str, str], Played], build: str, name: str,
+                                                figure: str) -> None:
+    run = played[build, name]
+    assert run.status == (1 if run.report["valid"] else 3), run.text
+    assert any(line.startswith(figure) for line in run.report["expectations_missed"]), run.text
+
+
+def test_the_same_seed_plays_the_same_plan(played: dict[tuple[str, str], Played]) -> None:
+    rush = [run.report["digest"] for (_, name), run in played.items() if name == "friday-rush-short"]
+    assert len(set(rush)) == 2  # one when played whole, one when played briefly
+    assert len({run.report["digest"] for run in played.values()}) == 2 + len(HEALTHY) - 1
+
+
+def test_a_program_that_does_not_start_is_bad_use() -> None:
+    ended = subprocess.run([sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--program", "false"],
+                           cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+    assert ended.returncode == 2 and "did not become ready" in ended.stderr
+
+
+def test_a_balancer_that_ends_by_itself_fails_the_run(tmp_path: Path) -> None:
+    start = "import threading, os\nthreading.Timer(3, lambda: os._exit(7)).start()\n"
+    program = tmp_path / "dies.py"
+    program.write_text(start + "import sys\nfrom lanemux.net import daemon\nsys.exit(daemon.main())\n")
+    path = tmp_path / "report.json"
+    ended = subprocess.run(
+        [sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--seconds", "4", "--balancers", "2", "--json",
+         str(path), "--program", f"env PYTHONPATH={ROOT} {sys.executable} {program}"],
+        cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+    report = json.loads(path.read_text())
+    assert report["crashes"] and ended.returncode == (1 if report["valid"] else 3)
+
+
+def test_a_busy_machine_makes_the_run_not_valid_and_nobody_guilty(tmp_path: Path) -> None:
+    # Twice as many busy processes as cores: one a core is told from an idle machine too, by less.
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"]) for _ in range(2 * (os.cpu_count() or 1))]
+    try:
+        run = play(tmp_path, "calm-short")
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
+    assert run.status == 3 and not run.report["valid"], run.text
