--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Sequence
 from importlib import resources
+from importlib.util import find_spec
 from pathlib import Path
 
 from lanemux.checked import Faulty
@@ -39,6 +40,9 @@
         for fault in error.faults:
             print(f"lanemux: {fault}", file=sys.stderr)
         return BAD_USE
+    if options.html and not find_spec("plotly"):
+        print("lanemux: --html needs the extra `rehearsal`: pip install '.[rehearsal]'", file=sys.stderr)
+        return BAD_USE
     command = shlex.split(options.program) if options.program else [sys.executable, "-m", "lanemux"]
     try:
         run = asyncio.run(rehearse(scenario, options.seed, command, _progress if sys.stderr.isatty() else None))
@@ -50,6 +54,10 @@
     print(report.as_text(run, name))
     if options.json:
         Path(options.json).write_text(json.dumps(report.as_json(run, name), indent=1) + "\n")
+    if options.html:
+        from lanemux.rehearsal.page import as_html
+
+        Path(options.html).write_text(as_html(run, name), encoding="utf-8")
     return status(run)
 
 
@@ -80,7 +88,10 @@
         if entry.name.endswith(".toml"):
             titles[entry.name.removesuffix(".toml")] = read_scenario(entry.read_text(), entry.name).title
     for path in Path(directory).glob("*.toml") if directory else ():
-        titles[path.stem] = read_scenario(read_text(path), str(path)).title
+        try:
+            titles[path.stem] = read_scenario(read_text(path), str(path)).title
+        except Faulty as error:  # one bad file must not hide the others
+            titles[path.stem] = f"(can't be used: {error.faults[0]})"
     return titles
 
 
@@ -95,6 +106,7 @@
     parser.add_argument("--boxes", type=int, metavar="N", help=f"at most {MAX_BOXES}")
     parser.add_argument("--program", metavar="CMD", help="what starts one balancer; default: this build")
     parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--html", metavar="FILE", help="a page with plots; needs the extra `rehearsal`")
     parser.add_argument("--list", action="store_true", help="the scenarios that have a name")
     parser.add_argument("--operators", metavar="FILE", default=os.environ.get("LANEMUX_OPERATORS"))
     return parser.parse_args(argv)
--- a/lanemux/rehearsal/service.py
+++ b/lanemux/rehearsal/service.py
@@ -30,6 +30,7 @@
     unanswered: int = 0
     attempts: int = 0
     tries: int = 0
+    asks: int = 0
 
 
 @dataclass(slots=True)
@@ -209,6 +210,7 @@
 
     for r in results(plan, callers.tries):
         point(r.ask.at_ns).asked[r.ask.class_name] += r.worth
+        point(r.ask.at_ns).asks += 1
         point(r.ask.at_ns).earned[r.ask.class_name] += r.worth * r.in_time
     for t in callers.tries:
         p = point(t.end_ns)
