Rehearse keyed and unsafe requests, killed balancers and vanished machines

Classes now have an effect, a scope and a window; callers send POSTs with a body and, where keyed, a key; the checker holds repeats and refusals against what boxes took. Refusals are told by cause on the page: before or after an attempt. A relay's delivered datagrams leave its table at once.

--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -22,7 +22,7 @@
 from lanemux.rehearsal.books import NEVER, Attempt, BoxBooks, Life, Oddity
 from lanemux.rehearsal.box import BoxModel, Job
 from lanemux.rehearsal.looks import Lateness, Looks
-from lanemux.rehearsal.plan import Ask, Box, Happening, Plan, attempt_work
+from lanemux.rehearsal.plan import Ask, Box, Happening, Plan, attempt_work, idempotency_key
 
 MS = 1_000_000
 BACKLOG = 128
@@ -41,6 +41,19 @@
     return f"/{ask.class_name}/{ask.number}"
 
 
+def sent_body(ask: Ask) -> bytes | None:
+    """The body that an ask's requests have; None: they are GETs and have none."""
+    return None if ask.effect == "safe" else f"{ask.user} {ask.number}".encode()
+
+
+def as_sent(plan: Plan, ask: Ask, message: framing.Message) -> bool:
+    """A box has the request in the form in which a caller sent it."""
+    body = sent_body(ask)
+    key = idempotency_key(plan.seed, ask.number) if ask.effect == "keyed" else ""
+    return (message.first == f"{'GET' if body is None else 'POST'} {target_of(ask)} HTTP/1.1"
+            and message.body == (body or b"") and message.headers.get("idempotency-key", "") == key)
+
+
 def body_of(name: str, host: str, serial: int) -> bytes:
     """An answer that is like no other: it names its request, its box and its number there."""
     h = hashlib.blake2b(f"{name}/{host}/{serial}".encode(), digest_size=32).hexdigest()
@@ -420,7 +433,7 @@
             return
         name = message.headers.get("req-id", "")
         ask = self.world.asks.get(name)
-        if ask is None or message.first != f"GET {target_of(ask)} HTTP/1.1" or message.body:
+        if ask is None or not as_sent(self.world.plan, ask, message):
             self.world.books.oddities.append(Oddity(
                 self.world.now(), "foreign", f"box {self.box.host} was sent {message.first[:120]!r} with "
                 f"{len(message.body)} bytes, which no caller sent in this form", name, self.number))
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -12,11 +12,12 @@
 
 from lanemux.rehearsal import framing
 from lanemux.rehearsal.books import CallerBooks, Oddity, Try
-from lanemux.rehearsal.boxes import Address, digest_of, target_of
-from lanemux.rehearsal.plan import MS, Ask, Plan
+from lanemux.rehearsal.boxes import Address, digest_of, sent_body, target_of
+from lanemux.rehearsal.plan import MS, Ask, Plan, idempotency_key
 
 GRACE_NS = 50 * MS  # an answer may come so much after the deadline that the caller named
 CONNECT_S = 1.0
+REFUSALS = (429, 503)
 KEPT_IDLE = 64  # connections kept to one balancer
 
 
@@ -133,8 +134,10 @@
                    "Req-Cost": str(self.ask.hint_us)}
         if self.entry.number:
             headers["Req-Retry"] = "1"
+        if self.ask.effect == "keyed":
+            headers["Idempotency-Key"] = idempotency_key(self._callers.plan.seed, self.ask.number)
         self.entry.deadline_ns = self._callers.now() + remaining_ms * MS
-        line.send(self, framing.request(self.entry.target, headers))
+        line.send(self, framing.request(self.entry.target, headers, sent_body(self.ask)))
         self.entry.sent_ns = self._callers.now()
 
     def answered(self, message: framing.Message) -> None:
@@ -241,6 +244,8 @@
             return
         if ask.leaves_ns and not entry.number:
             return
+        if ask.effect == "unsafe" and not (entry.how == "refused" or entry.status in REFUSALS):
+            return  # it may have run: only a refusal says that trying again does no harm
         wait_ns = ask.wait_ns
         if ask.honours and entry.retry_after:
             wait_ns = max(wait_ns, _retry_after_ns(entry.retry_after))
--- a/lanemux/rehearsal/framing.py
+++ b/lanemux/rehearsal/framing.py
@@ -146,10 +146,12 @@
     return Message(lines[0], headers, b"")
 
 
-def request(target: str, headers: Mapping[str, str]) -> bytes:
-    """A GET without a body."""
-    lines = [f"GET {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), "", ""]
-    return "\r\n".join(lines).encode("latin-1")
+def request(target: str, headers: Mapping[str, str], body: bytes | None = None) -> bytes:
+    """A GET, or a POST where there is a body, be it empty."""
+    first = f"{'GET' if body is None else 'POST'} {target} HTTP/1.1"
+    length = [] if body is None else [f"Content-Length: {len(body)}"]
+    lines = [first, *(f"{k}: {v}" for k, v in headers.items()), *length, "", ""]
+    return "\r\n".join(lines).encode("latin-1") + (body or b"")
 
 
 def answer(status: int, body: bytes = b"", headers: Mapping[str, str] | None = None) -> bytes:
--- a/lanemux/rehearsal/page.py
+++ b/lanemux/rehearsal/page.py
@@ -120,8 +120,9 @@
     points = over_time(run.plan, run.boxes, run.callers)
     figure = go.Figure()
     xs = [p.at_s for p in points]
-    figure.add_bar(x=xs, y=[p.refused for p in points], name="refused (429, 503)", marker={"color": "#dd9b1f"})
-    figure.add_bar(x=xs, y=[p.failed for p in points], name="failed (other answers)", marker={"color": "#805ad5"})
+    figure.add_bar(x=xs, y=[p.untried for p in points], name="refused, no attempt", marker={"color": "#dd9b1f"})
+    figure.add_bar(x=xs, y=[p.tried for p in points], name="refused after an attempt", marker={"color": "#8a6d3b"})
+    figure.add_bar(x=xs, y=[p.failed for p in points], name="failed", marker={"color": "#805ad5"})
     figure.add_bar(x=xs, y=[p.unanswered for p in points], name="no answer", marker={"color": "#c53030"})
     figure.update_layout(barmode="stack", height=300)
     return figure
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -11,11 +11,12 @@
 import random
 from dataclasses import dataclass, field
 
-from lanemux.rehearsal.scenario import Fault, Fleet, Range, Scenario
+from lanemux.rehearsal.scenario import Fault, Fleet, Range, RequestClass, Scenario
 
 SECOND = 1_000_000_000
 MS = 1_000_000
 BEFORE_DEATH = 0.6  # of its drain, when a box that dies in it does so
+REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}  # the platform's words
 SAME_ADDRESS = 0.5  # share of successors that come up where the one before them was
 
 
@@ -28,6 +29,7 @@
     class_name: str
     partner: str
     user: str
+    effect: str
     work_ns: int
     hint_us: int
     room: int
@@ -293,18 +295,18 @@
             drawn = rng.random() < share
             if drawn and name == cls.name and fault.at_s <= at / SECOND < fault.at_s + fault.for_s:
                 work *= factor
-        plan.asks.append(_ask(plan, rng, int(at), cls.name, partner.name, work, cls.deadline_ms))
+        plan.asks.append(_ask(plan, rng, int(at), cls, partner.name, work))
 
 
-def _ask(plan: Plan, rng: random.Random, at: int, cls: str, partner: str, work: float, deadline_ms: float) -> Ask:
+def _ask(plan: Plan, rng: random.Random, at: int, cls: RequestClass, partner: str, work: float) -> Ask:
     s, number = plan.scenario, len(plan.asks)
     rooms = len(s.fleet.rooms)
     room = 0 if rng.random() < s.load.room_skew else rng.randrange(rooms)
     tries = s.callers.retries + 1
-    try_ns = int(rng.uniform(*s.callers.try_share) * deadline_ms * MS)
+    try_ns = int(rng.uniform(*s.callers.try_share) * cls.deadline_ms * MS)
     leaves = rng.random() < s.callers.impatient
     return Ask(
-        number, at, cls, partner, f"{rng.getrandbits(40):010x}", int(work),
+        number, at, cls.name, partner, f"{rng.getrandbits(40):010x}", cls.effect, int(work),
         max(1, int(_lognormal(rng, work, s.load.hint_noise) / 1000)), room,
         tuple(request_id(plan.seed, number, k) for k in range(tries)),
         tuple(rng.random() for _ in range(tries)), try_ns,
@@ -317,6 +319,11 @@
     return hashlib.blake2b(f"{seed}/{ask}/{number}".encode(), digest_size=8).hexdigest()
 
 
+def idempotency_key(seed: int, ask: int) -> str:
+    """The key of a keyed ask, the same for all its tries."""
+    return hashlib.blake2b(f"{seed}/{ask}/key".encode(), digest_size=16).hexdigest()
+
+
 def attempt_work(plan: Plan, ask: Ask, box: int, nth: int) -> int:
     """The work of one attempt in nanoseconds: its request's, with noise of its own."""
     cls = next(c for c in plan.scenario.classes if c.name == ask.class_name)
@@ -335,9 +342,9 @@
         "registry_mode": "push", "weight_source": "none", "over_share_worth": 0.05,
         "kinds": ["box-a", "box-b"], "clients": {"marks_retry": True},
         "load_report": {"columns": ["inflight", "queue"], "how": "probe"},
-        "profiles": [{"name": c.name, "repeat": "read_like", "dedup_scope": "all", "stream": False,
+        "profiles": [{"name": c.name, "repeat": REPEATS[c.effect], "dedup_scope": c.scope, "stream": False,
                       "aim_ns": int(c.aim_ms * MS), "hard_limit_ns": int(c.deadline_ms * MS),
-                      "late_worth": 0.0, "window_ns": 5 * SECOND, "worth": c.worth} for c in s.classes],
+                      "late_worth": 0.0, "window_ns": int(c.window_ms * MS), "worth": c.worth} for c in s.classes],
         "realms": [{"name": p.name, "share": p.share / whole,
                     "quota_per_s": 0.8 * capacity * p.share / whole} for p in s.partners],
         "limits": {"conn_idle_ns": int(fleet.idle_s * SECOND), "connect_timeout_ns": 200 * MS,
--- a/lanemux/rehearsal/relay.py
+++ b/lanemux/rehearsal/relay.py
@@ -47,7 +47,8 @@
         self.listens = listens  # where each balancer hears datagrams
         self._network, self._rng = network, random.Random(f"{seed}/relay")
         self._ports: dict[tuple[int, int], Port] = {}
-        self._on_way: set[asyncio.TimerHandle] = set()
+        self._on_way: dict[int, asyncio.TimerHandle] = {}
+        self._count = 0
         self.sent_bytes = 0
 
     async def open(self, host: str) -> tuple[list[list[Address]], list[Address]]:
@@ -79,15 +80,16 @@
                 continue
             self.sent_bytes += len(data)
             delay_s = self._rng.uniform(*self._network.peer_ms) / 1000
-            handle = loop.call_later(delay_s, self._deliver, self._ports[other, sender], data)
-            self._on_way.add(handle)
-        self._on_way = {h for h in self._on_way if h.when() > loop.time() and not h.cancelled()}
+            self._count += 1
+            self._on_way[self._count] = loop.call_later(
+                delay_s, self._deliver, self._count, self._ports[other, sender], data)
 
-    def _deliver(self, port: Port, data: bytes) -> None:
+    def _deliver(self, number: int, port: Port, data: bytes) -> None:
+        del self._on_way[number]
         port.send(data)
 
     def close(self) -> None:
-        for handle in self._on_way:
+        for handle in self._on_way.values():
             handle.cancel()
         for port in self._ports.values():
             port.close()
--- a/lanemux/rehearsal/rules.py
+++ b/lanemux/rehearsal/rules.py
@@ -2,8 +2,9 @@
 
 It never takes a balancer's word, and where a book holds two ends of an instant it accuses only on the end that
 excuses. Rules (BRIEF, PROTOCOL): `lost` every request taken has one final answer in time, made for it; `twice`
-one attempt out at a time; `drain` nothing new to a box some time after its drain is told; `cold` no cold box is
-pushed over. Beside them `foreign`: boxes are sent nothing but what callers sent.
+one attempt out at a time, and no repeat or refusal of what may have run unless its class allows it; `drain`
+nothing new to a box some time after its drain is told; `cold` no cold box is pushed over. Beside them `foreign`:
+boxes are sent nothing but what callers sent.
 """
 
 from __future__ import annotations
@@ -36,7 +37,7 @@
     by_id: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in boxes.attempts:
         by_id[attempt.id].append(attempt)
-    found = [*_lost(callers, by_id, names), *_twice(by_id, names),
+    found = [*_lost(callers, by_id, names), *_twice(by_id, names), *_repeats(plan, by_id, callers.tries),
              *_drains(boxes.attempts, callers.told, callers.balancers_down, names,
                       int(plan.scenario.fleet.drain_grace_ms * MS) + LIMIT_GRACE_NS)]
     for oddity in (*boxes.oddities, *callers.oddities):
@@ -95,6 +96,37 @@
                     break
 
 
+def _repeats(plan: Plan, by_id: dict[str, list[Attempt]], tries: Iterable[Try]) -> Iterable[Violation]:
+    """Requests that are not safe to repeat: sent again, or refused, though an attempt of theirs may have run."""
+    classes = {c.name: c for c in plan.scenario.classes}
+    for entry in tries:
+        cls = classes[plan.asks[entry.ask].class_name]
+        if cls.effect == "safe":
+            continue
+        attempts = sorted(by_id.get(entry.id, ()), key=lambda a: a.whole_ns)
+        ran = next((a for a in attempts if a.how != "declined"), None)
+        if ran is None:
+            continue
+        where = f"taken by {plan.boxes[ran.box].host} at {_s(ran.whole_ns)} ({ran.how})"
+        refusable = cls.effect == "keyed" and cls.scope == "all"
+        if entry.how == "answered" and entry.status in (429, 503) and not refusable:
+            yield Violation("twice", entry.end_ns, entry.id, plan.boxes[ran.box].host,
+                            f"{cls.effect}: {where}, and refused at {_s(entry.end_ns)}, as if it had not run")
+        for later in attempts[attempts.index(ran) + 1:]:
+            allowed = (cls.effect == "keyed" and _same_group(plan, cls.scope, ran, later)
+                       and later.first_lo_ns - ran.whole_ns <= cls.window_ms * MS + LIMIT_GRACE_NS)
+            if not allowed:
+                yield Violation("twice", later.whole_ns, entry.id, plan.boxes[later.box].host, (
+                    f"{cls.effect}, scope {cls.scope}: {where}, and sent again to {plan.boxes[later.box].host} at "
+                    f"{_s(later.whole_ns)}"))
+
+
+def _same_group(plan: Plan, scope: str, first: Attempt, second: Attempt) -> bool:
+    """The second box drops what the first has done."""
+    a, b = plan.boxes[first.box], plan.boxes[second.box]
+    return scope == "all" or (a.room == b.room and (scope == "zone" or a.cell == b.cell))
+
+
 def _drains(attempts: list[Attempt], told: list[Told], down: list[Life], names: list[str],
             grace_ns: int) -> Iterable[Violation]:
     closed: dict[tuple[int, int], list[tuple[int, int, str]]] = defaultdict(list)
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """[[class]]: a kind of request. All of them are safe to repeat."""
+    """[[classes]]: a kind of request, and what repeating it may do."""
 
     name: str
     share: float = bounded(0, 1)  # of the asks
@@ -30,6 +30,9 @@
     aim_ms: float = bounded(1, 60_000, 264.0)  # an answer later than this is worth nothing
     deadline_ms: float = bounded(1, 60_000, 661.0)  # the ask is given up after this, over all its tries
     worth: float = bounded(0, 1000, 1.0)  # for each unit of work
+    effect: str = chosen(("safe", "keyed", "unsafe"), "safe")  # safe: GET; keyed: POST with a key; unsafe: POST
+    scope: str = chosen(("all", "zone", "cell"), "all")  # keyed: the boxes that drop each other's repeats
+    window_ms: float = bounded(1, 600_000, 5000.0)  # keyed: and for how long, from the first that may have run
 
 
 @dataclass(frozen=True, slots=True)
--- a/lanemux/rehearsal/service.py
+++ b/lanemux/rehearsal/service.py
@@ -25,7 +25,8 @@
     at_s: float
     asked: dict[str, float] = field(default_factory=lambda: defaultdict(float))  # worth by class
     earned: dict[str, float] = field(default_factory=lambda: defaultdict(float))
-    refused: int = 0
+    untried: int = 0  # refused before any attempt
+    tried: int = 0  # refused after one
     failed: int = 0
     unanswered: int = 0
     attempts: int = 0
@@ -212,10 +213,13 @@
         point(r.ask.at_ns).asked[r.ask.class_name] += r.worth
         point(r.ask.at_ns).asks += 1
         point(r.ask.at_ns).earned[r.ask.class_name] += r.worth * r.in_time
+    attempted = {a.id for a in boxes.attempts}
     for t in callers.tries:
         p = point(t.end_ns)
         p.tries += 1
-        p.refused += t.how == "answered" and t.status in (429, 503)
+        refused = t.how == "answered" and t.status in (429, 503)
+        p.untried += refused and t.id not in attempted
+        p.tried += refused and t.id in attempted
         p.failed += t.how == "answered" and t.status not in (200, 429, 503)
         p.unanswered += t.how in ("lost", "silent", "refused")
     for a in boxes.attempts:
--- a/tests/rehearsal/test_broken.py
+++ b/tests/rehearsal/test_broken.py
@@ -22,16 +22,34 @@
 TIMEOUT_S = 90
 BRIEF = ("--seconds", "5")  # for builds that break a rule at every hundredth request
 
-HEALTHY = ("calm-short", "friday-rush-short", "month-end-short", "back-to-school-short")
+HEALTHY = ("calm-short", "friday-rush-short", "month-end-short", "back-to-school-short", "payments-short")
 BY_RULE = (("two_at_once", "friday-rush-short", "twice"), ("late_drain", "month-end-short", "drain"),
            ("swaps_bodies", "friday-rush-short", "lost"), ("answers_twice", "friday-rush-short", "lost"),
            ("resends_silently", "friday-rush-short", "twice"), ("floods_cold", "month-end-short", "cold"),
-           ("ignores_deadlines", "friday-rush-short", "lost"))
+           ("ignores_deadlines", "friday-rush-short", "lost"), ("repeats_unsafe", "payments-short", "twice"))
 BY_FIGURE = (("old_reports", "friday-rush-short", "blindness"), ("holds_refusals", "friday-rush-short", "refusal_p50"),
              ("refuses_heavy", "friday-rush-short", "heavy"),
              ("leaks_connections", "friday-rush-short", "connections_per_box"))
 
 
+LOSSES = """
+title = "a balancer is killed and comes back, and boxes vanish in silence"
+seconds = 7
+
+[[faults]]
+kind = "kill"
+at_s = 2
+part = [0.25, 0.25]
+down_s = [1, 1.5]
+
+[[faults]]
+kind = "vanish"
+at_s = 3
+for_s = 2
+part = [0.2, 0.2]
+"""
+
+
 @dataclass(frozen=True)
 class Played:
     status: int
@@ -40,13 +58,17 @@
 
 
 def play(folder: Path, scenario: str, build: str = "", seed: int = 1) -> Played:
-    """One rehearsal from the command line."""
+    """One rehearsal from the command line, of a scenario by its name or of LOSSES."""
+    words = ["rehearse", scenario]
+    if scenario == "losses":
+        words[1] = str(folder / "losses.toml")
+        Path(words[1]).write_text(LOSSES)
     brief = BRIEF if scenario == "friday-rush-short" and build in {b for b, _, _ in BY_RULE} else ()
     path = folder / f"{build or 'healthy'}-{scenario}-{seed}.json"
     program = ["--program", f"{sys.executable} -m tests.rehearsal.broken.{build}"] if build else []
     ended = subprocess.run(
-        [sys.executable, "-m", "lanemux", "rehearse", scenario, "--seed", str(seed), "--json", str(path), *program,
-         *brief], cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+        [sys.executable, "-m", "lanemux", *words, "--seed", str(seed), "--json", str(path), *program, *brief],
+        cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
     assert path.is_file(), ended.stderr
     return Played(ended.returncode, json.loads(path.read_text()), ended.stdout)
 
@@ -54,7 +76,7 @@
 @pytest.fixture(scope="module")
 def played(tmp_path_factory: pytest.TempPathFactory) -> dict[tuple[str, str], Played]:
     folder = tmp_path_factory.mktemp("rehearsals")
-    pairs = [("", name) for name in HEALTHY] + [(build, name) for build, name, _ in (*BY_RULE, *BY_FIGURE)]
+    pairs = [("", name) for name in (*HEALTHY, "losses")] + [(build, name) for build, name, _ in (*BY_RULE, *BY_FIGURE)]
     with ThreadPoolExecutor(ABREAST) as pool:
         return dict(zip(pairs, pool.map(lambda pair: play(folder, pair[1], pair[0]), pairs), strict=True))
 
@@ -69,6 +91,13 @@
         assert run.status == 3, run.text
 
 
+def test_what_a_killed_balancer_held_is_its_callers_to_retry(played: dict[tuple[str, str], Played]) -> None:
+    run = played["", "losses"]
+    assert run.report["unreached"] > 0, run.text  # callers met the dead one
+    if run.report["valid"]:
+        assert run.status == 0 and run.report["service"] > 0.4, run.text
+
+
 @pytest.mark.parametrize(("build", "name", "rule"), BY_RULE)
 def test_a_broken_build_is_caught_by_its_rule(played: dict[tuple[str, str], Played], build: str, name: str,
                                               rule: str) -> None:
@@ -90,7 +119,7 @@
 def test_the_same_seed_plays_the_same_plan(played: dict[tuple[str, str], Played]) -> None:
     rush = [run.report["digest"] for (_, name), run in played.items() if name == "friday-rush-short"]
     assert len(set(rush)) == 2  # one when played whole, one when played briefly
-    assert len({run.report["digest"] for run in played.values()}) == 2 + len(HEALTHY) - 1
+    assert len({run.report["digest"] for run in played.values()}) == 2 + len(HEALTHY)  # with losses
 
 
 def test_a_program_that_does_not_start_is_bad_use() -> None:
--- a/tests/rehearsal/test_report.py
+++ b/tests/rehearsal/test_report.py
@@ -75,4 +75,4 @@
     scenario = read_scenario("\n".join(line[4:] for line in block.splitlines()), "page")
     assert scenario.fleet.boxes == 24 and scenario.faults[0].kind == "freeze" and draw(scenario, 1).happenings
     for name in command._known(""):
-        assert f"`{name.removesuffix('-short')}`" in page
+        assert f"`{name}`" in page or f"`{name.removesuffix('-short')}`" in page
--- a/tests/rehearsal/test_rules.py
+++ b/tests/rehearsal/test_rules.py
@@ -95,3 +95,40 @@
     broken = found([], [], oddities=[Oddity(T, "cold", "pushed over", box=2), Oddity(T, "foreign", "x", "id")])
     assert counts(broken) == {"lost": 0, "twice": 0, "drain": 0, "cold": 1, "foreign": 1}
     assert broken[0].box == PLAN.boxes[2].host
+
+
+# ---- classes that are not safe to repeat ---------------------------------------------------------------
+
+PAYMENTS = draw(find("payments-short"), 1)
+
+
+def repeated(effect: str, hows: list[tuple[int, int, str]], status: int = 200) -> list[str]:
+    """An ask of that effect with attempts (box, ms, how), answered with that status at last."""
+    ask = next(a for a in PAYMENTS.asks if a.effect == effect)
+    name = ask.ids[0]
+    rows = [Attempt(box, 0, name, "/", T + ms * MS, T + ms * MS, T + (ms + 5) * MS, T + (ms + 5) * MS, how,
+                    "d" if how == "answered" else "") for box, ms, how in hows]
+    entry = Try(ask.number, 0, name, 0, "/", T, T + 9000 * MS, T + 8000 * MS, "answered", status,
+                "d" if status == 200 else "")
+    return [v.rule for v in check(PAYMENTS, BoxBooks(attempts=rows), CallerBooks(tries=[entry]))]
+
+
+def test_an_unsafe_request_may_be_sent_again_only_after_it_was_turned_away_unseen() -> None:
+    assert repeated("unsafe", [(0, 0, "declined"), (1, 10, "answered")]) == []
+    assert repeated("unsafe", [(0, 0, "died"), (1, 10, "answered")]) == ["twice"]
+    assert repeated("unsafe", [(0, 0, "cancelled"), (1, 10, "declined")], 504) == ["twice"]
+
+
+def test_a_refusal_of_what_may_have_run_is_a_lie_and_a_failure_is_none() -> None:
+    assert repeated("unsafe", [(0, 0, "died")], 503) == ["twice"]
+    assert repeated("unsafe", [(0, 0, "died")], 504) == []
+    assert repeated("unsafe", [(0, 0, "declined")], 503) == []
+    assert repeated("keyed", [(0, 0, "died")], 503) == ["twice"]  # its scope is a cell, and the retry may go elsewhere
+
+
+def test_a_keyed_request_may_be_sent_again_within_its_group_while_that_remembers() -> None:
+    # Cells of four, rooms in turn: boxes 0 and 2 are of one cell and room, 1 of another room, 4 of another cell.
+    assert repeated("keyed", [(0, 0, "died"), (2, 10, "answered")]) == []
+    assert repeated("keyed", [(0, 0, "died"), (1, 10, "answered")]) == ["twice"]
+    assert repeated("keyed", [(0, 0, "died"), (4, 10, "answered")]) == ["twice"]
+    assert repeated("keyed", [(0, 0, "died"), (2, 5100, "answered")]) == ["twice"]
