Rehearsal: leave nobody behind when ended by a signal; colours and a bar by rich

Cause: SIGTERM ended the kit in the middle of its run, before it had ended its balancers, which went on. The issue also asked for a library at the terminal.

Change: SIGTERM and SIGINT cancel the run, which clears away first; exit status 128 and the signal's number. The boxes' process leaves SIGINT to its parent. With rich (extra rehearsal) a terminal sees a bar and a table that marks what is wrong; scripts and machines without it see the plain lines as before.

--- a/lanemux/rehearsal/boxes_process.py
+++ b/lanemux/rehearsal/boxes_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from multiprocessing.connection import Connection
 from typing import Any
 
@@ -15,12 +16,13 @@
 
 def main(pipe: Connection, scenario: Scenario, seed: int, prefix: str) -> None:
     """Serve until told to stop. The parent is told the addresses, of boxes that fall, and the books."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C goes to all processes; the parent ends this one
     selector = WatchedSelector()
     loop = asyncio.SelectorEventLoop(selector)
     asyncio.set_event_loop(loop)
     try:
         loop.run_until_complete(_serve(pipe, scenario, seed, prefix, selector))
-    except (KeyboardInterrupt, EOFError, BrokenPipeError):
+    except (EOFError, BrokenPipeError):
         pass  # the parent has gone
     finally:
         loop.close()
--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -8,6 +8,7 @@
 import json
 import os
 import shlex
+import signal
 import sys
 from collections.abc import Sequence
 from importlib import resources
@@ -18,15 +19,17 @@
 from lanemux.operators import load, read_text
 from lanemux.rehearsal import report
 from lanemux.rehearsal.callers import Callers
-from lanemux.rehearsal.run import CannotRun, Run, rehearse
+from lanemux.rehearsal.run import CannotRun, Progress, Run, rehearse
 from lanemux.rehearsal.scenario import MAX_BALANCERS, MAX_BOXES, Scenario, checked, read_scenario
 
 KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
+BY_SIGNAL = 128  # and the signal's number, as shells tell it
 DEFAULT = "calm-short"
 
 
 def main(argv: Sequence[str]) -> int:
-    """Play one scenario. 0: rules kept and valid; 1: a rule broken; 2: bad use; 3: not valid."""
+    """Play one scenario. 0: rules kept and valid; 1: a rule broken; 2: bad use; 3: not valid; ended by a signal: 128
+    and its number."""
     options = _options(argv)
     try:
         operators = load(options.operators)
@@ -45,13 +48,14 @@
         return BAD_USE
     command = shlex.split(options.program) if options.program else [sys.executable, "-m", "lanemux"]
     try:
-        run = asyncio.run(rehearse(scenario, options.seed, command, _progress if sys.stderr.isatty() else None))
+        run = _run(scenario, options.seed, command)
     except (CannotRun, OSError) as error:
         print(f"lanemux: {error}", file=sys.stderr)
         return BAD_USE
-    if sys.stderr.isatty():
-        print(file=sys.stderr)
-    print(report.as_text(run, name))
+    except _Ended as error:
+        print(f"lanemux: ended by {error.by.name} before the run was over", file=sys.stderr)
+        return BY_SIGNAL + error.by
+    _show(run, name)
     if options.json:
         Path(options.json).write_text(json.dumps(report.as_json(run, name), indent=1) + "\n")
     if options.html:
@@ -61,6 +65,62 @@
     return status(run)
 
 
+def _run(scenario: Scenario, seed: int, command: Sequence[str]) -> Run:
+    """Play it; a terminal is shown how far it is."""
+    if not sys.stderr.isatty():
+        return asyncio.run(_played(scenario, seed, command, None))
+    if not find_spec("rich"):
+        run = asyncio.run(_played(scenario, seed, command, _progress))
+        print(file=sys.stderr)
+        return run
+    from rich.console import Console
+
+    from lanemux.rehearsal.terminal import Bar
+
+    with Bar(Console(stderr=True)) as bar:
+        return asyncio.run(_played(scenario, seed, command, bar.tell))
+
+
+def _show(run: Run, name: str) -> None:
+    """The table: plain lines for scripts and where rich is not installed."""
+    if not (sys.stdout.isatty() and find_spec("rich")):
+        print(report.as_text(run, name))
+        return
+    from rich.console import Console
+
+    from lanemux.rehearsal.terminal import show
+
+    show(run, name, Console())
+
+
+class _Ended(Exception):
+    """A signal ended the rehearsal."""
+
+    def __init__(self, by: signal.Signals) -> None:
+        self.by = by
+
+
+async def _played(scenario: Scenario, seed: int, command: Sequence[str], progress: Progress | None) -> Run:
+    """The rehearsal; a signal calls it off, so that it leaves no balancer and no box behind."""
+    loop = asyncio.get_running_loop()
+    task = asyncio.create_task(rehearse(scenario, seed, command, progress))
+    ended: list[signal.Signals] = []
+
+    def end(by: signal.Signals) -> None:
+        if not ended:  # a second one must not interrupt the clearing away
+            ended.append(by)
+            task.cancel()
+
+    for by in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(by, end, by)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if ended:
+            raise _Ended(ended[0]) from None
+        raise
+
+
 def status(run: Run) -> int:
     """The exit status that a run comes to. A run that is not valid accuses nobody."""
     if not run.validity.valid:
--- a/lanemux/rehearsal/report.py
+++ b/lanemux/rehearsal/report.py
@@ -22,10 +22,10 @@
         "wall_s": run.wall_s}
 
 
-def as_text(run: Run, name: str) -> str:
-    """The table at the end of a run."""
+def rows(run: Run) -> list[tuple[str, str]]:
+    """What people read at the end of a run: labels and what stands beside them."""
     f, rules = run.figures, counts(run.violations)
-    rows = [
+    return [
         ("service", f"{f.service:.3f}   worst 10 s {f.worst_10_s:.3f}   heaviest tenth {f.heavy:.3f}"),
         ("by class", "   ".join(f"{c} {v:.3f}" for c, v in f.by_class.items())),
         ("by partner", f"worst {min(f.by_partner.values(), default=0.0):.3f} "
@@ -43,10 +43,18 @@
         ("valid", "yes" if run.validity.valid else "NO: " + "; ".join(run.validity.reasons)),
         ("plan", f"seed {run.plan.seed}   digest {run.digest}"),
     ]
-    lines = [f"{name}: {run.plan.scenario.title}", *(f"  {label:<11}{text}" for label, text in rows)]
-    lines += [f"  {v.rule} at {v.at_ns / 1e9:.3f} s, request {v.request or '-'}, box {v.box or '-'}: {v.proof}"
-              for v in run.violations[:SHOWN]]
+
+
+def faults(run: Run) -> list[str]:
+    """The first broken rules with their proofs, and the crashes."""
+    lines = [f"{v.rule} at {v.at_ns / 1e9:.3f} s, request {v.request or '-'}, box {v.box or '-'}: {v.proof}"
+             for v in run.violations[:SHOWN]]
     if len(run.violations) > SHOWN:
-        lines.append(f"  and {len(run.violations) - SHOWN} more")
-    lines += [f"  {crash}" for crash in run.crashes]
-    return "\n".join(lines)
+        lines.append(f"and {len(run.violations) - SHOWN} more")
+    return lines + run.crashes
+
+
+def as_text(run: Run, name: str) -> str:
+    """The table in plain lines."""
+    return "\n".join([f"{name}: {run.plan.scenario.title}", *(f"  {label:<11}{text}" for label, text in rows(run)),
+                      *(f"  {line}" for line in faults(run))])
--- /dev/null
+++ b/lanemux/rehearsal/terminal.py
@@ -0,0 +1,52 @@
+"""The terminal in colours, with a bar while a run lasts. Needs rich (extra `rehearsal`); without it plain lines do."""
+
+from __future__ import annotations
+
+from types import TracebackType
+
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TaskID, TextColumn
+from rich.table import Table
+from rich.text import Text
+
+from lanemux.rehearsal import report
+from lanemux.rehearsal.callers import Callers
+from lanemux.rehearsal.rules import counts
+from lanemux.rehearsal.run import Run
+
+
+def show(run: Run, name: str, console: Console) -> None:
+    """The table; what is wrong is red."""
+    wrong = {"rules": any(counts(run.violations).values()), "expected": bool(run.missed),
+             "valid": not run.validity.valid}
+    table = Table(title=f"{name}: {run.plan.scenario.title}", title_justify="left", show_header=False, box=None)
+    for label, text in report.rows(run):
+        style = "" if label not in wrong else "bold red" if wrong[label] else "green"
+        table.add_row(label, Text(text, style=style))
+    console.print(table)
+    for line in report.faults(run):
+        console.print(Text(line, style="red"))
+
+
+class Bar:
+    """How far a run is; told once a second."""
+
+    def __init__(self, console: Console) -> None:
+        self._bar = Progress(TextColumn("{task.completed:.0f} of {task.total:.0f} s"), BarColumn(),
+                             TextColumn("{task.description}"), console=console, auto_refresh=False)
+        self._task: TaskID | None = None
+
+    def __enter__(self) -> Bar:
+        self._bar.start()
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                 trace: TracebackType | None) -> None:
+        self._bar.stop()
+
+    def tell(self, at_s: float, callers: Callers) -> None:
+        whole = callers.plan.scenario.seconds
+        said = f"{callers.asked} asks, {len(callers.books.tries)} tries"
+        if self._task is None:
+            self._task = self._bar.add_task(said, total=whole)
+        self._bar.update(self._task, completed=min(at_s, whole), description=said, refresh=True)
--- a/tests/rehearsal/test_broken.py
+++ b/tests/rehearsal/test_broken.py
@@ -8,8 +8,10 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -141,6 +143,26 @@
     assert report["crashes"] and ended.returncode == (1 if report["valid"] else 3)
 
 
+@pytest.mark.parametrize("by", [signal.SIGTERM, signal.SIGINT])
+def test_a_rehearsal_that_is_ended_leaves_nobody_behind(tmp_path: Path, by: signal.Signals) -> None:
+    program = tmp_path / "known.py"  # a balancer that tells its number
+    program.write_text("import os, pathlib, sys\nfrom lanemux.net import daemon\n"
+                       f"pathlib.Path({str(tmp_path)!r}, f'{{os.getpid()}}.pid').touch()\nsys.exit(daemon.main())\n")
+    kit = subprocess.Popen(
+        [sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--seconds", "60", "--balancers", "2",
+         "--program", f"env PYTHONPATH={ROOT} {sys.executable} {program}"],
+        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    while len(balancers := [int(p.stem) for p in tmp_path.glob("*.pid")]) < 2:
+        assert kit.poll() is None, kit.communicate()
+        time.sleep(0.01)
+    kit.send_signal(by)
+    _, errors = kit.communicate(timeout=TIMEOUT_S)
+    assert kit.returncode == 128 + by and by.name in errors, errors
+    for pid in balancers:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
 def test_a_busy_machine_makes_the_run_not_valid_and_nobody_guilty(tmp_path: Path) -> None:
     # Twice as many busy processes as cores: one a core is told from an idle machine too, by less.
     busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"]) for _ in range(2 * (os.cpu_count() or 1))]
--- a/tests/rehearsal/test_report.py
+++ b/tests/rehearsal/test_report.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import re
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
+from rich.console import Console
 
 from lanemux.rehearsal import command
 from lanemux.rehearsal.books import Attempt, BoxBooks, CallerBooks, Life, Oddity
+from lanemux.rehearsal.callers import Callers
 from lanemux.rehearsal.command import BAD_USE, find, main
 from lanemux.rehearsal.page import as_html
 from lanemux.rehearsal.plan import SECOND, draw
+from lanemux.rehearsal.report import rows
 from lanemux.rehearsal.rules import check
 from lanemux.rehearsal.run import Run
 from lanemux.rehearsal.scenario import read_scenario
 from lanemux.rehearsal.service import figures
+from lanemux.rehearsal.terminal import Bar, show
 from lanemux.rehearsal.validity import judge
 
 
@@ -50,6 +57,28 @@
     assert said in capsys.readouterr().err
 
 
+def test_the_terminal_shows_the_same_table_and_marks_what_is_wrong() -> None:
+    console = Console(record=True, width=200, force_terminal=True, file=io.StringIO())
+    run = broken_run()
+    show(run, "month-end-short", console)
+    shown = console.export_text(clear=False)
+    for label, text in rows(run):
+        assert label in shown and " ".join(text.split()[:4]) in " ".join(shown.split())
+    assert "pushed <over>" in shown and 'class="r' in console.export_html(inline_styles=False)
+    run.violations.clear()
+    show(run, "x", console)
+    assert "pushed" not in console.export_text()
+
+
+def test_a_terminal_is_told_how_far_a_run_is() -> None:
+    console = Console(width=100, force_terminal=True, file=io.StringIO())
+    plan = broken_run().plan
+    callers = cast(Callers, SimpleNamespace(plan=plan, asked=12, books=CallerBooks()))
+    with Bar(console) as bar:
+        bar.tell(4.0, callers)
+    assert "4 of 10 s" in (told := cast(io.StringIO, console.file).getvalue()) and "12 asks, 0 tries" in told
+
+
 def test_a_page_without_its_extra_is_bad_use_before_anything_is_played(
         monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
     monkeypatch.setattr(command, "find_spec", lambda name: None)
