Cut the list source's seam and the membership out of discovery into core

Need: etcd is to be a second source of the list. What is believed of a row stood in platform discovery, beside sockets and a clock.

Change: core/membership.py holds what is believed of rows and the numbers of hosts, is handed the time and does no I/O; core/source.py is the seam that the node knows; core/address.py reads addresses without the socket module. A request that waits for a connection to its upstream's old address is called off when the upstream moves.

Result: the tests of discovery and the node as before, and one for the move that fails without the change (the request went to the old address).

--- /dev/null
+++ b/lanemux/core/source.py
@@ -0,0 +1,33 @@
+"""The seam for list sources: what tells the balancer which upstreams there are."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from lanemux.core.membership import Listing, Membership
+
+Heard = Callable[[Listing | None], None]  # a listing, or None for a call that failed where lists are asked for
+
+
+class ListSource(Protocol):
+    """One source. It tells what it hears through the `Heard` that it was made with, in the loop's own turns."""
+
+    def take_known(self, listing: Listing) -> None:
+        """The list as it was known before the start has been taken up."""
+
+    def watch(self) -> None:
+        """Tell every change from now on; harmless when that is so already."""
+
+    def unwatch(self) -> None:
+        """Stop until the next `watch`."""
+
+    def fetch(self) -> None:
+        """Tell the whole list once."""
+
+    def stop(self) -> None:
+        """The end: all its connections and tasks."""
+
+
+MakeSource = Callable[[Membership, random.Random, Heard], ListSource]
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -10,8 +10,9 @@
 import time
 from typing import Any
 
+from lanemux.core.address import read_address
+from lanemux.core.membership import BadList
 from lanemux.drill import read_settings
-from lanemux.net.discovery import BadList, read_address
 from lanemux.net.http import read_json
 from lanemux.net.node import Config, Node
 from lanemux.policy import Balancer
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -11,11 +11,14 @@
 from typing import Protocol, assert_never
 
 from lanemux import interface as api
-from lanemux.net.discovery import Discovery, Listing, Reader
+from lanemux.core.address import Address
+from lanemux.core.membership import Listing, Membership
+from lanemux.core.source import Heard, ListSource, MakeSource
+from lanemux.net.discovery import Discovery, read_listing
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
 from lanemux.net.server import ClientConnection, Server
-from lanemux.net.upstream import Address, Exchange, Hub, Pool
+from lanemux.net.upstream import Exchange, Hub, Pool
 
 log = logging.getLogger(__name__)
 
@@ -75,9 +78,9 @@
 
 
 class Node:
-    """One real balancer."""
+    """One real balancer. Its list comes from platform discovery, unless another source is given."""
 
-    def __init__(self, config: Config, module: Module) -> None:
+    def __init__(self, config: Config, module: Module, source: MakeSource | None = None) -> None:
         self.config = config
         limits = config.settings.limits
         self._limits = limits
@@ -97,13 +100,15 @@
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND)
         self.server = Server(self, room)
-        self._reader = Reader(time.time_ns() - time.monotonic_ns())
-        self._discovery = Discovery(config.discovery, self._reader, config.settings.discovery_push,
-                                    random.Random(config.seed + 1), self._listed)
+        self._membership = Membership(time.time_ns() - time.monotonic_ns())
+        self._source = (source or self._platform)(self._membership, random.Random(config.seed + 1), self._listed)
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
         self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
 
+    def _platform(self, membership: Membership, rng: random.Random, heard: Heard) -> ListSource:
+        return Discovery(self.config.discovery, membership, self.config.settings.discovery_push, rng, heard)
+
     # -- start and end --
 
     async def start(self, rest_s: float = 0.0) -> int:
@@ -113,15 +118,15 @@
         if self.config.peer_listen is not None:
             await self._loop.create_datagram_endpoint(lambda: self._peers, self.config.peer_listen)
         if self.config.settings.discovery_push:
-            self._discovery.watch()
+            self._source.watch()
         self._sweep_idle()
         return self.server.listen(*self.config.listen)
 
     def _take_known(self) -> None:
         entries = []
         if self.config.known is not None:
-            listing = self._reader.read(self.config.known)
-            self._discovery.take_known(listing)
+            listing = read_listing(self.config.known, self._membership)
+            self._source.take_known(listing)
             self._take_entries(listing)
             entries = [e.upstream for e in listing.entries]
         self.feed(api.ListUpdate(api.ListKind.CACHED, entries))
@@ -154,14 +159,15 @@
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
     def move_discovery(self, address: Address) -> None:
-        """The configuration names another address for discovery."""
-        self._discovery.move(address)
+        """The configuration names another address for discovery; without effect where the list comes from elsewhere."""
+        if isinstance(self._source, Discovery):
+            self._source.move(address)
 
     def close(self) -> None:
         """Stop everything at once; what is open fails."""
         for call in list(self._calls.values()):
             self._finish(call, 504)
-        self._discovery.stop()
+        self._source.stop()
         if self._sweep is not None:
             self._sweep.cancel()
         for pool in self._hub.pools.values():
@@ -212,11 +218,11 @@
                     pool.close_idle()
             case api.Subscribe():
                 if action.on:
-                    self._discovery.watch()
+                    self._source.watch()
                 else:
-                    self._discovery.unwatch()
+                    self._source.unwatch()
             case api.FetchList():
-                self._discovery.fetch()
+                self._source.fetch()
             case api.SetTimer():
                 due = (self._decided_ns + action.delay_ns) / SECOND
                 self._loop.call_at(due, self.feed, api.Wake(action.name))
@@ -400,9 +406,9 @@
         self._call_off_waiting()
 
     def _call_off_waiting(self) -> None:
-        """No first byte may go to an upstream that drains or is gone, also not when its connection is up."""
+        """No first byte may go to an upstream that drains, is gone or has moved, also not when its connection is up."""
         for call in list(self._calls.values()):
-            if call.out is not None and call.out.waiting and not call.out.pool.ready:
+            if call.out is not None and call.out.astray:
                 call.out.finish(api.Result.MOOT)
 
     def _peer_message(self, sender: int, data: bytes) -> None:
--- a/lanemux/net/peers.py
+++ b/lanemux/net/peers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
-from lanemux.net.upstream import Address
+from lanemux.core.address import Address
 
 log = logging.getLogger(__name__)
 
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field
 from typing import cast
 
+from lanemux.core.address import Address
 from lanemux.interface import Result
 from lanemux.net.http import MAX_ANSWER, Message, MessageReader
 
-Address = tuple[str, int]
 Done = Callable[[Result, Message | None], None]
 
 IDLE_DEFAULT_S = 10.0  # where the settings do not say how long an upstream keeps a connection
@@ -36,12 +36,18 @@
         self._coming: Connection | None = None
         self._opening: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._bound_for: Address | None = None  # where the connection that it waits for goes
 
     @property
     def waiting(self) -> bool:
         """No byte of it has been sent yet."""
         return not self.over and self._connection is None
 
+    @property
+    def astray(self) -> bool:
+        """It waits for a connection to where its upstream no longer is, or to one that may get nothing new."""
+        return self.waiting and (not self.pool.ready or self._bound_for not in (None, self.pool.address))
+
     def start(self, end_s: float | None) -> None:
         """Send it as soon as there is a connection; it times out at that time of the loop's clock."""
         if end_s is not None:
@@ -57,10 +63,10 @@
             self._opening = asyncio.get_running_loop().create_task(self._open(self._coming))
 
     async def _open(self, connection: Connection) -> None:
-        host, port = self.pool.address
+        self._bound_for = self.pool.address
         try:
             async with asyncio.timeout(self.pool.hub.connect_timeout_s):
-                await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
+                await asyncio.get_running_loop().create_connection(lambda: connection, *self._bound_for)
         except (OSError, TimeoutError):
             self._opening = None
             self.finish(Result.CONNECT_FAILED)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,10 +7,12 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.net.discovery import BadList, Reader
+from lanemux.core.membership import BadList, Listing, Membership
+from lanemux.net.discovery import Discovery, read_listing
 from tests.sockets import (
     HOST,
     Answer,
+    Client,
     Got,
     Registry,
     Script,
@@ -23,6 +25,20 @@
     written,
 )
 
+
+class Reader(Membership):
+    """Membership, told by discovery's answers."""
+
+    def read(self, raw: object) -> Listing:
+        return read_listing(raw, self)
+
+
+def platform(client: Client) -> Discovery:
+    source = client.node._source
+    assert isinstance(source, Discovery)
+    return source
+
+
 TOLD_S = 6.0  # what discovery has to tell counts as told after this at the latest
 
 
@@ -94,7 +110,7 @@
 
         def react(event: api.Event) -> tuple[()]:
             if isinstance(event, api.ListUpdate) and event.kind is api.ListKind.DELTA:
-                asking.append(client.node._discovery._call is not None)  # before the change is acted on
+                asking.append(platform(client)._call is not None)  # before the change is acted on
             return ()
 
         script = Script(react)
@@ -173,7 +189,7 @@
         async with node(script, registry=registry, known_list=known(5)) as client:
             await until(lambda: registry.calls)
             client.node.feed(api.Wake("off"))
-            assert client.node._discovery._source._pool.hub.open == 0
+            assert platform(client)._source._pool.hub.open == 0
             client.node.feed(api.Wake("on"))
             await until(lambda: len(registry.calls) == 2)
             client.node.feed(api.Wake("fetch"))
@@ -202,7 +218,7 @@
         new = await second("s8", "s9")
         async with node(script, registry=old, known_list=known(5)) as client:
             await until(lambda: old.calls)
-            left = client.node._discovery._source
+            left = platform(client)._source
             client.node.move_discovery((HOST, new.upstream.port))
             await until(lambda: len(new.calls) == 2)
             assert new.calls[0][1] == "/registry/instances"
@@ -240,8 +256,8 @@
             client.node.move_discovery((HOST, new.upstream.port))
             old.broken = written(503)
             old.change("s1")  # the watch ends
-            await until(lambda: client.node._discovery._call is None)
-            assert client.node._discovery._retry is None
+            await until(lambda: platform(client)._call is None)
+            assert platform(client)._retry is None
             new.broken = b""
             await until(lambda: len(new.calls) > 1 and "after=3" in new.calls[-1][1])
         new.upstream.stop()
@@ -262,8 +278,8 @@
             for address in addresses[:2]:
                 client.node.move_discovery(address)
             await until(lambda: len(new[1].calls) == 2)
-            assert not new[0].calls and client.node._discovery._successor is None
-            assert hosts(script) == [client.node._reader.number("s8")]
+            assert not new[0].calls and platform(client)._successor is None
+            assert hosts(script) == [client.node._membership.number("s8")]
         for registry in new:
             registry.upstream.stop()
     run(test())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 
 from lanemux import interface as api
 from lanemux.interface import Result
+from lanemux.net.discovery import read_listing
 from lanemux.net.node import Config, Node
 from lanemux.policy import Balancer
 from tests.sockets import (
@@ -503,7 +504,7 @@
             await client.send(request())
             await until(lambda: script.of(api.Arrival))
             row = {**known(upstream.port)["hosts"][0], "health": health}
-            listing = client.node._reader.read({"seq": 2, "whole": False, "hosts": [row]})
+            listing = read_listing({"seq": 2, "whole": False, "hosts": [row]}, client.node._membership)
             client.node._listed(listing)
             assert (await client.read()).status == 504
             up.set()
@@ -514,6 +515,32 @@
     run(test())
 
 
+def test_a_send_that_waits_for_its_connection_is_called_off_when_its_upstream_moves(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a host that is made anew elsewhere: whatever listens at its old address is another's.
+    async def test() -> None:
+        old, new = await Upstream(answers(200)).start(), await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        up = asyncio.Event()
+        async with node(script, old) as client:
+            await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            await client.read()
+            hold_connections(monkeypatch, up)
+            await client.send(request())
+            await until(lambda: script.of(api.Arrival))
+            await asyncio.sleep(0)  # its connection is under way to the old address
+            moved = {"seq": 2, "whole": False, "hosts": known(new.port)["hosts"]}
+            client.node._listed(read_listing(moved, client.node._membership))
+            assert (await client.read()).status == 504
+            assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT]
+            up.set()
+            assert (await client.ask(request())).status == 200
+            assert len(new.got) == 1 and not old.got
+            new.stop()
+    run(test())
+
+
 def test_a_connection_near_its_idle_limit_is_not_used_again() -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
