Follow etcd's watch as a list source, with a stand-in etcd in the rehearsal kit

Need: in other installations the box list lives in etcd. Off unless [etcd] stands in the operators' file.

Change: etcd/follower.py (what to ask, what answers come to) and etcd/board.py (values into entries, pressing ones first, in slices of 32) decide without I/O; member.py speaks gRPC by grpclib, bounded; source.py drives them. rehearsal/etcd is a stand-in with revisions, leases, compaction and faults, apart from the client's code, and a relay that splits, holds and cuts. Scenario etcd-deploy follows it in place of discovery.

--- a/lanemux/checked.py
+++ b/lanemux/checked.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 import tomllib
+import types
 from collections.abc import Mapping, Sequence
 from typing import Any, TypeVar, cast, get_args, get_origin, get_type_hints
 
@@ -72,6 +73,8 @@
 
 
 def _value(hint: Any, raw: Any, meta: Mapping[str, Any], where: str, path: str, faults: list[str]) -> Any:
+    if isinstance(hint, types.UnionType):  # a section that may be absent: TABLE | None
+        hint = get_args(hint)[0]
     if dataclasses.is_dataclass(hint):
         return _table(hint, raw, where, path, faults)
     if get_origin(hint) is tuple:
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -17,6 +17,9 @@
 if TYPE_CHECKING:
     import argparse
 
+    from lanemux.core.source import MakeSource
+    from lanemux.operators import Operators
+
 USAGE_STATUS = 2
 OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
 COMMANDS = ("serve", "check", "rehearse")
@@ -42,10 +45,22 @@
     return USAGE_STATUS
 
 
-def _daemon() -> int:
+def _daemon(source: MakeSource | None = None) -> int:
     from lanemux.net.daemon import main as daemon
 
-    return daemon()
+    return daemon(source)
+
+
+def _source(operators: Operators) -> MakeSource | None:
+    """Where the list comes from; None: platform discovery."""
+    if operators.etcd is None:
+        return None
+    from lanemux.core.address import read_address
+    from lanemux.etcd.member import Target
+    from lanemux.etcd.source import make
+
+    told = operators.etcd
+    return make(Target(tuple(map(read_address, told.endpoints)), told.prefix, told.user, told.password_file))
 
 
 def _serve(rest: Sequence[str]) -> int:
@@ -54,10 +69,10 @@
 
     options = _arguments("serve", rest)
     try:
-        load(options.operators)
+        operators = load(options.operators)
     except Faulty as error:
         return _faults(error.faults)
-    return _daemon()
+    return _daemon(_source(operators))
 
 
 def _check(rest: Sequence[str]) -> int:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -12,6 +12,7 @@
 
 from lanemux.core.address import read_address
 from lanemux.core.membership import BadList
+from lanemux.core.source import MakeSource
 from lanemux.drill import read_settings
 from lanemux.net.http import read_json
 from lanemux.net.node import Config, Node
@@ -95,12 +96,12 @@
     return min(REST_MAX_S, spent_s / cores + STOP_LATE_S) if cores > 0 else 0.0
 
 
-async def serve(config: Config, path: str) -> None:
+async def serve(config: Config, path: str, source: MakeSource | None = None) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()))
+    node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()), source)
     loop.add_signal_handler(signal.SIGHUP, reload, path, config, node)
     port = await node.start(rest_s(config.cores, time.process_time()))
     log.info("%s: ready on port %d", config.name, port)
@@ -109,7 +110,8 @@
     await node.drain()
 
 
-def main() -> int:
+def main(source: MakeSource | None = None) -> int:
+    """One balancer until a signal ends it; its list comes from platform discovery, unless another source is given."""
     handler = logging.StreamHandler()
     handler.addFilter(RateLimit())
     logging.basicConfig(level=logging.INFO, handlers=[handler],
@@ -124,7 +126,7 @@
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, path))
+        asyncio.run(serve(config, path, source))
     except BadList as error:
         print(f"lanemux: {path}: known: {error}", file=sys.stderr)
         return 2
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from importlib.util import find_spec
 from pathlib import Path
 
 from lanemux.checked import Faulty, build, parse
+from lanemux.core.address import BadAddress, read_address
 
 MAX_FILE = 1024 * 1024  # bytes; a file by hand has some KiB, and a larger one is the wrong file
 
@@ -21,20 +23,59 @@
     scenarios_directory: str = ""  # `rehearse NAME` looks for NAME.toml here first; "": nowhere
 
 
+@dataclass(frozen=True, slots=True)
+class Etcd:
+    """[etcd]: the list comes from etcd and not from platform discovery. Needs the extra `etcd`."""
+
+    endpoints: tuple[str, ...]  # IP:PORT of each member; names are not looked up
+    prefix: str  # a box is the key PREFIX HOST
+    user: str = ""  # "": no authentication
+    password_file: str = ""  # read at each authentication
+
+    def faults(self) -> list[str]:
+        """What is wrong beyond the kinds of values: key and reason."""
+        found = [] if self.endpoints else ["endpoints: [] is not a list of at least one IP:PORT"]
+        for number, endpoint in enumerate(self.endpoints):
+            try:
+                read_address(endpoint)
+            except BadAddress:
+                found.append(f"endpoints[{number}]: {endpoint[:80]!r} is not IP:PORT (names are not looked up)")
+        if not self.prefix or not self.prefix.isprintable():
+            found.append(f"prefix: {self.prefix[:80]!r} is not printable text of at least one character")
+        if bool(self.user) != bool(self.password_file):
+            found.append("user, password_file: one without the other; give both or neither")
+        elif self.password_file and not Path(self.password_file).is_file():
+            found.append(f"password_file: {self.password_file[:80]!r} is not a file that can be read")
+        if not (_installed("grpclib") and _installed("google.protobuf")):
+            found.append("needs the extra `etcd`: pip install '.[etcd]'")
+        return found
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The whole file; an absent section is off."""
 
+    etcd: Etcd | None = None
     rehearsal: Rehearsal = field(default_factory=Rehearsal)
 
 
+def _installed(name: str) -> bool:
+    try:
+        return find_spec(name) is not None
+    except (ModuleNotFoundError, ValueError):  # its package is missing, or barred
+        return False
+
+
 def load(path: str | None) -> Operators:
     """The file, read and checked whole; with no path, everything off.
 
     Raises Faulty with one line for each fault: file, key and what is allowed."""
     if not path:
         return Operators()
-    return build(Operators, parse(read_text(Path(path)), path), path)
+    made = build(Operators, parse(read_text(Path(path)), path), path)
+    if made.etcd is not None and (faults := made.etcd.faults()):
+        raise Faulty([f"{path}: etcd.{fault}" for fault in faults])
+    return made
 
 
 def read_text(path: Path) -> str:
--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -29,6 +29,7 @@
     peer_listen: Address
     peers: list[Address]
     peers_all: Address
+    operators: str = ""  # what its operators' file says; "": it has none
 
 
 def text(address: Address) -> str:
@@ -78,6 +79,10 @@
         temporary.mkdir(exist_ok=True)
         environment = {**os.environ, "RELAY_NAME": name, "RELAY_LISTEN": config["listen"],
                        "RELAY_DISCOVERY": config["discovery"], "RELAY_CONFIG": str(path), "TMPDIR": str(temporary)}
+        if self.place.operators:
+            operators = self._folder / f"operators-{self.number}.toml"
+            operators.write_text(self.place.operators)
+            environment["LANEMUX_OPERATORS"] = str(operators)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                                             env=environment)  # type: ignore[arg-type]
--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -46,6 +46,9 @@
     if options.html and not find_spec("plotly"):
         print("lanemux: --html needs the extra `rehearsal`: pip install '.[rehearsal]'", file=sys.stderr)
         return BAD_USE
+    if scenario.discovery.source == "etcd" and not find_spec("grpclib"):
+        print("lanemux: this scenario needs the extra `etcd`: pip install '.[etcd]'", file=sys.stderr)
+        return BAD_USE
     command = shlex.split(options.program) if options.program else [sys.executable, "-m", "lanemux"]
     try:
         run = _run(scenario, options.seed, command)
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -17,6 +17,8 @@
 MS = 1_000_000
 BEFORE_DEATH = 0.6  # of its drain, when a box that dies in it does so
 REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}  # the platform's words
+UPSETS = ("drop", "reset", "stall", "compact")
+STALL_S = (0.2, 3.0)  # how long a member says nothing: shorter and longer than a balancer takes to find out
 SAME_ADDRESS = 0.5  # share of successors that come up where the one before them was
 
 
@@ -96,6 +98,7 @@
     asks: list[Ask] = field(default_factory=list)
     happenings: list[Happening] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
+    upsets: list[Happening] = field(default_factory=list)  # of each balancer's etcd member: drop, reset, stall, compact
     spread_ns: list[int] = field(default_factory=list)  # how much later each balancer's agent tells
     fronts_notice_ns: int = 0
     cancels_queued: bool = False
@@ -103,7 +106,7 @@
     def digest(self) -> str:
         """A hash over every arrival, fault and notice: the same seed gives the same."""
         h = hashlib.blake2b(digest_size=12)
-        for part in (self.boxes, self.first, self.asks, self.happenings, self.notices, self.spread_ns,
+        for part in (self.boxes, self.first, self.asks, self.happenings, self.notices, self.upsets, self.spread_ns,
                      [self.fronts_notice_ns, self.cancels_queued]):
             h.update(repr(part).encode())
         return h.hexdigest()
@@ -130,6 +133,7 @@
             DRAW[fault.kind](plan, fault, own, current)
     plan.happenings.sort(key=lambda h: (h.at_ns, h.who, h.what))
     plan.notices.sort(key=lambda n: (n.at_ns, n.box))
+    _draw_upsets(plan, _stream(seed, "upsets"))
     _draw_asks(plan, _stream(seed, "asks"), heavy)
     return plan
 
@@ -259,6 +263,20 @@
                             Happening(at + _ns(rng, fault.down_s, SECOND), "revive", who)]
 
 
+def _draw_upsets(plan: Plan, rng: random.Random) -> None:
+    """What befalls the etcd members, each balancer's for itself."""
+    every = plan.scenario.discovery.upset_every_s
+    if plan.scenario.discovery.source != "etcd" or not every[1]:
+        return
+    for balancer in range(plan.scenario.fleet.balancers):
+        at = _ns(rng, every, SECOND)
+        while at < plan.scenario.seconds * SECOND:
+            end = at + _ns(rng, STALL_S, SECOND)
+            plan.upsets.append(Happening(at, rng.choice(UPSETS), balancer, end))
+            at = end + _ns(rng, every, SECOND)
+    plan.upsets.sort(key=lambda h: (h.at_ns, h.who))
+
+
 DRAW = {"freeze": _freeze, "neighbour": _neighbour, "deploy": _deploy, "crash": _crash, "vanish": _vanish,
         "kill": _kill}
 
--- a/lanemux/rehearsal/registry.py
+++ b/lanemux/rehearsal/registry.py
@@ -10,19 +10,43 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 from urllib.parse import parse_qs, urlsplit
 
 from lanemux.rehearsal import framing
 from lanemux.rehearsal.books import Told
 from lanemux.rehearsal.boxes import Address
-from lanemux.rehearsal.plan import MS, Box, Notice
+from lanemux.rehearsal.plan import MS, Box, Happening, Notice
 
 TOLD_AT_LATEST_NS = 6_000_000_000  # what an agent has counts as told so much later, read or not
 MAX_WAIT_MS = 60_000
 PATH = "/registry/instances"
 
 
+class ListAgent(Protocol):
+    """What tells one balancer the list."""
+
+    balancer: int
+
+    async def open(self, host: str) -> Address:
+        """Listen; gives the address that the balancer is told."""
+
+    async def close(self) -> None:
+        """The end of it."""
+
+    def tell(self, box: Box, dial: Address, notice: Notice, first: bool = False) -> None:
+        """There is news of a box, or (`first`) the list before the start."""
+
+    def listing(self) -> dict[str, object]:
+        """The whole list in discovery's form."""
+
+    def operators(self) -> str:
+        """What the balancer's operators' file must say to follow it; nothing for the platform's."""
+
+    def upset(self, happening: Happening) -> None:
+        """Something goes wrong with it."""
+
+
 @dataclass(slots=True)
 class Row:
     """What the agent says of one box."""
@@ -49,7 +73,13 @@
         address: Address = self._server.sockets[0].getsockname()
         return address
 
-    def close(self) -> None:
+    def operators(self) -> str:
+        return ""
+
+    def upset(self, happening: Happening) -> None:
+        """Nothing: an agent runs on the balancer's own machine."""
+
+    async def close(self) -> None:
         for _, timer in self._watches.values():
             timer.cancel()
         if self._server is not None:
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -21,7 +21,7 @@
 from lanemux.rehearsal.callers import GRACE_NS, Callers, Front
 from lanemux.rehearsal.looks import Lateness, quiet_collector
 from lanemux.rehearsal.plan import SECOND, Happening, Notice, Plan, draw, room_of, settings
-from lanemux.rehearsal.registry import Agent
+from lanemux.rehearsal.registry import Agent, ListAgent
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation, check
 from lanemux.rehearsal.scenario import Scenario
@@ -88,7 +88,7 @@
         # Runs beside one another on a machine take other parts of the loopback range.
         self._prefix = f"127.{64 + os.getpid() % 128}"
         self._zero_ns = int(self._loop.time() * 1e9)
-        self._agents: list[Agent] = []
+        self._agents: list[ListAgent] = []
         self._balancers: list[Balancer] = []
         self._relay: Relay | None = None
         self._callers: Callers | None = None
@@ -115,10 +115,12 @@
         self._relay = Relay(self.plan.scenario.network, [p.peer_listen for p in places], self.plan.seed)
         peers, everyone = await self._relay.open(f"{self._prefix}.201.1")
         wall_zero_ms = time.time_ns() // 1_000_000
+        new_agent = self._source(wall_zero_ms)
         for number, place in enumerate(places):
-            agent = Agent(number, self.now, wall_zero_ms, self.books.told)
+            agent = new_agent(number)
             self._agents.append(agent)
             place.discovery = await agent.open(f"{self._prefix}.202.{number + 1}")
+            place.operators = agent.operators()
             place.peers, place.peers_all = peers[number], everyone[number]
             for box in self.plan.first:
                 self._notice(agent, Notice(0, box, "up", 0), first=True)
@@ -158,7 +160,17 @@
             wait = random.Random(f"{self.plan.seed}/{box}").uniform(*self.plan.scenario.discovery.notice_s)
             self._at(at + int(wait * SECOND), self._tell, Notice(at, box, "removed", 0))
 
-    def _notice(self, agent: Agent, notice: Notice, first: bool = False) -> None:
+    def _source(self, wall_zero_ms: int) -> Callable[[int], ListAgent]:
+        """What tells each balancer the list."""
+        if self.plan.scenario.discovery.source == "agent":
+            return lambda number: Agent(number, self.now, wall_zero_ms, self.books.told)
+        from lanemux.rehearsal.etcd.agent import EtcdAgent  # only here: it needs the extra `etcd`
+        from lanemux.rehearsal.etcd.store import Store
+
+        store = Store()
+        return lambda number: EtcdAgent(number, self.now, wall_zero_ms, self.books.told, store)
+
+    def _notice(self, agent: ListAgent, notice: Notice, first: bool = False) -> None:
         box = self.plan.boxes[notice.box]
         agent.tell(box, self._addresses[box.slot][agent.balancer], notice, first)
 
@@ -175,6 +187,8 @@
         callers = self._callers = Callers(self.plan, front, self.books, self._zero_ns)
         for notice in self.plan.notices:
             self._at(notice.at_ns, self._tell, notice)
+        for upset in self.plan.upsets:
+            self._at(upset.at_ns, self._agents[upset.who].upset, upset)
         for happening in self.plan.happenings:
             if happening.what in ("kill", "revive"):
                 self._at(happening.at_ns, self._to_balancer, happening, front)
@@ -276,7 +290,7 @@
             if balancer.process is not None:
                 balancer.process.wait()
         for agent in self._agents:
-            agent.close()
+            await agent.close()
         if self._relay is not None:
             self._relay.close()
         if self._pipe is not None:
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -101,8 +101,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Discovery:
-    """[discovery]: the pushed list, seconds late."""
+    """[discovery]: the list, seconds late."""
 
+    source: str = chosen(("agent", "etcd"), "agent")  # agent: the platform's; etcd: a stand-in, a member a balancer
+    upset_every_s: Range = bounded(0, 600, (0.0, 0.0))  # etcd: a watch is dropped, reset, stalled or compacted; 0: none
     notice_s: Range = bounded(0, 60, (0.66, 4.9))  # of a drain or a death
     silent_notice_s: Range = bounded(0, 120, (5.4, 14.0))  # of a machine that vanished
     add_s: Range = bounded(0, 60, (0.77, 2.5))  # of a start
--- /dev/null
+++ b/tests/etcd/test_source.py
@@ -0,0 +1,388 @@
+"""The source over loopback sockets, against the stand-in etcd and a relay that breaks connections."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.core.membership import Entry, Listing, Membership
+from lanemux.etcd import follower, member, source
+from lanemux.etcd.member import Target
+from lanemux.etcd.source import EtcdSource
+from lanemux.rehearsal.etcd.mangler import Mangler
+from lanemux.rehearsal.etcd.server import StandIn
+from lanemux.rehearsal.etcd.store import Store
+from tests.sockets import run, until
+
+PREFIX = "/boxes/"
+MS = 1_000_000
+
+
+def row(port: int = 1, health: str = "up", **more: object) -> bytes:
+    return json.dumps({"dial": f"127.0.0.1:{port}", "site": "a", "class": "m", "block": 0, "health": health,
+                       "share": 1.0, "born_ms": 0, **more}).encode()
+
+
+def key(host: str) -> bytes:
+    return f"{PREFIX}{host}".encode()
+
+
+@dataclass
+class Told:
+    """What the source has told, and the list that it comes to."""
+
+    listings: list[Listing] = field(default_factory=list)
+    now: dict[int, Entry] = field(default_factory=dict)
+
+    def hear(self, listing: Listing | None) -> None:
+        assert listing is not None and not listing.whole and listing.origin == "etcd"
+        self.listings.append(listing)
+        for e in listing.entries:
+            if e.upstream.state is api.State.GONE:
+                self.now.pop(e.upstream.id, None)
+            else:
+                self.now[e.upstream.id] = e
+
+    def ports(self) -> dict[int, int]:
+        return {i: e.address[1] for i, e in self.now.items()}
+
+
+@dataclass
+class Etcd:
+    """A stand-in member, and a writer to its store."""
+
+    standin: StandIn
+
+    def put(self, hosts: dict[str, bytes | None], lease: int = 0) -> None:
+        self.standin.store.write([(key(h), v) for h, v in hosts.items()], lease)
+        self.standin.changed()
+
+    def ports(self) -> dict[int, int]:
+        numbers = Membership(0)
+        rows = self.standin.store.rows(key(""), key("")[:-1] + b"0")
+        return {numbers.number(c.key[len(PREFIX):].decode()): int(json.loads(c.value or b"")["dial"].split(":")[1])
+                for c in rows}
+
+
+@asynccontextmanager
+async def following(*standins: StandIn, relay: Mangler | None = None, user: str = "", password_file: str = "",
+                    known: object = None) -> AsyncIterator[tuple[Etcd, Told, EtcdSource]]:
+    for standin in standins:
+        await standin.start()
+    addresses = [s.address for s in standins]
+    if relay is not None:
+        relay.to = addresses[0]
+        addresses[0] = (await relay.start()).address
+    membership, told = Membership(0), Told()
+    if known is not None:
+        membership.take(known, True, 1)  # type: ignore[arg-type]
+    target = Target(tuple(addresses), PREFIX, user, password_file)
+    following = EtcdSource(target, membership, random.Random(1), told.hear)
+    following._endpoints = list(target.endpoints)
+    following.watch()
+    try:
+        yield Etcd(standins[0]), told, following
+    finally:
+        following.stop()
+        if relay is not None:
+            await relay.stop()
+        for standin in standins:
+            await standin.stop()
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The follower's times at a tenth: the tests wait for some of them."""
+    for name in ("QUIET_NS", "OVERDUE_NS", "BEHIND_NS", "SOUND_NS", "OPEN_NS", "PAGE_NS"):
+        monkeypatch.setattr(follower, name, getattr(follower, name) // 10)
+    monkeypatch.setattr(follower, "LAST_WAIT_NS", 100 * MS)
+
+
+def fleet(count: int, port: int = 1) -> dict[str, bytes | None]:
+    return {f"b{i:05}": row(port) for i in range(count)}
+
+
+async def watched(standin: StandIn) -> None:
+    await until(lambda: standin.starts)
+
+
+async def opened(relay: Mangler, count: int) -> None:
+    """So many connections have come."""
+    await until(lambda: relay.opened >= count)
+
+
+def same(etcd: Etcd, told: Told) -> Callable[[], bool]:
+    return lambda: told.ports() == etcd.ports()
+
+
+def test_the_list_and_what_changes_in_it() -> None:
+    async def test() -> None:
+        standin = StandIn(Store())
+        async with following(standin) as (etcd, told, _):
+            etcd.put(fleet(600))  # more than two pages
+            await until(same(etcd, told))
+            etcd.put({"b00000": row(2), "b00001": None, "c": row(3)})
+            await until(same(etcd, told))
+            assert len(told.now) == 600
+            etcd.put({"b00002": row(health="draining")})
+            await until(lambda: api.State.DRAINING in {e.upstream.state for e in told.now.values()})
+            standin.store.grant(5, 10)
+            etcd.put(fleet(200, 4), lease=5)
+            await until(same(etcd, told))
+            standin.store.expire(10)  # a third of the list at once
+            standin.changed()
+            await until(same(etcd, told))
+            assert len(told.now) == 401
+    run(test())
+
+
+def test_a_lost_watch_goes_on_from_what_was_known() -> None:
+    async def test() -> None:
+        standin, relay = StandIn(Store()), Mangler(("", 0))
+        standin.store.write([(key(h), v) for h, v in fleet(20).items()])
+        async with following(standin, relay=relay) as (etcd, told, _):
+            await until(same(etcd, told))
+            await until(lambda: standin.starts)
+            for port in range(2, 6):
+                relay.reset()
+                etcd.put({"b00003": row(port), f"n{port}": row(port), "b00004": None})
+                await until(same(etcd, told))
+            assert standin.lists == 1 and len(standin.starts) >= 3  # never listed anew
+    run(test())
+
+
+def test_a_watch_whose_history_was_compacted_lists_anew_and_finds_what_has_gone() -> None:
+    async def test() -> None:
+        standin, relay = StandIn(Store()), Mangler(("", 0))
+        standin.store.write([(key(h), v) for h, v in fleet(20).items()])
+        async with following(standin, relay=relay) as (etcd, told, _):
+            await until(same(etcd, told))
+            await until(lambda: standin.starts)
+            relay.hold(True)
+            relay.reset()
+            etcd.put({"b00003": None, "b00005": None, "n": row(9)})
+            etcd.put({"b00006": row(7)})
+            standin.store.compact(standin.store.revision)
+            relay.hold(False)
+            await until(same(etcd, told))
+            assert standin.lists >= 2
+            assert {e.upstream.state for e in told.listings[-2].entries} == {api.State.GONE}  # first of all
+    run(test())
+
+
+def test_a_watch_that_is_open_and_silent_is_found_out() -> None:
+    async def test() -> None:
+        for silent in ("relay", "member"):
+            standin, relay = StandIn(Store()), Mangler(("", 0))
+            standin.store.write([(key("a"), row())])
+            async with following(standin, relay=relay) as (etcd, told, _):
+                await until(same(etcd, told))
+                await watched(standin)
+                relay.hold(silent == "relay")
+                standin.faults.silent = silent == "member"
+                etcd.put({"a": row(2)})
+                await opened(relay, relay.opened + 1)
+                relay.hold(False)
+                standin.faults.silent = False
+                await until(same(etcd, told))
+    run(test())
+
+
+def test_a_quiet_watch_is_asked_and_stays() -> None:
+    async def test() -> None:
+        standin, relay = StandIn(Store()), Mangler(("", 0))
+        standin.store.write([(key("a"), row())])
+        async with following(standin, relay=relay) as (etcd, told, following_):
+            await until(same(etcd, told))
+            await until(lambda: following_._follower._opened_ns)
+            begun = following_._follower._opened_ns
+            await until(lambda: following_._follower.due_ns > begun + 8 * follower.QUIET_NS)
+            assert relay.opened == 1 and standin.watches == 1
+    run(test())
+
+
+@pytest.mark.parametrize("most", [1, 3, 400])
+def test_writes_that_are_split_at_any_byte(most: int) -> None:
+    async def test() -> None:
+        standin, relay = StandIn(Store()), Mangler(("", 0), seed=most)
+        relay.most = most
+        standin.faults.fragment = 3
+        async with following(standin, relay=relay) as (etcd, told, _):
+            etcd.put(fleet(12))
+            await until(same(etcd, told))
+            etcd.put({"b00001": None, "b00002": row(5), **{f"x{i}": row(6) for i in range(8)}})
+            await until(same(etcd, told))
+    run(test())
+
+
+def test_connections_that_break_after_any_byte() -> None:
+    async def test() -> None:
+        rng = random.Random(4)
+        standin, relay = StandIn(Store()), Mangler(("", 0))
+        standin.faults.fragment = 2
+        standin.store.write([(key(h), v) for h, v in fleet(30).items()])
+        async with following(standin, relay=relay) as (etcd, told, _):
+            for turn in range(12):
+                relay.cut_after = rng.randint(0, 3000)
+                relay.reset()
+                etcd.put({f"b{rng.randrange(30):05}": rng.choice([None, row(turn + 2)]) for _ in range(4)})
+                await opened(relay, relay.opened + 2)
+            relay.cut_after = -1
+            await until(same(etcd, told))
+    run(test())
+
+
+def test_a_member_that_is_gone_behind_or_without_leader_is_left_for_another() -> None:
+    async def test() -> None:
+        store = Store()
+        first, second = StandIn(store), StandIn(store)
+        store.write([(key("a"), row())])
+        async with following(first, second) as (etcd, told, _):
+            await until(same(etcd, told))
+            await until(lambda: first.watches)
+            await first.stop()
+            etcd.put({"a": row(2)})
+            second.changed()
+            await until(same(etcd, told))
+            assert second.watches == 1
+    run(test())
+
+
+@pytest.mark.parametrize("fault", ["behind", "no leader", "lists refused"])
+def test_a_fault_of_one_member_costs_nothing_that_is_known(fault: str) -> None:
+    async def test() -> None:
+        store = Store()
+        first, second = StandIn(store), StandIn(store)
+        store.write([(key("a"), row())])
+        async with following(first, second) as (etcd, told, _):
+            await until(same(etcd, told))
+            await until(lambda: first.watches)
+            if fault == "behind":
+                first.faults.behind = 3
+            elif fault == "no leader":
+                first.faults.refuse_watches = "etcdserver: no leader"
+            else:
+                first.faults.refuse_lists = "etcdserver: request timed out"
+                store.write([(key("b"), row())])
+                store.compact(store.revision)
+            first.drop()
+            etcd.put({"a": row(2), "c": row(3)})
+            second.changed()
+            await until(same(etcd, told))
+            assert not [e for told_ in told.listings for e in told_.entries if e.upstream.state is api.State.GONE]
+    run(test())
+
+
+def test_another_cluster_keeps_sound_boxes_until_it_has_named_or_outlasted_them() -> None:
+    async def test() -> None:
+        standin = StandIn(Store(1))
+        standin.store.write([(key("a"), row()), (key("b"), row())])
+        saved = standin.store.backup()
+        async with following(standin) as (etcd, told, following_):
+            await until(same(etcd, told))
+            etcd.put({"c": row()})
+            await until(same(etcd, told))
+            standin.store = Store.restored(saved, 2)
+            standin.store.write([(key("a"), row(5))])
+            standin.drop()
+            await until(lambda: 5 in told.ports().values())
+            assert len(told.now) == 3  # c is not named by the backup, and serves on
+            etcd.put({"c": row(6)})
+            await until(same(etcd, told))
+            assert not following_._board.due_ns
+    run(test())
+
+
+def test_a_list_without_end_ends_and_a_message_too_large_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        standin = StandIn(Store())
+        standin.store.write([(key("a"), row())])
+        async with following(standin) as (etcd, told, _):
+            await until(same(etcd, told))
+            standin.faults.endless = True
+            standin.store.compact(standin.store.revision)
+            standin.faults.huge = 2 * member.MAX_MESSAGE
+            etcd.put({"a": row(2)})
+            await until(lambda: standin.watches >= 2)
+            standin.faults.endless, standin.faults.huge = False, 0
+            await until(same(etcd, told))
+    monkeypatch.setattr(member, "MAX_MESSAGE", 100_000)
+    run(test())
+
+
+def test_a_token_that_has_run_out_is_renewed(tmp_path: Path) -> None:
+    async def test() -> None:
+        password = tmp_path / "password"
+        password.write_text("s3cret\n")
+        standin = StandIn(Store(), "reader", "s3cret")
+        standin.store.write([(key("a"), row())])
+        async with following(standin, user="reader", password_file=str(password)) as (etcd, told, _):
+            await until(same(etcd, told))
+            await until(lambda: standin.watches)
+            standin.faults.tokens_run_out = True
+            standin.drop()
+            await until(lambda: standin.logins >= 2 and standin.watches >= 3)
+            etcd.put({"a": row(2)})
+            await until(same(etcd, told))
+    run(test())
+
+
+def test_a_wrong_password_costs_nothing_but_tries(tmp_path: Path) -> None:
+    async def test() -> None:
+        password = tmp_path / "password"
+        password.write_text("wrong")
+        standin = StandIn(Store(), "reader", "s3cret")
+        standin.store.write([(key("a"), row())])
+        known = [{"host": "k", "dial": "127.0.0.1:9", "health": "up"}]
+        async with following(standin, user="reader", password_file=str(password), known=known) as (_, told, source_):
+            await until(lambda: standin.logins >= 3)
+            assert not told.listings and source_._membership.hosts == {"k"}
+            password.write_text("s3cret")
+            await until(lambda: 1 in told.ports().values())
+    run(test())
+
+
+def test_a_burst_does_not_hold_up_the_loop_and_the_drain_in_it_comes_first() -> None:
+    async def test() -> None:
+        standin = StandIn(Store())
+        standin.faults.fragment = 1000
+        standin.store.write([(key(h), v) for h, v in fleet(1000).items()])
+        async with following(standin) as (etcd, told, _):
+            await until(same(etcd, told))
+            told.listings.clear()
+            etcd.put({**{f"n{i:05}": row(3) for i in range(2500)}, "b00007": row(health="draining"),
+                      **{f"m{i:05}": row(3) for i in range(2500)}})
+            await until(same(etcd, told))
+            drained = next(i for i, told_ in enumerate(told.listings)
+                           if told_.entries[0].upstream.state is api.State.DRAINING)
+            before = sum(len(told_.entries) for told_ in told.listings[:drained])
+            assert before < 3000 and max(len(told_.entries) for told_ in told.listings) <= source.SLICE
+    run(test())
+
+
+def test_a_fault_of_the_code_is_a_failed_call_and_no_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        standin = StandIn(Store())
+        standin.store.write([(key("a"), row())])
+        broken = [True]
+        sound = member._slowly
+
+        def slowly(items: object) -> object:
+            if broken:
+                raise RuntimeError(broken.pop())
+            return sound(items)
+
+        monkeypatch.setattr(member, "_slowly", slowly)
+        async with following(standin) as (etcd, told, _):
+            await until(same(etcd, told))
+            assert not broken
+    run(test())
+
+
--- a/tests/rehearsal/test_broken.py
+++ b/tests/rehearsal/test_broken.py
@@ -24,7 +24,8 @@
 TIMEOUT_S = 90
 BRIEF = ("--seconds", "5")  # for builds that break a rule at every hundredth request
 
-HEALTHY = ("calm-short", "friday-rush-short", "month-end-short", "back-to-school-short", "payments-short")
+HEALTHY = ("calm-short", "friday-rush-short", "month-end-short", "back-to-school-short", "payments-short",
+           "etcd-deploy-short")
 BY_RULE = (("two_at_once", "friday-rush-short", "twice"), ("late_drain", "month-end-short", "drain"),
            ("swaps_bodies", "friday-rush-short", "lost"), ("answers_twice", "friday-rush-short", "lost"),
            ("resends_silently", "friday-rush-short", "twice"), ("floods_cold", "month-end-short", "cold"),
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -15,7 +15,8 @@
 from tests.test_process import config
 
 ROOT = Path(__file__).parent.parent
-OPTIONAL = ("argparse", "tomllib", "lanemux.rehearsal", "lanemux.operators", "lanemux.checked")
+OPTIONAL = ("argparse", "tomllib", "lanemux.rehearsal", "lanemux.operators", "lanemux.checked", "lanemux.etcd",
+            "grpclib", "google.protobuf")
 
 
 def lanemux(*words: str, **variables: str) -> subprocess.CompletedProcess[str]:
@@ -38,7 +39,7 @@
              if line.startswith("# [") or " = " in line.partition("#")[2].partition("#")[0]]
     table = tomllib.loads("\n".join(shown))
     assert {section: set(keys) for section, keys in table.items()} == {
-        "rehearsal": {"scenarios_directory"}}
+        "rehearsal": {"scenarios_directory"}, "etcd": {"endpoints", "prefix", "user", "password_file"}}
 
 
 def test_each_fault_of_the_file_is_one_line_with_file_key_and_what_is_allowed(tmp_path: Path) -> None:
@@ -48,7 +49,23 @@
     text = "\n".join(lines)
     assert "rehearsal.scenarios_directory: '4' is not text" in text
     assert "rehearsal.speed: unknown key; allowed: scenarios_directory" in text
-    assert "warp: unknown key; allowed: rehearsal" in text
+    assert "warp: unknown key; allowed: etcd, rehearsal" in text
+
+
+def test_a_section_for_etcd_is_checked_beyond_the_kinds_of_its_values(tmp_path: Path) -> None:
+    lines = faults(tmp_path, '[etcd]\nendpoints = ["etcd:2379", "127.0.0.1:2379"]\nprefix = ""\nuser = "u"\n')
+    text = "\n".join(lines)
+    assert len(lines) == 3 and "etcd.endpoints[0]: 'etcd:2379' is not IP:PORT" in text
+    assert "etcd.prefix: ''" in text and "etcd.user, password_file" in text
+    assert "etcd.endpoints: missing" in "\n".join(faults(tmp_path, '[etcd]\nprefix = "/a/"\n'))
+    assert "at least one IP:PORT" in faults(tmp_path, '[etcd]\nendpoints = []\nprefix = "/a/"\n')[0]
+
+
+def test_a_section_that_needs_an_extra_that_is_missing_says_so(tmp_path: Path,
+                                                              monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(sys.modules, "grpclib", None)
+    monkeypatch.delitem(sys.modules, "grpclib.client", raising=False)
+    assert "pip install '.[etcd]'" in faults(tmp_path, '[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/a/"\n')[0]
 
 
 @pytest.mark.parametrize("text", ["a = ", "a = " + "[" * 5000, "x" * (MAX_FILE + 1)])
