--- a/bench/programs/etcd_node.py
+++ b/bench/programs/etcd_node.py
@@ -19,7 +19,6 @@
 from lanemux.cli import _source
 from lanemux.net import daemon
 from lanemux.net.node import Node
-from lanemux.operators import load
 
 LOOK_S = 0.002
 late: list[tuple[int, int, str]] = []  # (when, how late, state)
@@ -63,6 +62,6 @@
 gc.callbacks.append(collected)
 Node._listed = timed  # type: ignore[method-assign]
 Node.start = watched  # type: ignore[method-assign]
-status = daemon.main(_source(load(os.environ["LANEMUX_OPERATORS"])))
+status = daemon.main(daemon.Lists(lambda: _source(os.environ["LANEMUX_OPERATORS"])))
 Path(sys.argv[1]).write_text(json.dumps({"late": late, "stood": stood, "took": took, "passes": passes}))
 sys.exit(status)
--- a/lanemux/checked.py
+++ b/lanemux/checked.py
@@ -17,7 +17,7 @@
 MAX_ITEMS = 1000  # of one list: a file by hand has fewer, and each is a fault at worst
 
 
-class Faulty(Exception):
+class Faulty(ValueError):
     """What was read can't be used; `faults` has a line for each reason."""
 
     def __init__(self, faults: Sequence[str]) -> None:
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -18,7 +18,7 @@
     import argparse
 
     from lanemux.core.source import MakeSource
-    from lanemux.operators import Operators
+    from lanemux.net.daemon import Lists
 
 USAGE_STATUS = 2
 OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
@@ -45,34 +45,36 @@
     return USAGE_STATUS
 
 
-def _daemon(source: MakeSource | None = None) -> int:
+def _daemon(lists: Lists | None = None) -> int:
     from lanemux.net.daemon import main as daemon
 
-    return daemon(source)
+    return daemon(lists)
 
 
-def _source(operators: Operators) -> MakeSource | None:
-    """Where the list comes from; None: platform discovery."""
-    if operators.etcd is None:
+def _source(path: str | None) -> MakeSource | None:
+    """Where the list comes from, as the operators' file says; None: platform discovery. Faulty for a bad file."""
+    from lanemux.operators import load
+
+    told = load(path).etcd
+    if told is None:
         return None
     from lanemux.core.address import read_address
     from lanemux.etcd.member import Target
-    from lanemux.etcd.source import make
+    from lanemux.etcd.source import Make
 
-    told = operators.etcd
-    return make(Target(tuple(map(read_address, told.endpoints)), told.prefix, told.user, told.password_file))
+    return Make(Target(tuple(map(read_address, told.endpoints)), told.prefix, told.user, told.password_file))
 
 
 def _serve(rest: Sequence[str]) -> int:
     from lanemux.checked import Faulty
-    from lanemux.operators import load
+    from lanemux.net.daemon import Lists
 
     options = _arguments("serve", rest)
     try:
-        operators = load(options.operators)
+        lists = Lists(lambda: _source(options.operators))
     except Faulty as error:
         return _faults(error.faults)
-    return _daemon(_source(operators))
+    return _daemon(lists)
 
 
 def _check(rest: Sequence[str]) -> int:
--- a/lanemux/etcd/board.py
+++ b/lanemux/etcd/board.py
@@ -32,7 +32,7 @@
         self._revisions: dict[str, int] = {}  # of each host that is known from here, by its last word
         self._named: set[str] = set()  # by the whole list that is being read
         self._doubts: dict[str, int] = {}  # host -> when it counts as gone
-        self._complete = False  # there was a whole list
+        self.complete = False  # there was a whole list
 
     @property
     def pending(self) -> int:
@@ -71,8 +71,8 @@
         upstream that serves is no less sound for not being named: it stays for DOUBT_NS unless it is named or ended
         meanwhile. An empty list of a store that goes on is the sum of its deletions, and believed like them."""
         missing = (self._membership.hosts | self._revisions.keys() | self._waiting.keys()) - self._named
-        doubted = set_back or not (self._complete or self._named)
-        self._complete = True
+        doubted = set_back or not (self.complete or self._named)
+        self.complete = True
         self._doubts = {h: at for h, at in self._doubts.items() if h in missing}
         for host in sorted(missing):
             if doubted:
--- a/lanemux/etcd/source.py
+++ b/lanemux/etcd/source.py
@@ -8,10 +8,11 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any, assert_never
 
 from lanemux.core.membership import Listing, Membership
-from lanemux.core.source import Heard, MakeSource
+from lanemux.core.source import Heard
 from lanemux.etcd.board import Board
 from lanemux.etcd.follower import (
     SECOND,
@@ -39,9 +40,14 @@
 AGE_LOG_NS = 10 * SECOND  # while etcd is away, the list's age is logged so often
 
 
-def make(target: Target) -> MakeSource:
-    """The source of a target, for a node to make."""
-    return lambda membership, rng, heard: EtcdSource(target, membership, rng, heard)
+@dataclass(frozen=True, slots=True)
+class Make:
+    """What makes the source of a target; equal for equal targets."""
+
+    target: Target
+
+    def __call__(self, membership: Membership, rng: random.Random, heard: Heard) -> EtcdSource:
+        return EtcdSource(self.target, membership, rng, heard)
 
 
 class EtcdSource:
@@ -126,6 +132,7 @@
                 self._board.listed(step.pairs, step.set_back)
             case Whole():
                 self._board.whole(step.set_back, now)
+                self._heard(Listing(self._follower.seen, False, [], "etcd", now))  # also if it changes nothing
                 log.info("etcd: the list is whole at revision %d, %d changes", self._follower.seen,
                          self._board.pending)
             case Changed():
@@ -171,7 +178,10 @@
     # -- telling --
 
     def _tell_soon(self) -> None:
-        """What ends or drains something at once, the rest in turn with the requests in hand."""
+        """What ends or drains something at once, the rest in turn with the requests in hand; nothing before the first
+        list is whole: until then the source that this one may replace still counts."""
+        if not self._board.complete:
+            return
         if self._board.presses:
             self._tell_slice()
         if self._board.pending and self._telling is None:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 from lanemux.core.address import read_address
@@ -73,8 +74,32 @@
         cores=float(limits.get("cores") or 0.0))
 
 
-def reload(path: str, old: Config, node: Node) -> None:
+class Lists:
+    """Where the list comes from, as the operators' file says it now."""
+
+    def __init__(self, read: Callable[[], MakeSource | None]) -> None:
+        """`read` gives the source that the file names, the same object or an equal one while it names the same; it
+        raises ValueError for a file that can't be used."""
+        self._read = read
+        self.now = read()
+
+    def reload(self, node: Node) -> None:
+        """Take up the file as it is now; a bad one changes nothing."""
+        try:
+            new = self._read()
+        except ValueError as error:
+            log.warning("reload: %s; the old operators' file stays", error)
+            return
+        if new != self.now:
+            log.info("reload: the list is to come from another source")
+            self.now = new
+            node.replace_source(new)
+
+
+def reload(path: str, old: Config, node: Node, lists: Lists | None = None) -> None:
     """Take up a new configuration as far as that goes without a start; a bad one changes nothing."""
+    if lists is not None:
+        lists.reload(node)
     try:
         new = read_config(path)
     except BadConfig as error:
@@ -96,13 +121,14 @@
     return min(REST_MAX_S, spent_s / cores + STOP_LATE_S) if cores > 0 else 0.0
 
 
-async def serve(config: Config, path: str, source: MakeSource | None = None) -> None:
+async def serve(config: Config, path: str, lists: Lists | None = None) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()), source)
-    loop.add_signal_handler(signal.SIGHUP, reload, path, config, node)
+    node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()),
+                lists.now if lists is not None else None)
+    loop.add_signal_handler(signal.SIGHUP, reload, path, config, node, lists)
     port = await node.start(rest_s(config.cores, time.process_time()))
     log.info("%s: ready on port %d", config.name, port)
     await stop.wait()
@@ -110,8 +136,8 @@
     await node.drain()
 
 
-def main(source: MakeSource | None = None) -> int:
-    """One balancer until a signal ends it; its list comes from platform discovery, unless another source is given."""
+def main(lists: Lists | None = None) -> int:
+    """One balancer until a signal ends it; its list is platform discovery's unless the operators say otherwise."""
     handler = logging.StreamHandler()
     handler.addFilter(RateLimit())
     logging.basicConfig(level=logging.INFO, handlers=[handler],
@@ -126,7 +152,7 @@
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, path, source))
+        asyncio.run(serve(config, path, lists))
     except BadList as error:
         print(f"lanemux: {path}: known: {error}", file=sys.stderr)
         return 2
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -102,6 +102,7 @@
         self.server = Server(self, room)
         self._membership = Membership(time.time_ns() - time.monotonic_ns())
         self._source = (source or self._platform)(self._membership, random.Random(config.seed + 1), self._listed)
+        self._successor: ListSource | None = None  # is to replace it, and has not told a whole list yet
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
         self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
@@ -163,11 +164,31 @@
         if isinstance(self._source, Discovery):
             self._source.move(address)
 
+    def replace_source(self, make: MakeSource | None) -> None:
+        """Take the list from another source (None: platform discovery) from its first whole list on.
+
+        Until then the old one counts: what it tells is acted on, and a new one that never answers costs nothing."""
+        if self._successor is not None:
+            self._successor.stop()  # of several in a row the last one counts
+
+        def heard(listing: Listing | None) -> None:
+            if listing is not None and successor is self._successor:
+                self._source.stop()
+                self._source, self._successor = successor, None
+            if successor is self._source:
+                self._listed(listing)
+
+        successor = (make or self._platform)(self._membership, random.Random(self.config.seed + 2), heard)
+        self._successor = successor
+        successor.watch()
+
     def close(self) -> None:
         """Stop everything at once; what is open fails."""
         for call in list(self._calls.values()):
             self._finish(call, 504)
         self._source.stop()
+        if self._successor is not None:
+            self._successor.stop()
         if self._sweep is not None:
             self._sweep.cancel()
         for pool in self._hub.pools.values():
--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -8,18 +8,23 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 
 from lanemux import interface as api
+from lanemux.cli import _source
 from lanemux.core.membership import Entry, Listing, Membership
 from lanemux.etcd import follower, member, source
 from lanemux.etcd.member import Target
-from lanemux.etcd.source import EtcdSource
+from lanemux.etcd.source import EtcdSource, Make
+from lanemux.net.daemon import Lists
+from lanemux.net.node import Config, Node
 from lanemux.rehearsal.etcd.mangler import Mangler
 from lanemux.rehearsal.etcd.server import StandIn
 from lanemux.rehearsal.etcd.store import Store
-from tests.sockets import run, until
+from tests.sockets import HOST, Registry, Script, entry, run, settings, until
 
 PREFIX = "/boxes/"
 MS = 1_000_000
@@ -43,7 +48,8 @@
 
     def hear(self, listing: Listing | None) -> None:
         assert listing is not None and not listing.whole and listing.origin == "etcd"
-        self.listings.append(listing)
+        if listing.entries:
+            self.listings.append(listing)
         for e in listing.entries:
             if e.upstream.state is api.State.GONE:
                 self.now.pop(e.upstream.id, None)
@@ -386,3 +392,75 @@
     run(test())
 
 
+
+
+@asynccontextmanager
+async def balancer(registry: Registry, source_: Make | None) -> AsyncIterator[Node]:
+    """A node whose list comes from a discovery, or from etcd."""
+    await registry.upstream.start()
+    node = Node(Config("n", (HOST, 0), (HOST, registry.upstream.port), 1, 1024, settings()), Script(), source_)
+    await node.start()
+    try:
+        yield node
+    finally:
+        node.close()
+        registry.upstream.stop()
+
+
+def test_another_source_counts_from_its_first_whole_list_on() -> None:
+    async def test() -> None:
+        registry, standin = Registry(), await StandIn(Store()).start()
+        registry.rows = {"a": entry("a", 1), "b": entry("b", 2)}
+        standin.store.write([(key("b"), row(2)), (key("c"), row(3))])
+        standin.faults.refuse_lists = "not yet"
+        numbers = Membership(0)
+        async with balancer(registry, None) as node:
+            pools = node._hub.pools
+            await until(lambda: len(pools) == 2)
+            node.replace_source(Make(Target((standin.address,), PREFIX)))
+            await until(lambda: standin.lists >= 2)
+            registry.change("d")  # the old one still counts
+            await until(lambda: numbers.number("d") in pools)
+            standin.faults.refuse_lists = ""
+            await until(lambda: set(pools) == {numbers.number("b"), numbers.number("c")})
+            calls = len(registry.calls)
+            standin.store.write([(key("e"), row(5))])
+            standin.changed()
+            await until(lambda: numbers.number("e") in pools)
+            node.replace_source(None)  # and back
+            await until(lambda: len(registry.calls) > calls and numbers.number("a") in pools)
+            assert set(pools) == {numbers.number(h) for h in "abd"}
+            await until(lambda: not standin._handlers)
+        await standin.stop()
+    run(test())
+
+
+def test_a_source_with_the_same_list_replaces_the_old_one_too() -> None:
+    async def test() -> None:
+        registry, standin = Registry(), await StandIn(Store()).start()
+        registry.rows = {"a": entry("a", 1)}
+        standin.store.write([(key("a"), json.dumps({k: v for k, v in entry("a", 1).items() if k != "host"}).encode())])
+        async with balancer(registry, None) as node:
+            await until(lambda: len(node._hub.pools) == 1)
+            old = node._source
+            node.replace_source(Make(Target((standin.address,), PREFIX)))
+            await until(lambda: node._source is not old and node._successor is None)
+        await standin.stop()
+    run(test())
+
+
+def test_the_operators_file_is_read_again_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "operators.toml"
+    path.write_text('[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/a/"\n')
+    lists = Lists(lambda: _source(str(path)))
+    replaced: list[Make | None] = []
+    node = cast(Node, SimpleNamespace(replace_source=replaced.append))
+    lists.reload(node)
+    path.write_text("[etcd]\n")
+    lists.reload(node)
+    assert not replaced
+    path.write_text('[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/b/"\n')
+    lists.reload(node)
+    path.write_text("")
+    lists.reload(node)
+    assert [m and m.target.prefix for m in replaced] == ["/b/", None]
