--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -464,3 +464,20 @@
     path.write_text("")
     lists.reload(node)
     assert [m and m.target.prefix for m in replaced] == ["/b/", None]
+
+
+def test_while_etcd_is_away_the_last_list_serves_on_and_its_age_is_logged(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        standin = StandIn(Store())
+        standin.store.write([(key(h), v) for h, v in fleet(3).items()])
+        async with following(standin) as (etcd, told, source_):
+            await until(same(etcd, told))
+            await until(lambda: standin.watches)
+            await standin.stop()
+            await until(lambda: "the list of 3 upstreams serves on" in caplog.text)
+            assert len(told.now) == 3 and len(source_._membership.hosts) == 3
+            aged = source_._aged_ns - source_._contact_ns
+            assert aged >= source.AGE_LOG_NS and caplog.text.count("serves on") <= aged // source.AGE_LOG_NS + 1
+    monkeypatch.setattr(source, "AGE_LOG_NS", 200 * MS)
+    run(test())
