Take out what etcd's code and its tests said twice or never used

Cause: read once more, the change held an unused flag and an unused limit in the stand-in, a special case for error statuses whose two branches ended alike, and three tests with the same opening lines.

--- a/lanemux/etcd/member.py
+++ b/lanemux/etcd/member.py
@@ -11,7 +11,6 @@
 
 from grpclib.client import Channel, StreamStreamMethod, UnaryUnaryMethod
 from grpclib.config import Configuration
-from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from lanemux.core.address import Address
@@ -87,7 +86,7 @@
             await call
         except GRPCError as error:
             self._token = ""  # it may have run out; asking for another is all that could help
-            hear(_refused(error))
+            hear(Failed(f"{error.status.name}: {error.message}"))
         except (OSError, StreamTerminatedError, ProtocolError, TimeoutError, Unusable) as error:
             hear(Failed(f"{type(error).__name__}: {error}"))
 
@@ -153,14 +152,6 @@
         return str(reply.token)
 
 
-def _refused(error: GRPCError) -> Event:
-    """An error status as the follower knows it."""
-    reason = f"{error.status.name}: {error.message}"
-    if error.status is Status.OUT_OF_RANGE and "compacted" in (error.message or ""):
-        return Failed(f"the list was compacted while it was read ({reason})")
-    return Failed(reason)
-
-
 async def _heard(response: Any, hear: Callable[[Event], None]) -> None:
     """A watch response as the follower's events, large ones in parts."""
     cluster, revision = response.header.cluster_id, response.header.revision
--- a/lanemux/rehearsal/etcd/mangler.py
+++ b/lanemux/rehearsal/etcd/mangler.py
@@ -16,7 +16,6 @@
         self.to = to
         self.address = ("", 0)
         self.most = 0  # bytes passed on to the client at once, drawn from 1 to this; 0: all
-        self.held = False  # nothing is passed on either way; connections stay open
         self.cut_after = -1  # bytes to the client after which each connection is reset; -1: never
         self.opened = 0
         self._rng = random.Random(seed)
--- a/lanemux/rehearsal/etcd/server.py
+++ b/lanemux/rehearsal/etcd/server.py
@@ -17,7 +17,6 @@
 from lanemux.rehearsal.etcd.store import Change, Compacted, Future, Store
 
 MAX_WATCHERS = 100
-MAX_QUEUE = 100_000  # changes that a watcher may be behind; a real server keeps them in its store
 ENDLESS_PAGE = 64  # keys of a page of a list without end
 
 
--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -103,6 +103,17 @@
             await standin.stop()
 
 
+@asynccontextmanager
+async def watching(count: int) -> AsyncIterator[tuple[StandIn, Mangler, Etcd, Told]]:
+    """So many boxes that have been told, a watch that stands, and a relay under it."""
+    standin, relay = StandIn(Store()), Mangler(("", 0))
+    standin.store.write([(key(h), v) for h, v in fleet(count).items()])
+    async with following(standin, relay=relay) as (etcd, told, _):
+        await until(same(etcd, told))
+        await until(lambda: standin.starts)
+        yield standin, relay, etcd, told
+
+
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     """The follower's times at a tenth: the tests wait for some of them."""
@@ -151,11 +162,7 @@
 
 def test_a_lost_watch_goes_on_from_what_was_known() -> None:
     async def test() -> None:
-        standin, relay = StandIn(Store()), Mangler(("", 0))
-        standin.store.write([(key(h), v) for h, v in fleet(20).items()])
-        async with following(standin, relay=relay) as (etcd, told, _):
-            await until(same(etcd, told))
-            await until(lambda: standin.starts)
+        async with watching(20) as (standin, relay, etcd, told):
             for port in range(2, 6):
                 relay.reset()
                 etcd.put({"b00003": row(port), f"n{port}": row(port), "b00004": None})
@@ -166,11 +173,7 @@
 
 def test_a_watch_whose_history_was_compacted_lists_anew_and_finds_what_has_gone() -> None:
     async def test() -> None:
-        standin, relay = StandIn(Store()), Mangler(("", 0))
-        standin.store.write([(key(h), v) for h, v in fleet(20).items()])
-        async with following(standin, relay=relay) as (etcd, told, _):
-            await until(same(etcd, told))
-            await until(lambda: standin.starts)
+        async with watching(20) as (standin, relay, etcd, told):
             relay.hold(True)
             relay.reset()
             etcd.put({"b00003": None, "b00005": None, "n": row(9)})
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
     HOST,
     MS,
     Answer,
+    Client,
     Got,
     Script,
     Upstream,
@@ -489,6 +490,15 @@
     monkeypatch.setattr(loop, "create_connection", create_connection)
 
 
+async def send_held(client: Client, script: Script, monkeypatch: pytest.MonkeyPatch, up: asyncio.Event) -> None:
+    """A request that waits for its connection to an upstream."""
+    await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
+    await client.read()
+    hold_connections(monkeypatch, up)
+    await client.send(request())
+    await until(lambda: script.of(api.Arrival))
+
+
 @pytest.mark.parametrize("health", ["draining", "removed"])
 def test_a_send_that_waits_for_its_connection_is_called_off_by_a_drain(
         monkeypatch: pytest.MonkeyPatch, health: str) -> None:
@@ -498,11 +508,7 @@
         sends_first(script, fails_unserved)
         up = asyncio.Event()
         async with node(script, upstream) as client:
-            await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
-            await client.read()
-            hold_connections(monkeypatch, up)
-            await client.send(request())
-            await until(lambda: script.of(api.Arrival))
+            await send_held(client, script, monkeypatch, up)
             row = {**known(upstream.port)["hosts"][0], "health": health}
             listing = read_listing({"seq": 2, "whole": False, "hosts": [row]}, client.node._membership)
             client.node._listed(listing)
@@ -524,11 +530,7 @@
         sends_first(script, fails_unserved)
         up = asyncio.Event()
         async with node(script, old) as client:
-            await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
-            await client.read()
-            hold_connections(monkeypatch, up)
-            await client.send(request())
-            await until(lambda: script.of(api.Arrival))
+            await send_held(client, script, monkeypatch, up)
             await asyncio.sleep(0)  # its connection is under way to the old address
             moved = {"seq": 2, "whole": False, "hosts": known(new.port)["hosts"]}
             client.node._listed(read_listing(moved, client.node._membership))
