--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -36,6 +36,15 @@
     return f"{address[0]}:{address[1]}"
 
 
+def configuration(name: str, place: Place, seed: str, known: dict[str, object], settings: dict[str, object],
+                  sockets: int = SOCKETS) -> dict[str, object]:
+    """What a balancer finds in its configuration file (protocol page)."""
+    return {"name": name, "listen": text(place.listen), "discovery": text(place.discovery), "seed": seed,
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets},
+            "peer_listen": text(place.peer_listen), "peers": [text(a) for a in place.peers],
+            "peers_all": text(place.peers_all), "known": known, "settings": settings}
+
+
 def free_port(host: str, datagrams: bool = False) -> Address:
     """An address of that host that is free now; the kit's hosts are its own, so it stays free."""
     if not datagrams:
@@ -68,11 +77,7 @@
         self._starts += 1
         self.meant_down = False
         name = f"n{self.number}"
-        config = {"name": name, "listen": text(self.place.listen), "discovery": text(self.place.discovery),
-                  "seed": f"{self._seed:x}-{self.number}-{self._starts}",
-                  "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-                  "peer_listen": text(self.place.peer_listen), "peers": [text(a) for a in self.place.peers],
-                  "peers_all": text(self.place.peers_all), "known": known, "settings": self._settings}
+        config = configuration(name, self.place, f"{self._seed:x}-{self.number}-{self._starts}", known, self._settings)
         path = self._folder / f"balancer-{self.number}.json"
         path.write_text(json.dumps(config))
         temporary = self._folder / f"tmp-{self.number}"
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -16,7 +16,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
 from lanemux.rehearsal import framing
 from lanemux.rehearsal.books import NEVER, Attempt, BoxBooks, Life, Oddity
@@ -64,6 +64,19 @@
     return hashlib.blake2b(body, digest_size=8).hexdigest()
 
 
+class Sight(Protocol):
+    """What a loop knows exactly of a balancer's end of a connection, where it knows more than its looks tell."""
+
+    def began_ns(self, transport: asyncio.BaseTransport) -> int:
+        """When the first of the bytes that were read last was written there."""
+
+    def whole_ns(self, transport: asyncio.BaseTransport) -> int:
+        """And the last of them."""
+
+    def open_ns(self, transport: asyncio.BaseTransport) -> int:
+        """Until when that end has been open; now, if it still is."""
+
+
 @dataclass(slots=True)
 class World:
     """What all boxes share."""
@@ -75,6 +88,8 @@
     zero_ns: int  # the run's start on the loop's clock
     asks: dict[str, Ask]  # by the id of each of their tries
     fell: Callable[[int, int], None]  # a box has fallen over, at a time
+    sight: Sight | None = None
+    socket: Callable[[], socket.socket] = socket.socket
 
     def now(self) -> int:
         """Nanoseconds since the start of the run."""
@@ -114,6 +129,27 @@
         look = self.host.world.look(back)
         return look if look > self._watched_ns else self._unseen_ns
 
+    def _began(self) -> int:
+        """The first byte of what has just been seen had not been written before this."""
+        sight = self.host.world.sight
+        if sight is not None and self.transport is not None:
+            return sight.began_ns(self.transport)
+        return self._earliest(1)
+
+    def _open_until(self, back: int) -> int:
+        """The balancer's end was open at this time."""
+        sight = self.host.world.sight
+        if sight is not None and self.transport is not None:
+            return sight.open_ns(self.transport)
+        return self._earliest(back)
+
+    def whole_ns(self) -> int:
+        """What has just been seen was written by now, its last byte included."""
+        sight = self.host.world.sight
+        if sight is not None and self.transport is not None:
+            return sight.whole_ns(self.transport)
+        return self.host.world.now()
+
     def blind(self, since_ns: int) -> None:
         """Off the loop: the box is frozen or cut off."""
         self._unseen_ns, self._watched_ns = since_ns, NEVER
@@ -133,7 +169,7 @@
             self._kept.append(data)
             return
         if not self.framer.begun:
-            self.first_lo_ns = self._earliest(1)
+            self.first_lo_ns = self._began()
         try:
             messages = self.framer.feed(data)
         except framing.Unreadable:
@@ -155,12 +191,12 @@
         attempt, job = self.attempt, self.job
         self.attempt = self.job = None
         if attempt is not None:
-            self.host.cancelled(attempt, job, max(attempt.whole_ns, self._earliest(back)))
+            self.host.cancelled(attempt, job, max(attempt.whole_ns, self._open_until(back)))
 
     def answer(self, data: bytes) -> None:
         """Write an answer; the attempt it ends was open at the last look."""
         if self.attempt is not None:
-            self.attempt.open_ns = max(self.attempt.whole_ns, self._earliest(0))
+            self.attempt.open_ns = max(self.attempt.whole_ns, self._open_until(0))
             self.attempt.end_ns = self.host.world.now()
         self.attempt = self.job = None
         self.idle_since_ns = self.host.world.now()
@@ -185,8 +221,8 @@
         self.still = False  # frozen or cut off: the loop does not serve it
         self._listeners: list[socket.socket] = []
         self._plugs: list[socket.socket] = []
-        self._connections: set[Connection] = set()
-        self._attaching: set[asyncio.Task[object]] = set()
+        self._connections: dict[Connection, None] = {}  # in the order in which they came
+        self._attaching: dict[asyncio.Task[object], None] = {}
         self._jobs: dict[Job, Connection] = {}
         self._seen: Counter[str] = Counter()  # attempts by request
         self._serial = 0
@@ -206,7 +242,7 @@
                               self.world.plan.cancels_queued)
         self._end_life("down")
         for address in self.addresses:
-            listener = bound(address)
+            listener = bound(address, self.world.socket)
             listener.listen(BACKLOG)
             self._listeners.append(listener)
         if cold:
@@ -287,7 +323,7 @@
         for listener in self._listeners:
             listener.listen(0)
             for _ in range(PLUGS):
-                plug = socket.socket()
+                plug = self.world.socket()
                 plug.setblocking(False)
                 plug.connect_ex(listener.getsockname())
                 self._plugs.append(plug)
@@ -371,7 +407,7 @@
             connection = Connection(self, balancer, look if look > self._unseen_ns else self._frozen_from())
             task: asyncio.Task[object] = self.world.loop.create_task(
                 self.world.loop.connect_accepted_socket(lambda c=connection: c, accepted))  # type: ignore[misc]
-            self._attaching.add(task)
+            self._attaching[task] = None
             task.add_done_callback(self._attached)
 
     def _frozen_from(self) -> int:
@@ -381,7 +417,7 @@
         return max(spans, default=0)
 
     def _attached(self, task: asyncio.Task[object]) -> None:
-        self._attaching.discard(task)
+        self._attaching.pop(task, None)
         if not task.cancelled():
             task.exception()  # a connection that broke while it came up is no more
 
@@ -389,7 +425,7 @@
         if self.model is None:
             connection.reset()
             return
-        self._connections.add(connection)
+        self._connections[connection] = None
         self.model.connections = len(self._connections)
         books = self.world.books
         books.opened += 1
@@ -400,7 +436,7 @@
 
     def remove(self, connection: Connection) -> None:
         if connection in self._connections:
-            self._connections.discard(connection)
+            del self._connections[connection]
             self.world.books.open_at_end -= 1
             if self.model is not None:
                 self.model.connections = len(self._connections)
@@ -443,7 +479,7 @@
 
     def _attempt(self, connection: Connection, name: str, ask: Ask, path: str) -> None:
         assert self.model is not None
-        attempt = Attempt(self.number, connection.balancer, name, path, connection.first_lo_ns, self.world.now())
+        attempt = Attempt(self.number, connection.balancer, name, path, connection.first_lo_ns, connection.whole_ns())
         self.world.books.attempts.append(attempt)
         connection.attempt = attempt
         work = attempt_work(self.world.plan, ask, self.number, self._seen[name])
@@ -525,12 +561,13 @@
         for number in self.world.plan.first:
             self.hosts[number].start(cold=False)
 
-    def begin(self) -> None:
-        """The run begins: the plan's faults come at their times."""
+    def begin(self, measured: bool = True) -> None:
+        """The run begins: the plan's faults come at their times. `measured`: book how late this loop runs."""
         for happening in self.world.plan.happenings:
             if happening.what not in ("kill", "revive"):
-                self._timers.append(self.world.at(happening.at_ns, self._happen, happening))
-        self._lateness = Lateness(self.world.loop, self.world.books.lag_ns)
+                self._timers.append(self.world.at(happening.at_ns, self.happen, happening))
+        if measured:
+            self._lateness = Lateness(self.world.loop, self.world.books.lag_ns)
         self._tick(SAMPLE_S, Host.sample)
         self._tick(SWEEP_S, Host.sweep)
 
@@ -539,7 +576,8 @@
             do(host)
         self._ticks[do] = self.world.loop.call_later(every_s, self._tick, every_s, do)
 
-    def _happen(self, happening: Happening) -> None:
+    def happen(self, happening: Happening) -> None:
+        """Do to a box what a plan says."""
         host = self.hosts[happening.who]
         match happening.what:
             case "start":
@@ -570,22 +608,22 @@
         return self.world.books
 
 
-def bound(address: Address) -> socket.socket:
+def bound(address: Address, make: Callable[[], socket.socket] = socket.socket) -> socket.socket:
     """A socket bound there; port 0 takes a free one."""
-    made = socket.socket()
+    made = make()
     made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     made.setblocking(False)
     made.bind(address)
     return made
 
 
-def reserve(plan: Plan, prefix: str) -> list[list[Address]]:
+def reserve(plan: Plan, prefix: str, make: Callable[[], socket.socket] = socket.socket) -> list[list[Address]]:
     """Addresses for each slot, one for each balancer: `prefix`.balancer.slot, at ports that were free."""
     addresses = []
     for slot in range(max(box.slot for box in plan.boxes) + 1):
         row: list[Address] = []
         for balancer in range(plan.scenario.fleet.balancers):
-            taken = bound((f"{prefix}.{balancer}.{slot + 1}", 0))
+            taken = bound((f"{prefix}.{balancer}.{slot + 1}", 0), make)
             row.append(taken.getsockname())
             taken.close()
         addresses.append(row)
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -40,6 +40,8 @@
         self.balancer = balancer
         self.current: Attempted | None = None
         self.used = False  # a request has been answered on it
+        self.sent = b""  # the last request
+        self.left = False  # its caller has ended its sending, and reads nothing more
         self._callers = callers
         self._framer = framing.Framer(answers=True)
         self._transport: asyncio.Transport | None = None
@@ -51,12 +53,18 @@
     def usable(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        return self._transport
+
     def send(self, attempted: Attempted, data: bytes) -> None:
-        self.current = attempted
+        self.current, self.sent = attempted, data
         if self._transport is not None:
             self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
+        if self.left:
+            return
         try:
             messages = self._framer.feed(data)
         except framing.Unreadable as error:
@@ -114,7 +122,7 @@
         leaves = ask.leaves_ns if not entry.number else 0
         self._leaving = bool(leaves) and leaves < given_up_ns
         self._timers = [callers.later(given_up_ns, self._give_up),
-                        callers.later(leaves if self._leaving else given_up_ns + GRACE_NS, self._close)]
+                        callers.later(leaves if self._leaving else given_up_ns + callers.grace_ns, self._close)]
 
     async def send(self) -> None:
         """Connect where needed, and write the request."""
@@ -140,6 +148,20 @@
         line.send(self, framing.request(self.entry.target, headers, sent_body(self.ask)))
         self.entry.sent_ns = self._callers.now()
 
+    def leave(self, half_ns: int = 0) -> None:
+        """Its caller goes away at this moment; with `half_ns` it only ends its sending, and closes so much later."""
+        if self.entry.how:
+            return
+        self._leaving = True
+        line = self._line
+        if not half_ns or line is None or line.transport is None:
+            self._close()
+            return
+        line.current, line.left = None, True
+        line.transport.write_eof()
+        self._end("left")
+        self._callers.later(half_ns, line.close)
+
     def answered(self, message: framing.Message) -> None:
         self.entry.status = message.status
         self.entry.retry_after = message.headers.get("retry-after", "")
@@ -181,12 +203,13 @@
 class Callers:
     """All callers of a run."""
 
-    def __init__(self, plan: Plan, front: Front, books: CallerBooks, zero_ns: int) -> None:
+    def __init__(self, plan: Plan, front: Front, books: CallerBooks, zero_ns: int, grace_ns: int = GRACE_NS) -> None:
         self.plan, self.front, self.books, self.zero_ns = plan, front, books, zero_ns
+        self.grace_ns = grace_ns  # an answer is waited for so much longer than its deadline
         self._loop = asyncio.get_running_loop()
         self._idle: dict[int, list[Line]] = {}
-        self._lines: set[Line] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._lines: dict[Line, None] = {}  # in the order in which they came up
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._next = 0
         self._timer: asyncio.TimerHandle | None = None
         self.done = asyncio.Event()  # the last ask has been sent
@@ -200,8 +223,8 @@
 
     def spawn(self, work: object) -> None:
         task: asyncio.Task[None] = self._loop.create_task(work)  # type: ignore[arg-type]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda task: self._tasks.pop(task, None))
 
     def odd(self, rule: str, what: str, attempted: Attempted | None) -> None:
         self.books.oddities.append(Oddity(self.now(), rule, what, attempted.entry.id if attempted else ""))
@@ -256,6 +279,11 @@
 
     # -- connections --
 
+    @property
+    def lines(self) -> list[Line]:
+        """All connections that are up."""
+        return list(self._lines)
+
     def idle(self, balancer: int) -> Line | None:
         lines = self._idle.get(balancer, [])
         while lines:
@@ -271,7 +299,7 @@
                     lambda: Line(self, balancer), *self.front.addresses[balancer])
         except (OSError, TimeoutError):
             return None
-        self._lines.add(line)
+        self._lines[line] = None
         return line
 
     def keep(self, line: Line) -> None:
@@ -282,7 +310,7 @@
             line.close()
 
     def forget(self, line: Line) -> None:
-        self._lines.discard(line)
+        self._lines.pop(line, None)
         lines = self._idle.get(line.balancer, [])
         if line in lines:
             lines.remove(line)
--- a/lanemux/rehearsal/etcd/agent.py
+++ b/lanemux/rehearsal/etcd/agent.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Callable, Sequence
 
 from lanemux.rehearsal.books import Told
 from lanemux.rehearsal.boxes import Address
-from lanemux.rehearsal.etcd.server import StandIn
+from lanemux.rehearsal.etcd.server import Listen, StandIn
 from lanemux.rehearsal.etcd.store import Change, Store
 from lanemux.rehearsal.plan import MS, Box, Happening, Notice
 
@@ -23,15 +24,15 @@
     """The member that one balancer follows."""
 
     def __init__(self, balancer: int, now: Callable[[], int], wall_zero_ms: int, book: list[Told],
-                 store: Store) -> None:
+                 store: Store, listen: Listen = socket.create_server) -> None:
         self.balancer, self._now, self._book, self._wall_zero_ms = balancer, now, book, wall_zero_ms
         self.prefix = f"/rehearsal/{balancer}/"
         self._store = store
         self._open: dict[str, list[tuple[int, Told]]] = {}  # host -> (revision, row) not written yet
         self._rows: dict[str, dict[str, object]] = {}
-        self._member = StandIn(store)
+        self._member = StandIn(store, listen=listen)
         self._member.wrote = self._wrote
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
 
     async def open(self, host: str) -> Address:
         await self._member.start(host)
@@ -84,8 +85,8 @@
 
     def _spawn(self, work: object) -> None:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda task: self._tasks.pop(task, None))
 
     async def _restart(self) -> None:
         host, port = self._member.address
--- a/lanemux/rehearsal/etcd/server.py
+++ b/lanemux/rehearsal/etcd/server.py
@@ -20,6 +20,9 @@
 ENDLESS_PAGE = 64  # keys of a page of a list without end
 
 
+Listen = Callable[[tuple[str, int]], socket.socket]
+
+
 class Raw(CodecBase):  # type: ignore[misc]
     """Messages stay bytes."""
 
@@ -58,8 +61,9 @@
 class StandIn:
     """One member of a stand-in cluster. Several may share a store."""
 
-    def __init__(self, store: Store, user: str = "", password: str = "") -> None:
+    def __init__(self, store: Store, user: str = "", password: str = "", listen: Listen = socket.create_server) -> None:
         self.store = store
+        self._listen = listen
         self.faults = Faults()
         self.lists = self.watches = self.logins = 0  # calls that came
         self.starts: list[int] = []  # the revision that each watch asked to begin with
@@ -70,12 +74,12 @@
         self._server: Server | None = None
         self._connections: set[asyncio.Transport] = set()
         self._news = asyncio.Event()
-        self._handlers: set[asyncio.Task[Any]] = set()
+        self._handlers: dict[asyncio.Task[Any], None] = {}
 
     # -- life --
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> StandIn:
-        listener = socket.create_server((host, port))
+        listener = self._listen((host, port))
         self.address = listener.getsockname()
         self._server = Server([self], codec=Raw())
         await self._server.start(sock=listener)
@@ -161,14 +165,14 @@
         self._check(stream)
         task = asyncio.current_task()
         assert task is not None
-        self._handlers.add(task)
+        self._handlers[task] = None
         watchers: list[Watcher] = []
         sending = asyncio.create_task(self._send_on(stream, watchers))
         try:
             while (data := await stream.recv_message()) is not None:
                 await self._asked(stream, wire.parse(data), watchers)
         finally:
-            self._handlers.discard(task)
+            self._handlers.pop(task, None)
             sending.cancel()
 
     async def _asked(self, stream: Any, asked: dict[int, int | bytes], watchers: list[Watcher]) -> None:
--- a/lanemux/rehearsal/registry.py
+++ b/lanemux/rehearsal/registry.py
@@ -66,6 +66,16 @@
         self._seq = 1
         self._watches: dict[Watcher, tuple[int, asyncio.TimerHandle]] = {}
         self._server: asyncio.Server | None = None
+        self._old: Agent | None = None  # it is told what this one is told
+
+    def successor(self) -> Agent:
+        """The same discovery at another address; the old one goes on being told until the new one is `alone`."""
+        made = Agent(self.balancer, self._now, self._wall_zero_ms, self._book)
+        made._rows, made._seq, made._old = dict(self._rows), self._seq, self
+        return made
+
+    def alone(self) -> None:
+        self._old = None
 
     async def open(self, host: str) -> Address:
         loop = asyncio.get_running_loop()
@@ -93,9 +103,14 @@
         if first:
             told.written_ns = -1  # it stands in the balancer's configuration
         self._book.append(told)
-        self._rows[notice.box] = Row(self._seq, notice.box, told, {
+        self._take(Row(self._seq, notice.box, told, {
             "host": box.host, "dial": f"{dial[0]}:{dial[1]}", "site": box.room, "class": box.kind,
-            "block": box.cell, "health": notice.health, "share": 1.0, "born_ms": born_ms})
+            "block": box.cell, "health": notice.health, "share": 1.0, "born_ms": born_ms}))
+
+    def _take(self, row: Row) -> None:
+        self._seq, self._rows[row.box] = row.seq, row
+        if self._old is not None:
+            self._old._take(row)
         for watcher in list(self._watches):
             self._answer(watcher, self._watches[watcher][0])
 
--- a/lanemux/rehearsal/rules.py
+++ b/lanemux/rehearsal/rules.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from lanemux.rehearsal.books import NEVER, Attempt, BoxBooks, CallerBooks, Life, Told, Try
@@ -37,8 +37,8 @@
     by_id: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in boxes.attempts:
         by_id[attempt.id].append(attempt)
-    found = [*_lost(callers, by_id, names), *_twice(by_id, names), *_repeats(plan, by_id, callers.tries),
-             *_drains(boxes.attempts, callers.told, callers.balancers_down, names,
+    found = [*lost(callers, by_id, names, callers.tries), *twice(by_id, names), *repeats(plan, by_id, callers.tries),
+             *drains(boxes.attempts, callers.told, callers.balancers_down, names,
                       int(plan.scenario.fleet.drain_grace_ms * MS) + LIMIT_GRACE_NS)]
     for oddity in (*boxes.oddities, *callers.oddities):
         box = names[oddity.box] if oddity.box >= 0 else ""
@@ -58,8 +58,10 @@
     return f"{at_ns / 1e9:.4f} s"
 
 
-def _lost(callers: CallerBooks, by_id: dict[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
-    for entry in callers.tries:
+def lost(callers: CallerBooks, by_id: Mapping[str, list[Attempt]], names: list[str],
+         tries: Iterable[Try]) -> Iterable[Violation]:
+    """These tries, where they had no answer in time, or one that no box made for them."""
+    for entry in tries:
         if not entry.sent_ns or _was_down(entry, callers.balancers_down):
             continue
         where = f"sent to balancer {entry.balancer} at {_s(entry.sent_ns)}"
@@ -83,7 +85,8 @@
                for life in down)
 
 
-def _twice(by_id: dict[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
+def twice(by_id: Mapping[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
+    """Attempts of one request that were out at once."""
     for name, attempts in by_id.items():
         ordered = sorted(attempts, key=lambda a: a.whole_ns)
         for i, first in enumerate(ordered):
@@ -96,7 +99,7 @@
                     break
 
 
-def _repeats(plan: Plan, by_id: dict[str, list[Attempt]], tries: Iterable[Try]) -> Iterable[Violation]:
+def repeats(plan: Plan, by_id: Mapping[str, list[Attempt]], tries: Iterable[Try]) -> Iterable[Violation]:
     """Requests that are not safe to repeat: sent again, or refused, though an attempt of theirs may have run."""
     classes = {c.name: c for c in plan.scenario.classes}
     for entry in tries:
@@ -127,11 +130,12 @@
     return scope == "all" or (a.room == b.room and (scope == "zone" or a.cell == b.cell))
 
 
-def _drains(attempts: list[Attempt], told: list[Told], down: list[Life], names: list[str],
+def drains(attempts: list[Attempt], told: Iterable[Told], down: list[Life], names: list[str],
             grace_ns: int) -> Iterable[Violation]:
+    """Attempts that began so long after their box was told to drain or to be gone."""
     closed: dict[tuple[int, int], list[tuple[int, int, str]]] = defaultdict(list)
-    for entry in sorted(told, key=lambda t: _told_at(t)):
-        spans, at = closed[entry.balancer, entry.box], _told_at(entry)
+    for entry in sorted(told, key=lambda t: told_at(t)):
+        spans, at = closed[entry.balancer, entry.box], told_at(entry)
         if entry.health == "up":
             if spans and spans[-1][1] == NEVER:
                 spans[-1] = (spans[-1][0], at, spans[-1][2])
@@ -147,7 +151,7 @@
                     f"{_s(attempt.first_lo_ns)}, {(attempt.first_lo_ns - from_ns) / 1e6:.0f} ms later"))
 
 
-def _told_at(told: Told) -> int:
+def told_at(told: Told) -> int:
     """When it counts as told: written to the balancer, or some seconds after the agent had it."""
     if told.written_ns < 0:
         return -1
