Answer those who wait to be accepted when a drain's standstill ends

Half a second after SIGTERM the listener closes. Before the listener closes, whoever has come up is now accepted.

The timers are cancelled with the node, and a drain waits until its list source has stopped.

--- a/lanemux/core/source.py
+++ b/lanemux/core/source.py
@@ -27,7 +27,10 @@
         """Tell the whole list once."""
 
     def stop(self) -> None:
-        """The end: all its connections and tasks."""
+        """The end of all its connections and tasks begins."""
+
+    async def stopped(self) -> None:
+        """Behind `stop`: nothing of it runs any more."""
 
 
 MakeSource = Callable[[Membership, random.Random, Heard], ListSource]
--- a/lanemux/etcd/member.py
+++ b/lanemux/etcd/member.py
@@ -124,6 +124,7 @@
                 raise Unusable("the watch ended")
             finally:
                 asking.cancel()
+                await asyncio.wait([asking])
                 await stream.cancel()
 
     async def _ask(self, stream: Any) -> None:
--- a/lanemux/etcd/source.py
+++ b/lanemux/etcd/source.py
@@ -93,9 +93,15 @@
     def fetch(self) -> None:
         """Nothing: what is known is whole at all times."""
 
+    async def stopped(self) -> None:
+        if self._call is not None:
+            await asyncio.wait([self._call])
+
     def stop(self) -> None:
         self._following = False
+        call = self._call
         self._end_call()
+        self._call = call  # it has been called off; `stopped` waits for its end
         if self._member is not None:
             self._member.close()
         for handle in (self._timer, self._telling):
--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -173,6 +173,9 @@
             self._fetch.abandon()
         self._source.close()
 
+    async def stopped(self) -> None:
+        """At once: its calls are no tasks."""
+
     def _fetched(self, listing: Listing | None) -> None:
         self._fetch = None
         self._tell(listing)
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -95,6 +95,7 @@
         self._probes = 0
         self._events: list[api.Event] = []
         self._feeding = False
+        self._timers: dict[str, asyncio.TimerHandle] = {}  # the module's, by name
         self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
         self._rested_s = 0.0  # not ready before, by the loop's clock
@@ -148,6 +149,7 @@
         end = self._loop.time() + LEAVE_S
         self._stopping = self.server.draining = True
         await asyncio.sleep(LATE_ARRIVALS_S)
+        self.server.accept_last()  # after a standstill more may wait than one turn accepts
         self.server.stop_listening()
         await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
         self.server.close_idle()
@@ -160,6 +162,7 @@
         while self.server.flushing and self._loop.time() < end:
             await asyncio.sleep(FLUSH_LOOK_S)  # a large answer is whole only when its last byte is out
         self.close()
+        await self._source.stopped()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
     def move_discovery(self, address: Address) -> None:
@@ -203,8 +206,8 @@
         self._source.stop()
         if self._successor is not None:
             self._successor.stop()
-        if self._sweep is not None:
-            self._sweep.cancel()
+        for timer in (*self._timers.values(), *([self._sweep] if self._sweep is not None else [])):
+            timer.cancel()
         for pool in self._hub.pools.values():
             pool.close_idle()
         self._peers.close()
@@ -226,6 +229,10 @@
         finally:
             self._feeding = False
 
+    def _wake(self, name: str) -> None:
+        self._timers.pop(name, None)
+        self.feed(api.Wake(name))
+
     def _decide(self, batch: list[api.Event]) -> list[api.Action]:
         self._decided_ns = now_ns()
         try:
@@ -260,7 +267,7 @@
                 self._source.fetch()
             case api.SetTimer():
                 due = (self._decided_ns + action.delay_ns) / SECOND
-                self._loop.call_at(due, self.feed, api.Wake(action.name))
+                self._timers[action.name] = self._loop.call_at(due, self._wake, action.name)
             case api.Note():
                 log.info("module: %s", action.text)
             case _:
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -242,9 +242,9 @@
             if for_s is not None:
                 asyncio.get_running_loop().call_later(for_s, self._resume)
 
-    def _accept(self) -> None:
+    def _accept(self, most: int = ACCEPTS) -> None:
         assert self._listener is not None
-        for _ in range(ACCEPTS):
+        for _ in range(most):
             if len(self._connections) >= self._capacity and self._dispensable() is None:
                 # Where all are busy, the first to end lets the next one in.
                 self._pause(FRESH_S if self._awaited else None)
@@ -338,6 +338,11 @@
             while (client := table.oldest()) is not None:
                 client.close()
 
+    def accept_last(self) -> None:
+        """Accept whoever has come up before the listener closes: closing would reset them, requests and all."""
+        if self._listener is not None and self._accepting:
+            self._accept(BACKLOG)
+
     def stop_listening(self) -> None:
         self._pause()
         if self._listener is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,8 @@
 from lanemux.core.clock import now_ns
 from lanemux.interface import Result
 from lanemux.net.discovery import read_listing
-from lanemux.net.node import Config, Node
+from lanemux.net.node import LATE_ARRIVALS_S, Config, Node
+from lanemux.net.server import ACCEPTS
 from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
@@ -676,3 +677,24 @@
         for n in nodes:
             n.close()
     run(test())
+
+
+def test_requests_that_wait_behind_a_standstill_at_the_end_of_a_drain_are_answered() -> None:
+    """More connections than one turn accepts came up while the process stood still past its last accept."""
+    async def test() -> None:
+        upstream = await Upstream(answers(200, b"it")).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            draining = asyncio.create_task(client.node.drain())
+            await until(lambda: not client.node.ready)
+            callers = [socket.create_connection(("127.0.0.1", client.port)) for _ in range(3 * ACCEPTS)]
+            for caller in callers:
+                caller.sendall(request())
+            time.sleep(LATE_ARRIVALS_S)  # the standstill: nothing else runs
+            await draining
+            for caller in callers:
+                caller.settimeout(5)
+                assert caller.recv(100).startswith(b"HTTP/1.1 200")
+                caller.close()
+    run(test())
