Hold no standstill of its own against clients whose requests are still unread

The time of a place in the tables ran on while the loop did not; the tick that closes slow clients after 2.25 s had the same fault.

A tick that comes more than 50 ms late shows a standstill. Until 50 ms after it, when what had come has been read, only those who are leaving make place, and nobody is closed for being slow.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -207,16 +207,31 @@
         self._listener: Listener | None = None
         self._accepting = False
         self._ticking: asyncio.TimerHandle | None = None
+        self._tick_due = 0.0  # by the loop's clock
+        self._awake_from = -FRESH_S  # it woke from a standstill then
         self.draining = False
 
     def listen(self, host: str, port: int) -> int:
         """Start to listen; gives the port."""
         self._listener = self._system.listen((host, port), BACKLOG)
         self._resume()
-        self._tick()
+        self._tick_again(TICK_S)
         return self._listener.port
 
+    def _stood_still(self) -> bool:
+        """The loop has not run for a while, or only for a moment since: what was sent to it may not have been read yet.
+
+        Guards against holding this process's own standstill against clients whose requests lie in their sockets."""
+        now = asyncio.get_running_loop().time()
+        if now - self._tick_due > FRESH_S:
+            self._awake_from = now
+            self._tick_again(FRESH_S)
+        return now < self._awake_from + FRESH_S
+
     def _tick(self) -> None:
+        if self._stood_still():
+            self._tick_again(FRESH_S)
+            return
         while (client := self._awaited.oldest(SPEAK_S)) is not None:
             if client.speaking:
                 client.turn_away(408)
@@ -228,7 +243,14 @@
             while (client := table.oldest(limit_s)) is not None:
                 self.forget(client)
                 client.abort()
-        self._ticking = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+        self._tick_again(TICK_S)
+
+    def _tick_again(self, wait_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        if self._ticking is not None:
+            self._ticking.cancel()
+        self._tick_due = loop.time() + wait_s
+        self._ticking = loop.call_at(self._tick_due, self._tick)
 
     def _resume(self) -> None:
         if self._listener is not None and not self._accepting:
@@ -264,6 +286,8 @@
 
     def _dispensable(self) -> ClientConnection | None:
         """Who makes place for a new one: first who is leaving, then who owes a request, then who is idle."""
+        if self._stood_still():
+            return self._leaving.oldest()
         owing = self._leaving.oldest() or self._awaited.oldest(FRESH_S)
         idle = self._idle.oldest(SPEAK_S if self._awaited else 0.0)
         return owing or (idle if idle is not None and not idle.flushing else None)
