--- a/lanemux/virtual/command.py
+++ b/lanemux/virtual/command.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from collections.abc import Generator, Iterable, Sequence
 from dataclasses import dataclass, field
+from importlib.util import find_spec
 from pathlib import Path
 
 from lanemux.virtual.script import EVENTS, FAULTS, Script, as_test, draw
@@ -42,6 +43,9 @@
 def main(argv: Sequence[str]) -> int:
     """Play seeds. 0: none failed; 1: some did; 2: bad use."""
     options = _options(argv)
+    if not find_spec("grpclib"):
+        print("lanemux: simulate needs the extra `etcd`: pip install '.[etcd]'", file=sys.stderr)
+        return BAD_USE
     if options.replay is not None:
         return _replay(options)
     first, last = options.seeds
--- a/lanemux/virtual/loop.py
+++ b/lanemux/virtual/loop.py
@@ -102,7 +102,7 @@
 
     def time(self) -> float:
         process = self._process
-        if process.lurch_ns and process.world.rng.random() < LURCH_PART:
+        if process.lurch_ns and not process.lurch_decided and process.world.rng.random() < LURCH_PART:
             process.lurch()
         return process.world.agenda.now_ns / SECOND
 
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -57,6 +57,7 @@
         self.sockets: dict[int, VirtualSocket] = {}
         self.still_until_ns = 0  # it does not run before then
         self.lurch_ns = 0  # the machine is to stand still for so long in the middle of a turn
+        self.lurch_decided = False  # and that behind a decision, before it is carried out
         self.lurched: Callable[[int], None] = lambda for_ns: None
         self.alive = True
         self.faults: list[str] = []  # exceptions that nobody caught
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -57,6 +57,7 @@
 HALF_NS = 100 * MS
 FIRST_BYTES = 60  # of what arrives, shown in the timeline
 TOLD_BETWEEN = 0.5
+DECIDED = 0.6  # share of lurches that come between a decision to send and the sending
 
 
 @dataclass(slots=True)
@@ -81,11 +82,12 @@
     """The module between the node and its decisions: it holds that every Send has one Outcome, and one is out."""
 
     def __init__(self, settings_told: api.Settings, seed: int, now: int, accuse: Callable[[str, str], None],
-                 excused: Callable[[int, int], bool], listed: Callable[[int, api.ListUpdate], None]) -> None:
+                 excused: Callable[[int, int], bool], listed: Callable[[int, api.ListUpdate], None],
+                 sending: Callable[[], None]) -> None:
         self.inner = Balancer(settings_told, seed, now)
         self.out: dict[tuple[str, int], int] = {}  # attempt -> when it is to time out; 0: not told
         self._sends: Counter[str] = Counter()
-        self._accuse, self._excused, self._listed = accuse, excused, listed
+        self._accuse, self._excused, self._listed, self._sending = accuse, excused, listed, sending
         self._now = now
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -113,6 +115,7 @@
                 self._sends[action.request] += 1
                 if any(request == action.request for request, _ in self.out):
                     self._accuse("twice", "a second attempt was decided while one is out")
+                self._sending()
                 self.out[action.request, number] = now + action.timeout_ns if action.timeout_ns else 0
         return actions
 
@@ -346,13 +349,17 @@
         self._write(seat)
 
         def module(told: api.Settings, seed: int, now: int) -> Observed:
-            seat.module = Observed(told, seed, now, accuse, excused, listed)
+            seat.module = Observed(told, seed, now, accuse, excused, listed, sending)
             return seat.module
 
         def accuse(rule: str, what: str) -> None:
             if process.alive:  # what is cleared away behind a killed one is nobody's fault
                 self._blame(rule, what)
 
+        def sending() -> None:
+            if process.lurch_ns and process.lurch_decided:
+                process.lurch()
+
         def listed(now: int, update: api.ListUpdate) -> None:
             if process.alive:
                 self._listed(seat.number, now - ZERO_NS, update)
@@ -625,6 +632,7 @@
                 self.excuses.away[one.number].append((self.now(), self.now() + for_ns))
 
         process.lurch_ns, process.lurched = lasts, lurched
+        process.lurch_decided = self._rng.random() < DECIDED
 
     def _lost(self, seat: Seat, lasts: int, about: object) -> None:
         streams = [e for e in self.world.network.streams if e.label.kind == "list" and e.label.to == seat.number]
