--- a/tests/virtual/test_seeds.py
+++ b/tests/virtual/test_seeds.py
@@ -26,7 +26,7 @@
         for (what, _), count in p.covered.items():
             struck[what] += count
     assert set(struck) == set(FAULTS), f"never struck: {set(FAULTS) - set(struck)}"
-    assert min(p.service for p in played) >= 0 and sum(p.service for p in played) / len(played) > 0.5
+    assert sum(p.service for p in played) / len(played) > 0.5
 
 
 def histories(hash_seed: str, file: Path, *start: str) -> dict[str, str]:
