Put off one look at slow clients in a row at the most, however late the loop runs

Cause: after a standstill of its own the server skips its look at clients that owe a request, so that requests that lie unread are not held against them. A loop that is always more than 50 ms late skipped every look, since accepting also put the next one off (net/server.py, _stood_still), and never closed anybody.

Change: a standstill is noted once for each look, and after one that was put off the next one is made. In virtual/, a write copies what finds room and not the whole unsent buffer, and two names that nothing used are gone.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -209,6 +209,7 @@
         self._ticking: asyncio.TimerHandle | None = None
         self._tick_due = 0.0  # by the loop's clock
         self._awake_from = -FRESH_S  # it woke from a standstill then
+        self._put_off = False  # the last look at the times above was put off for a standstill
         self.draining = False
 
     def listen(self, host: str, port: int) -> int:
@@ -223,13 +224,15 @@
 
         Guards against holding this process's own standstill against clients whose requests lie in their sockets."""
         now = asyncio.get_running_loop().time()
-        if now - self._tick_due > FRESH_S:
+        if now - self._tick_due > FRESH_S and self._awake_from < self._tick_due:
             self._awake_from = now
-            self._tick_again(FRESH_S)
         return now < self._awake_from + FRESH_S
 
     def _tick(self) -> None:
-        if self._stood_still():
+        # One look in a row is put off at the most: a loop that is always late has read its sockets in between, and
+        # would never close anybody.
+        self._put_off = self._stood_still() and not self._put_off
+        if self._put_off:
             self._tick_again(FRESH_S)
             return
         while (client := self._awaited.oldest(SPEAK_S)) is not None:
--- a/lanemux/virtual/network.py
+++ b/lanemux/virtual/network.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -118,11 +118,11 @@
             raise ConnectionResetError
         return b"" if self.end_here else None
 
-    def write(self, data: bytes) -> int:
+    def write(self, data: bytes | memoryview) -> int:
         """How many bytes were taken; 0: there is no room. BrokenPipeError after a reset or an end of its own."""
         if self.broken or self._out().ended:
             raise BrokenPipeError
-        taken = data[:max(0, self.weather.room - self._out().used)]
+        taken = bytes(data[:max(0, self.weather.room - self._out().used)])
         start = 0
         for size in self._cuts(len(taken)):
             self._send(Segment(taken[start:start + size], self.network.now_ns))
@@ -254,7 +254,6 @@
         self.waiting: deque[tuple[bytes, Address]] = deque()
 
 
-Happened = Callable[[End, Segment], None]
 Seen = Callable[[str, str, Label, object], None]
 
 
@@ -268,7 +267,6 @@
         self.seen = seen  # told of all that arrives: kind, what, label, end or data
         self.queues: dict[Address, Queue] = {}
         self.mailboxes: dict[Address, Mailbox] = {}
-        self.sent: Counter[str] = Counter()
         self.streams: dict[End, None] = {}  # that are open, by the end that opened them
         self._held: dict[tuple[str, int], int] = {}
         self._shut: dict[tuple[str, int], int] = {}
--- a/lanemux/virtual/sockets.py
+++ b/lanemux/virtual/sockets.py
@@ -176,7 +176,8 @@
     def send(self, data: bytes | bytearray | memoryview) -> int:
         if self.end is None:
             raise failure(errno.ENOTCONN)
-        taken = self.end.write(bytes(data))
+        with memoryview(data) as view:  # what finds no room is not copied, and the buffer is free again at once
+            taken = self.end.write(view)
         if not taken and data:
             raise BlockingIOError(errno.EAGAIN, "no room")
         return taken
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -163,6 +163,24 @@
     run(test())
 
 
+def test_a_loop_that_is_always_late_closes_slow_clients_all_the_same() -> None:
+    """A look at the clients' times is put off after a standstill, but not one after the other for ever."""
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            await client.send(b"GET /re")
+            await until(lambda: server._awaited and first(server._awaited).speaking)
+            ages(server._awaited, 2.3)
+            server._tick_due -= 1.0  # the loop comes to it so late
+            server._tick()
+            assert server._awaited  # its bytes may lie unread
+            server._tick_due -= 1.0
+            assert server._dispensable() is None  # nor does it make place for others
+            server._tick()
+            assert not server._awaited
+    run(test())
+
+
 def test_a_connection_that_is_kept_without_asking_is_closed_after_two_seconds() -> None:
     async def test() -> None:
         async with node(Script()) as client:
