Close a connection to where an upstream was when its answer comes after the move

Its connection was kept for the next request once the answer had come, since keeping looked at whether the upstream is ready and not at where the connection goes (net/upstream.py, Pool.keep). The next request for the upstream that had moved went to the one that is there now: four times after that one's drain was told.

Change: a connection knows its address from the start, and is kept only while its upstream is there.

--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -35,7 +35,6 @@
         self._coming: Connection | None = None
         self._opening: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._bound_for: Address | None = None  # where the connection that it waits for goes
 
     @property
     def waiting(self) -> bool:
@@ -45,7 +44,8 @@
     @property
     def astray(self) -> bool:
         """It waits for a connection to where its upstream no longer is, or to one that may get nothing new."""
-        return self.waiting and (not self.pool.ready or self._bound_for not in (None, self.pool.address))
+        return self.waiting and (not self.pool.ready or (
+            self._coming is not None and self._coming.address != self.pool.address))
 
     def start(self, end_s: float | None) -> None:
         """Send it as soon as there is a connection; it times out at that time of the loop's clock."""
@@ -58,14 +58,13 @@
             asyncio.get_running_loop().call_soon(self.finish, Result.CONNECT_FAILED)
         else:
             # Its place is taken here: what is begun in the same turn must find it taken.
-            self._coming = Connection(self.pool)
+            self._coming = Connection(self.pool, self.pool.address)
             self._opening = asyncio.get_running_loop().create_task(self._open(self._coming))
 
     async def _open(self, connection: Connection) -> None:
-        self._bound_for = self.pool.address
         try:
             async with asyncio.timeout(self.pool.hub.connect_timeout_s):
-                await asyncio.get_running_loop().create_connection(lambda: connection, *self._bound_for)
+                await asyncio.get_running_loop().create_connection(lambda: connection, *connection.address)
         except (OSError, TimeoutError):
             self._opening = None
             self.finish(Result.CONNECT_FAILED)
@@ -99,7 +98,8 @@
 class Connection(asyncio.Protocol):
     """A connection to an upstream; it carries one exchange at a time."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, address: Address) -> None:
+        self.address = address  # where it goes: its pool may move while a request is out on it
         self._pool = pool
         self._reader = MessageReader(responses=True, max_body=pool.hub.max_body)
         self._transport: asyncio.Transport | None = None
@@ -195,7 +195,7 @@
         return None
 
     def keep(self, connection: Connection) -> None:
-        if not self.ready:
+        if not self.ready or connection.address != self.address:  # there may be another upstream by now
             connection.close()
             return
         connection.idle_since = self.hub.time()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -545,6 +545,31 @@
     run(test())
 
 
+def test_a_connection_whose_upstream_moved_while_a_request_was_out_is_not_used_again() -> None:
+    """Found by seed 1345: the next request went to where the upstream had been, to another one that drained."""
+    async def test() -> None:
+        answer = asyncio.Event()
+
+        async def late(got: Got, writer: Writer) -> None:
+            await answer.wait()
+            writer.write(written(200))
+
+        old, new = await Upstream(late).start(), await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, old) as client:
+            await client.send(request())
+            await until(lambda: old.got)
+            moved = {"seq": 2, "whole": False, "hosts": known(new.port)["hosts"]}
+            client.node._listed(read_listing(moved, client.node._membership, now_ns()))
+            answer.set()
+            assert (await client.read()).status == 200
+            assert (await client.ask(request())).status == 200
+            assert len(old.got) == len(new.got) == 1
+            new.stop()
+    run(test())
+
+
 def test_a_connection_near_its_idle_limit_is_not_used_again() -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
--- a/tests/virtual/test_hard_cases.py
+++ b/tests/virtual/test_hard_cases.py
@@ -96,3 +96,12 @@
     """Found by seeds 231 and 573: those who waited to be accepted were reset."""
     sound(Script(seed, (Fault("stop", who=0, at_ms=1000.0, for_ms=500.0),
                         Fault("still", who=0, at_ms=1001.0, for_ms=1300.0))))
+
+
+def test_a_box_drains_where_another_was_whose_answer_came_after_it_had_moved() -> None:
+    """Found by seed 1345: the connection to the old address was kept for the one that had moved."""
+    result = play(Script(1345, (Fault("lurch", on="box answer", nth=2, for_ms=100.0),
+                                Fault("drain", who=1, at_ms=1763.0, for_ms=2200.0),
+                                Fault("trade", on="client up", nth=2, lag_us=4132, for_ms=300.0)),
+                         (0, 1, 2, 3, 4, 5, 9, 10, 11, 12, 13, 14, 15, 102, 103)))
+    assert result.violations == [] and len(result.covered) == 3
