--- a/bench/seam_cost.py
+++ b/bench/seam_cost.py
@@ -3,8 +3,8 @@
     python -m bench.seam_cost COMMIT [ROUNDS]
 
 Both balancers stand all the time, each on a core of its own, before four upstreams that answer at once; sixteen
-connections load one of them for a second, then the other, in alternating order. Told are requests a second and the
-processor time of the balancer for each (Linux, /proc/PID/schedstat), as ratios round by round, for two loads:
+connections load one of them for a quarter of a second, then the other, in drawn order. Told are requests a second and
+the processor time of the balancer for each (Linux, /proc/PID/schedstat), as ratios round by round, for two loads:
 
     full   as fast as it goes, with a module that only deals requests out: the network code alone, nothing refused
     paced  some 600 requests a second, with the daemon as it is
@@ -31,7 +31,8 @@
 from lanemux.rehearsal.registry import Agent
 
 ROOT = Path(__file__).parent.parent
-UPSTREAMS, CONNECTIONS, ROUND_S, ROUNDS = 4, 16, 1.0, 40
+# Short rounds: what drifts on a shared machine is then the same for both of a pair.
+UPSTREAMS, CONNECTIONS, ROUND_S, ROUNDS = 4, 16, 0.25, 300
 PAUSE_S = {"full": 0.0, "paced": 0.025}  # of a connection between its requests
 DEALER = """
 import asyncio, os
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -26,6 +26,7 @@
     Got,
     Script,
     Upstream,
+    Writer,
     answers,
     breaks,
     known,
