Notice retry storms, bound retries, spread returns and share cold budgets ([storm], off by default)

Need: a quarter of the boxes dies together and comes back cold, and every client retries at once. The design names three limits: equal Retry-After values, retries that spend the tokens of fresh work, and an R that stays high after a shrink.

Change: lanemux/storm, pure modules round the decisions, that tell calm, storm and ebb by tenant, know unmarked retries by Bloom filters, keep a calendar of returns, lend parts of cold budgets by leases over lossy datagrams, and find out restarts that the list has not told of. policy.py takes their figures by the event Guidance of interface.py; without it its actions are as before. The server gets a lobby in which silent connections wait without a transport, bounded turns of accepting, and places by source. All of it only with [storm] in the operators' file.

--- a/bench/programs/etcd_node.py
+++ b/bench/programs/etcd_node.py
@@ -19,6 +19,7 @@
 from lanemux.cli import _source
 from lanemux.net import daemon
 from lanemux.net.node import Node
+from lanemux.operators import load
 
 LOOK_S = 0.002
 late: list[tuple[int, int, str]] = []  # (when, how late, state)
@@ -62,6 +63,6 @@
 gc.callbacks.append(collected)
 Node._listed = timed  # type: ignore[method-assign]
 Node.start = watched  # type: ignore[method-assign]
-status = daemon.main(daemon.Lists(lambda: _source(os.environ["LANEMUX_OPERATORS"])))
+status = daemon.main(daemon.Lists(lambda: _source(load(os.environ["LANEMUX_OPERATORS"]))))
 Path(sys.argv[1]).write_text(json.dumps({"late": late, "stood": stood, "took": took, "passes": passes}))
 sys.exit(status)
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -19,7 +19,9 @@
     import argparse
 
     from lanemux.core.source import MakeSource
-    from lanemux.net.daemon import Lists
+    from lanemux.net.daemon import MakeModule
+    from lanemux.net.node import MakeDoors
+    from lanemux.operators import Operators
 
 USAGE_STATUS = 2
 OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
@@ -50,17 +52,15 @@
     return USAGE_STATUS
 
 
-def _daemon(lists: Lists | None = None) -> int:
+def _daemon() -> int:
     from lanemux.net.daemon import main as daemon
 
-    return daemon(lists)
+    return daemon()
 
 
-def _source(path: str | None) -> MakeSource | None:
-    """Where the list comes from, as the operators' file says; None: platform discovery. Faulty for a bad file."""
-    from lanemux.operators import load
-
-    told = load(path).etcd
+def _source(operators: Operators) -> MakeSource | None:
+    """Where the list comes from, as the operators' file says; None: platform discovery."""
+    told = operators.etcd
     if told is None:
         return None
     from lanemux.core.address import read_address
@@ -70,16 +70,38 @@
     return Make(Target(tuple(map(read_address, told.endpoints)), told.prefix, told.user, told.password_file))
 
 
+def _storm(operators: Operators) -> tuple[MakeModule, MakeDoors | None]:
+    """What decides, and who lets connections in, with [storm] or without."""
+    from lanemux.policy import Balancer
+
+    if operators.storm is None:
+        return Balancer, None
+    from lanemux.storm.setup import make
+
+    return make(operators.storm)
+
+
 def _serve(rest: Sequence[str]) -> int:
+    import logging
+
     from lanemux.checked import Faulty
-    from lanemux.net.daemon import Lists
+    from lanemux.net.daemon import Lists, main
+    from lanemux.operators import load
 
     options = _arguments("serve", rest)
+
+    def read() -> MakeSource | None:
+        told = load(options.operators)
+        if told.storm != first.storm:
+            logging.getLogger(__name__).warning("reload: another [storm] needs a restart")
+        return _source(told)
+
     try:
-        lists = Lists(lambda: _source(options.operators))
+        first = load(options.operators)
+        lists = Lists(read)
     except Faulty as error:
         return _faults(error.faults)
-    return _daemon(lists)
+    return main(lists, *_storm(first))
 
 
 def _check(rest: Sequence[str]) -> int:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -18,7 +18,7 @@
 from lanemux.drill import read_settings
 from lanemux.interface import Settings
 from lanemux.net.http import read_json
-from lanemux.net.node import Config, Module, Node
+from lanemux.net.node import Config, MakeDoors, Module, Node
 from lanemux.policy import Balancer
 
 log = logging.getLogger(__name__)
@@ -128,7 +128,8 @@
 
 
 async def serve(config: Config, path: str, lists: Lists | None = None, system: System | None = None,
-                module: MakeModule = Balancer, made: Callable[[Node], None] = lambda node: None) -> None:
+                module: MakeModule = Balancer, made: Callable[[Node], None] = lambda node: None,
+                doors: MakeDoors | None = None) -> None:
     """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node."""
     system = system or Machine()
     stop = asyncio.Event()
@@ -136,7 +137,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     source = lists.now if lists is not None else None
-    node = Node(config, module(config.settings, config.seed, now_ns()), source, system)
+    node = Node(config, module(config.settings, config.seed, now_ns()), source, system, doors)
     made(node)
     loop.add_signal_handler(signal.SIGHUP, reload, path, config, node, lists, system)
     port = await node.start(rest_s(config.cores, system.spent_s()))
@@ -146,7 +147,7 @@
     await node.drain()
 
 
-def main(lists: Lists | None = None) -> int:
+def main(lists: Lists | None = None, module: MakeModule = Balancer, doors: MakeDoors | None = None) -> int:
     """One balancer until a signal ends it; its list is platform discovery's unless the operators say otherwise."""
     handler = logging.StreamHandler()
     handler.addFilter(RateLimit())
@@ -162,7 +163,7 @@
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, path, lists))
+        asyncio.run(serve(config, path, lists, module=module, doors=doors))
     except BadList as error:
         print(f"lanemux: {path}: known: {error}", file=sys.stderr)
         return 2
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -18,7 +18,7 @@
 from lanemux.net.discovery import Discovery, read_listing
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
-from lanemux.net.server import ClientConnection, Server
+from lanemux.net.server import ClientConnection, Doors, Server
 from lanemux.net.upstream import Exchange, Hub, Pool
 
 log = logging.getLogger(__name__)
@@ -78,11 +78,14 @@
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]: ...
 
 
+MakeDoors = Callable[[int], Doors]  # of the number of places for connections
+
+
 class Node:
     """One real balancer. Its list comes from platform discovery, unless another source is given."""
 
     def __init__(self, config: Config, module: Module, source: MakeSource | None = None,
-                 system: System | None = None) -> None:
+                 system: System | None = None, doors: MakeDoors | None = None) -> None:
         system = system or Machine()
         self.config = config
         limits = config.settings.limits
@@ -103,7 +106,7 @@
         self._sweep: asyncio.TimerHandle | None = None
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND)
-        self.server = Server(self, room, system)
+        self.server = Server(self, room, system, doors(room) if doors is not None else None)
         self._membership = Membership(system.wall_ns() - now_ns())
         self._source = (source or self._platform)(self._membership, random.Random(config.seed + 1), self._listed)
         self._successor: ListSource | None = None  # is to replace it, and has not told a whole list yet
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -40,6 +40,28 @@
     def gone(self, client: ClientConnection) -> None: ...
 
 
+class Doors(Protocol):
+    """Who is let in when many connect at once, where operators have that bounded. A source is a host's address."""
+
+    def turn(self, now: int) -> int:
+        """Accepting begins: how many connections at the most before other work has its turn."""
+
+    def done(self, accepted: int, now: int) -> None:
+        """And ends, with so many accepted."""
+
+    def entered(self, source: str, who: object) -> None:
+        """A connection has come up; it is silent so far."""
+
+    def spoke(self, source: str, who: object) -> None:
+        """It is silent no longer."""
+
+    def left(self, source: str, who: object) -> None:
+        """Its place is free."""
+
+    def instead(self, source: str) -> object | None:
+        """Who goes for one more of this source: a silent one of its own, if it holds its part of the places."""
+
+
 class ClientConnection(asyncio.Protocol):
     """One client's connection: one request at a time. Sending one ahead of an answer ends it."""
 
@@ -52,6 +74,7 @@
         self._drained = 0  # bytes read since its end
         self._transport: asyncio.Transport | None = None
         self.since = 0.0  # it has been in its place of the server's tables since then
+        self.source = ""  # the address it comes from, where doors are kept
 
     @property
     def busy(self) -> bool:
@@ -194,8 +217,10 @@
 class Server:
     """Listens, bounds the connections and the times that clients may take for what they owe."""
 
-    def __init__(self, service: Service, capacity: int, system: System) -> None:
+    def __init__(self, service: Service, capacity: int, system: System, doors: Doors | None = None) -> None:
         self._service = service
+        self._doors = doors
+        self._lobby: dict[ClientConnection, socket.socket] = {}  # behind doors: has said nothing, and costs little
         self._capacity = capacity
         self._system = system
         self._connections: dict[ClientConnection, None] = {}  # in the order in which they came
@@ -205,6 +230,7 @@
         self._flushing = Table()  # closed, but a good part of an answer is still to be written
         self._adopting: dict[asyncio.Task[object], None] = {}
         self._listener: Listener | None = None
+        self._entered = 0  # connections so far
         self._accepting = False
         self._ticking: asyncio.TimerHandle | None = None
         self._tick_due = 0.0  # by the loop's clock
@@ -267,7 +293,16 @@
             if for_s is not None:
                 asyncio.get_running_loop().call_later(for_s, self._resume)
 
-    def _accept(self, most: int = ACCEPTS) -> None:
+    def _accept(self, most: int = 0) -> None:
+        """Take in connections that have come up: so many (0: a turn's) at the most."""
+        doors, before = self._doors, self._entered
+        if doors is None:
+            self._let_in(most or ACCEPTS)
+        else:
+            self._let_in(max(most, doors.turn(now_ns())))
+            doors.done(self._entered - before, now_ns())
+
+    def _let_in(self, most: int) -> None:
         assert self._listener is not None
         for _ in range(most):
             if len(self._connections) >= self._capacity and self._dispensable() is None:
@@ -299,6 +334,33 @@
         client = ClientConnection(self, self._service)
         self._connections[client] = None
         self._awaited.add(client)
+        self._entered += 1
+        if self._doors is None or not self._enter(client, accepted, self._doors):
+            self._attach_soon(client, accepted)
+
+    def _enter(self, client: ClientConnection, accepted: socket.socket, doors: Doors) -> bool:
+        """It waits in the lobby until it speaks; False if it has broken already."""
+        try:
+            client.source = str(accepted.getpeername()[0])
+        except OSError:
+            return False
+        other = doors.instead(client.source) if self.crowded else None
+        if isinstance(other, ClientConnection):
+            self.forget(other)
+        doors.entered(client.source, client)
+        self._lobby[client] = accepted
+        asyncio.get_running_loop().add_reader(accepted, self._speaks, client, accepted)
+        return True
+
+    def _speaks(self, client: ClientConnection, accepted: socket.socket) -> None:
+        """Its first bytes are here, or its end."""
+        asyncio.get_running_loop().remove_reader(accepted)
+        del self._lobby[client]
+        assert self._doors is not None
+        self._doors.spoke(client.source, client)
+        self._attach_soon(client, accepted)
+
+    def _attach_soon(self, client: ClientConnection, accepted: socket.socket) -> None:
         task: asyncio.Task[object] = asyncio.get_running_loop().create_task(self._attach(client, accepted))
         self._adopting[task] = None
         task.add_done_callback(lambda task: self._adopting.pop(task, None))
@@ -325,6 +387,9 @@
             self._awaited.add(client)
 
     def leave(self, client: ClientConnection, flushing: bool = False) -> None:
+        if client in self._lobby:
+            self.forget(client)  # nothing was said on it: there is nobody to wait for
+            return
         self._awaited.discard(client)
         self._idle.discard(client)
         if client in self._connections:
@@ -345,6 +410,11 @@
         return bool(self._flushing) or any(client.flushing for client in self._connections)
 
     def forget(self, client: ClientConnection) -> None:
+        if client in self._connections and client.source and self._doors is not None:
+            self._doors.left(client.source, client)
+        if (waiting := self._lobby.pop(client, None)) is not None:
+            asyncio.get_running_loop().remove_reader(waiting)
+            waiting.close()
         self._connections.pop(client, None)
         for table in (self._idle, self._awaited, self._leaving, self._flushing):
             table.discard(client)
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -10,7 +10,7 @@
 from importlib.util import find_spec
 from pathlib import Path
 
-from lanemux.checked import Faulty, build, parse
+from lanemux.checked import Faulty, bounded, build, parse
 from lanemux.core.address import BadAddress, read_address
 
 MAX_FILE = 1024 * 1024  # bytes; a file by hand has some KiB, and a larger one is the wrong file
@@ -51,11 +51,26 @@
         return found
 
 
+@dataclass(frozen=True, slots=True)
+class Storm:
+    """[storm]: retry storms are noticed and softened. The section's presence switches it on."""
+
+    retries: float = bounded(0, 10, 0.2)  # clients' retries for each fresh request admitted, of a tenant in a storm
+    retries_ebb: float = bounded(0, 10, 0.5)  # and while it ebbs
+    again: float = bounded(0, 10, 0.2)  # attempts after the first for each first one, in a storm
+    again_ebb: float = bounded(0, 10, 0.5)
+    longest_wait_ms: int = bounded(0, 600_000, 0)  # that Retry-After tells; 0: the platform's limit
+    whole_seconds: bool = False  # Retry-After in whole seconds (RFC 9110), for ordinary clients
+    peer_messages: bool = True  # cold budgets are lent by datagrams, where the platform's settings allow them
+    source_part: float = bounded(0.01, 1, 0.5)  # of the places for connections, that one source may hold
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The whole file; an absent section is off."""
 
     etcd: Etcd | None = None
+    storm: Storm | None = None
     rehearsal: Rehearsal = field(default_factory=Rehearsal)
 
 
--- /dev/null
+++ b/lanemux/storm/setup.py
@@ -0,0 +1,33 @@
+"""From the operators' section to what a balancer runs with."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lanemux import interface as api
+from lanemux.policy import Balancer
+from lanemux.storm.doors import Doors
+from lanemux.storm.module import Plan, Storm
+
+if TYPE_CHECKING:
+    from lanemux.net.daemon import MakeModule
+    from lanemux.net.node import MakeDoors
+    from lanemux.operators import Storm as Told
+
+MS = 1_000_000
+
+
+def plan(told: Told) -> Plan:
+    """The section as the module takes it."""
+    return Plan(told.retries, told.retries_ebb, told.again, told.again_ebb, told.longest_wait_ms * MS,
+                told.whole_seconds, told.peer_messages)
+
+
+def make(told: Told) -> tuple[MakeModule, MakeDoors]:
+    """The decisions with the storm's module round them, and the doors."""
+    made = plan(told)
+
+    def module(settings: api.Settings, seed: int, now: int) -> Storm:
+        return Storm(Balancer(settings, seed, now), settings, made, seed, now)
+
+    return module, lambda places: Doors(places, told.source_part)
--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -21,6 +21,7 @@
 from lanemux.etcd.source import EtcdSource, Make
 from lanemux.net.daemon import Lists
 from lanemux.net.node import Config, Node
+from lanemux.operators import load
 from lanemux.rehearsal.etcd.mangler import Mangler
 from lanemux.rehearsal.etcd.server import StandIn
 from lanemux.rehearsal.etcd.store import Store
@@ -455,7 +456,7 @@
 def test_the_operators_file_is_read_again_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
     path = tmp_path / "operators.toml"
     path.write_text('[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/a/"\n')
-    lists = Lists(lambda: _source(str(path)))
+    lists = Lists(lambda: _source(load(str(path))))
     replaced: list[Make | None] = []
     node = cast(Node, SimpleNamespace(replace_source=replaced.append))
     lists.reload(node)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from lanemux import interface as api
-from lanemux.net.node import Config, Module, Node
+from lanemux.net.node import Config, MakeDoors, Module, Node
 
 HOST = "127.0.0.1"
 PATIENCE_S = 10.0  # a test that waits longer has failed
@@ -194,13 +194,13 @@
 @asynccontextmanager
 async def node(module: Module, *upstreams: Upstream, registry: Registry | None = None,
                sockets: int = 1024, known_list: object = None, rest_s: float = 0.0,
-               **limits: Any) -> AsyncIterator[Client]:
+               doors: MakeDoors | None = None, **limits: Any) -> AsyncIterator[Client]:
     """A node that knows these upstreams, and a client of it."""
     registry = registry or Registry()
     await registry.upstream.start()
     config = Config("n", (HOST, 0), (HOST, registry.upstream.port), 1, sockets, settings(**limits),
                     known_list or known(*(u.port for u in upstreams)))
-    balancer = Node(config, module)
+    balancer = Node(config, module, doors=doors)
     port = await balancer.start(rest_s)
     client = Client(balancer, port)
     try:
--- /dev/null
+++ b/tests/storm/test_restarts.py
@@ -0,0 +1,71 @@
+"""Starts that the list has not told of."""
+
+from __future__ import annotations
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.storm.restarts import REFUSALS, SPAN_NS, Restarts
+
+SECOND = 1_000_000_000
+FULL, DELTA = api.ListKind.FULL, api.ListKind.DELTA
+
+
+def known(*entries: api.Upstream) -> Restarts:
+    restarts = Restarts()
+    restarts.listed(api.ListUpdate(FULL, entries))
+    return restarts
+
+
+def refuse(restarts: Restarts, now: int, times: int = REFUSALS, over_ns: int = SPAN_NS) -> None:
+    for n in range(times):
+        at = now + over_ns * n // max(1, times - 1)
+        assert restarts.met(7, api.Result.CONNECT_FAILED, at) is None
+
+
+def test_one_that_refused_connections_and_answers_again_has_started() -> None:
+    restarts = known(api.Upstream(7), api.Upstream(8))
+    refuse(restarts, SECOND)
+    assert restarts.met(8, api.Result.OK, 2 * SECOND) is None
+    assert restarts.met(7, api.Result.OK, 2 * SECOND) == api.Upstream(7, started_ns=2 * SECOND)
+    assert restarts.met(7, api.Result.OK, 3 * SECOND) is None  # told once
+
+
+@pytest.mark.parametrize("result", [api.Result.FULL, api.Result.ERROR])
+def test_any_answer_shows_it(result: api.Result) -> None:
+    restarts = known(api.Upstream(7))
+    refuse(restarts, SECOND)
+    assert restarts.met(7, result, 2 * SECOND) is not None
+
+
+def test_a_single_refusal_several_at_once_and_silence_show_nothing() -> None:
+    restarts = known(api.Upstream(7))
+    refuse(restarts, SECOND, times=1)
+    assert restarts.met(7, api.Result.OK, 2 * SECOND) is None
+    refuse(restarts, 3 * SECOND, times=50, over_ns=0)
+    assert restarts.met(7, api.Result.OK, 3 * SECOND + SPAN_NS // 2) is None
+    for result in (api.Result.RESET, api.Result.TIMEOUT, api.Result.CANCELLED, api.Result.MOOT):
+        for n in range(5):
+            assert restarts.met(7, result, (4 + n) * SECOND) is None
+    assert restarts.met(7, api.Result.OK, 9 * SECOND) is None
+
+
+def test_a_start_found_out_stays_until_the_list_tells_of_one() -> None:
+    restarts = known(api.Upstream(7))
+    refuse(restarts, SECOND)
+    restarts.met(7, api.Result.OK, 2 * SECOND)
+    old = api.Upstream(7, weight=2.0)
+    for kind in (DELTA, FULL):
+        assert restarts.listed(api.ListUpdate(kind, [old])).upstreams == [old._replace(started_ns=2 * SECOND)]
+    exact = api.Upstream(7, started_ns=SECOND + 5)
+    assert restarts.listed(api.ListUpdate(DELTA, [exact])).upstreams == [exact]
+    assert restarts.listed(api.ListUpdate(DELTA, [exact])).upstreams == [exact]
+
+
+def test_what_is_gone_is_forgotten() -> None:
+    restarts = known(api.Upstream(7), api.Upstream(8))
+    restarts.listed(api.ListUpdate(DELTA, [api.Upstream(7, api.State.GONE)]))
+    refuse(restarts, SECOND)
+    assert restarts.met(7, api.Result.OK, 2 * SECOND) is None
+    restarts.listed(api.ListUpdate(FULL, [api.Upstream(9)]))
+    assert set(restarts._known) == {9}
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from lanemux.checked import Faulty
-from lanemux.operators import MAX_FILE, Operators, load
+from lanemux.checked import Faulty, build
+from lanemux.operators import MAX_FILE, Operators, Storm, load
 from tests.test_process import config
 
 ROOT = Path(__file__).parent.parent
@@ -39,7 +39,10 @@
              if line.startswith("# [") or " = " in line.partition("#")[2].partition("#")[0]]
     table = tomllib.loads("\n".join(shown))
     assert {section: set(keys) for section, keys in table.items()} == {
-        "rehearsal": {"scenarios_directory"}, "etcd": {"endpoints", "prefix", "user", "password_file"}}
+        "rehearsal": {"scenarios_directory"}, "etcd": {"endpoints", "prefix", "user", "password_file"},
+        "storm": {"retries", "retries_ebb", "again", "again_ebb", "longest_wait_ms", "whole_seconds", "peer_messages",
+                  "source_part"}}
+    assert build(Operators, {"storm": table["storm"]}, "example").storm == Storm()  # the defaults are as shown
 
 
 def test_each_fault_of_the_file_is_one_line_with_file_key_and_what_is_allowed(tmp_path: Path) -> None:
@@ -49,7 +52,7 @@
     text = "\n".join(lines)
     assert "rehearsal.scenarios_directory: '4' is not text" in text
     assert "rehearsal.speed: unknown key; allowed: scenarios_directory" in text
-    assert "warp: unknown key; allowed: etcd, rehearsal" in text
+    assert "warp: unknown key; allowed: etcd, storm, rehearsal" in text
 
 
 def test_a_section_for_etcd_is_checked_beyond_the_kinds_of_its_values(tmp_path: Path) -> None:
