--- a/bench/simulate.py
+++ b/bench/simulate.py
@@ -23,7 +23,7 @@
 from lanemux.virtual.network import Weather
 from lanemux.virtual.script import Script, Setting
 from lanemux.virtual.stage import play
-from tests.virtual.planted import PLANTED, ROOT, Planted, plant
+from tests.virtual.planted import PLANTED, ROOT, STORMS, Planted, plant
 
 MOST_SEEDS = 2000
 ANOTHER_DAY_S = 400 * 86_400
@@ -40,23 +40,23 @@
 
 def planted(names: list[str]) -> None:
     print(f"{'fault':<20}{'seeds':>6}{'wall s':>8}  {'cut down to':<32} found by")
-    for fault in PLANTED:
+    for fault in (*PLANTED, *STORMS):
         if not names or fault.name in names:
             _find(fault)
 
 
 def _find(fault: Planted) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        copy = plant(fault, Path(folder))
+        copy, kind = plant(fault, Path(folder)), ("--storm",) if fault.storm else ()
         report, began = copy / "report.json", time.monotonic()
-        _simulate(copy, "--seeds", f"1-{MOST_SEEDS}", "--first", "--no-shrink", "--json", str(report))
+        _simulate(copy, "--seeds", f"1-{MOST_SEEDS}", "--first", "--no-shrink", "--json", str(report), *kind)
         wall_s, told = time.monotonic() - began, json.loads(report.read_text())
         if not told["failed"]:
             print(f"{fault.name:<20}{'none':>6}{wall_s:8.1f}  not found within {MOST_SEEDS} seeds", flush=True)
             return
         seed = told["failed"][0]
         rules = sorted({line.split()[2] for line in told["violations"][str(seed)]})
-        cut = re.search(r"cut down to (\d+) and (\d+) in (\d+) runs", _simulate(copy, "--replay", str(seed)))
+        cut = re.search(r"cut down to (\d+) and (\d+) in (\d+) runs", _simulate(copy, "--replay", str(seed), *kind))
         size = f"{cut[1]} faults, {cut[2]} asks ({cut[3]} runs)" if cut else "?"
         print(f"{fault.name:<20}{seed:>6}{wall_s:8.1f}  {size:<32} {', '.join(rules)}", flush=True)
 
--- a/lanemux/rehearsal/books.py
+++ b/lanemux/rehearsal/books.py
@@ -105,6 +105,7 @@
     late_ns: list[int] = field(default_factory=list)  # how late asks were sent
     lag_ns: list[int] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    flooded: list[dict[str, int]] = field(default_factory=list)  # of each flood: came up, closed by the balancer, ...
     waited_share: float = 0.0  # of any second, the most that a process of the run waited for a processor
     pressed_share: float = 0.0  # of the run, how long anything on the machine waited for a processor
     descriptors_most: int = 0  # of any balancer
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -23,6 +23,7 @@
 from lanemux.rehearsal.box import BoxModel, Job
 from lanemux.rehearsal.looks import Lateness, Looks
 from lanemux.rehearsal.plan import Ask, Box, Happening, Plan, attempt_work, idempotency_key
+from lanemux.rehearsal.scenario import AT_BALANCERS
 
 MS = 1_000_000
 BACKLOG = 128
@@ -564,7 +565,7 @@
     def begin(self, measured: bool = True) -> None:
         """The run begins: the plan's faults come at their times. `measured`: book how late this loop runs."""
         for happening in self.world.plan.happenings:
-            if happening.what not in ("kill", "revive"):
+            if happening.what not in AT_BALANCERS:
                 self._timers.append(self.world.at(happening.at_ns, self.happen, happening))
         if measured:
             self._lateness = Lateness(self.world.loop, self.world.books.lag_ns)
--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -25,6 +25,7 @@
 KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
 BY_SIGNAL = 128  # and the signal's number, as shells tell it
 DEFAULT = "calm-short"
+HONOUR = {"none": 0.0, "partly": 0.5, "wholly": 1.0}  # share of callers that come back no sooner than they are told
 
 
 def main(argv: Sequence[str]) -> int:
@@ -167,6 +168,8 @@
     parser.add_argument("--rate", type=float, metavar="R", help="asks a second")
     parser.add_argument("--balancers", type=int, metavar="N", help=f"at most {MAX_BALANCERS}")
     parser.add_argument("--boxes", type=int, metavar="N", help=f"at most {MAX_BOXES}")
+    parser.add_argument("--honour", choices=sorted(HONOUR), help="how callers heed Retry-After")
+    parser.add_argument("--balancers-operators", metavar="FILE", help="the operators' file of the balancers")
     parser.add_argument("--program", metavar="CMD", help="what starts one balancer; default: this build")
     parser.add_argument("--json", metavar="FILE")
     parser.add_argument("--html", metavar="FILE", help="a page with plots; needs the extra `rehearsal`")
@@ -186,8 +189,13 @@
     fleet = dataclasses.replace(scenario.fleet, balancers=options.balancers or scenario.fleet.balancers,
                                 boxes=options.boxes or scenario.fleet.boxes)
     load_ = dataclasses.replace(scenario.load, rate=options.rate or scenario.load.rate)
-    return checked(dataclasses.replace(scenario, fleet=fleet, load=load_,
-                                       seconds=options.seconds or scenario.seconds), "command line")
+    callers = scenario.callers
+    if options.honour:
+        callers = dataclasses.replace(callers, honour=HONOUR[options.honour])
+    given = options.balancers_operators
+    return checked(dataclasses.replace(
+        scenario, fleet=fleet, load=load_, callers=callers, seconds=options.seconds or scenario.seconds,
+        operators=scenario.operators if given is None else read_text(Path(given))), "command line")
 
 
 def _progress(at_s: float, callers: Callers) -> None:
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -9,7 +9,7 @@
 import hashlib
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lanemux.rehearsal.scenario import Fault, Fleet, Range, RequestClass, Scenario
 
@@ -71,10 +71,11 @@
     """Something that is done to a box or a balancer at a time."""
 
     at_ns: int
-    what: str  # start, drain, leave, die, vanish, return, freeze, neighbour, kill, revive
+    what: str  # start, drain, leave, die, vanish, return, freeze, neighbour, kill, revive, flood
     who: int  # number of the box or balancer
-    until_ns: int = 0  # freeze, neighbour
-    size: float = 0.0  # neighbour: share taken
+    until_ns: int = 0  # freeze, neighbour, flood
+    size: float = 0.0  # neighbour: share taken; flood: connections
+    sources: int = 0  # flood: addresses they come from
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,18 +124,23 @@
     plan.fronts_notice_ns = _ns(rng, scenario.callers.front_notice_s, SECOND)
     plan.cancels_queued = rng.random() < fleet.cancels_queued
     heavy: list[tuple[Fault, str, float, float]] = []
+    pressing: list[tuple[Fault, random.Random]] = []
     current = {i: i for i in range(fleet.boxes)}  # address -> box that is there now
     for number, fault in enumerate(scenario.faults):
         own = _stream(seed, f"fault {number}")
         if fault.kind == "heavy":
             name = fault.class_name or own.choice(scenario.classes).name
             heavy.append((fault, name, own.uniform(*fault.share), own.uniform(*fault.factor)))
+        elif fault.kind == "partner":
+            pressing.append((fault, own))
         else:
             DRAW[fault.kind](plan, fault, own, current)
     plan.happenings.sort(key=lambda h: (h.at_ns, h.who, h.what))
     plan.notices.sort(key=lambda n: (n.at_ns, n.box))
     _draw_upsets(plan, _stream(seed, "upsets"))
     _draw_asks(plan, _stream(seed, "asks"), heavy)
+    for fault, own in pressing:
+        _press(plan, fault, own)
     return plan
 
 
@@ -263,6 +269,13 @@
                             Happening(at + _ns(rng, fault.down_s, SECOND), "revive", who)]
 
 
+def _flood(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
+    """Connections come up at every balancer at once, and say nothing."""
+    at, end = int(fault.at_s * SECOND), int((fault.at_s + fault.for_s) * SECOND)
+    plan.happenings += [Happening(at, "flood", who, end, float(fault.connections), fault.sources)
+                        for who in range(plan.scenario.fleet.balancers)]
+
+
 def _draw_upsets(plan: Plan, rng: random.Random) -> None:
     """What befalls the etcd members, each balancer's for itself."""
     every = plan.scenario.discovery.upset_every_s
@@ -278,7 +291,7 @@
 
 
 DRAW = {"freeze": _freeze, "neighbour": _neighbour, "deploy": _deploy, "crash": _crash, "vanish": _vanish,
-        "kill": _kill}
+        "kill": _kill, "flood": _flood}
 
 
 # ---- asks ----------------------------------------------------------------------------------------------
@@ -316,6 +329,24 @@
         plan.asks.append(_ask(plan, rng, int(at), cls, partner.name, work))
 
 
+def _press(plan: Plan, fault: Fault, rng: random.Random) -> None:
+    """One partner's callers ask many times as much for a while, retry at once, and heed no Retry-After."""
+    s = plan.scenario
+    name = fault.partner_name or rng.choice(s.partners).name
+    whole = sum(p.share for p in s.partners)
+    share = next(p.share for p in s.partners if p.name == name) / whole
+    rate = s.load.rate * share * (rng.uniform(*fault.factor) - 1)
+    end, at = min(s.seconds, fault.at_s + fault.for_s) * SECOND, fault.at_s * SECOND
+    usual, plan.asks = plan.asks, []
+    while rate > 0 and (at := at + rng.expovariate(rate) * SECOND) < end:
+        cls = rng.choices(s.classes, [c.share for c in s.classes])[0]
+        ask = _ask(plan, rng, int(at), cls, name, _lognormal(rng, cls.work_ms * MS, cls.cv))
+        plan.asks.append(replace(ask, wait_ns=0, honours=False))
+    # Requests name their asks by number, which is their place in the list.
+    plan.asks = [replace(a, number=i, ids=tuple(request_id(plan.seed, i, k) for k in range(len(a.ids))))
+                 for i, a in enumerate(sorted([*usual, *plan.asks], key=lambda a: a.at_ns))]
+
+
 def _ask(plan: Plan, rng: random.Random, at: int, cls: RequestClass, partner: str, work: float) -> Ask:
     s, number = plan.scenario, len(plan.asks)
     rooms = len(s.fleet.rooms)
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import gc
+import json
 import multiprocessing
 import os
 import random
+import sys
 import tempfile
 import time
 from collections.abc import Callable, Sequence
@@ -24,7 +26,7 @@
 from lanemux.rehearsal.registry import Agent, ListAgent
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation, check
-from lanemux.rehearsal.scenario import Scenario
+from lanemux.rehearsal.scenario import AT_BALANCERS, Scenario
 from lanemux.rehearsal.service import Figures, figures, missed
 from lanemux.rehearsal.validity import Validity, judge
 
@@ -120,7 +122,7 @@
             agent = new_agent(number)
             self._agents.append(agent)
             place.discovery = await agent.open(f"{self._prefix}.202.{number + 1}")
-            place.operators = agent.operators()
+            place.operators = agent.operators() + self.plan.scenario.operators
             place.peers, place.peers_all = peers[number], everyone[number]
             for box in self.plan.first:
                 self._notice(agent, Notice(0, box, "up", 0), first=True)
@@ -190,7 +192,9 @@
         for upset in self.plan.upsets:
             self._at(upset.at_ns, self._agents[upset.who].upset, upset)
         for happening in self.plan.happenings:
-            if happening.what in ("kill", "revive"):
+            if happening.what == "flood":
+                self._at(happening.at_ns, self._spawn_flood, happening)
+            elif happening.what in AT_BALANCERS:
                 self._at(happening.at_ns, self._to_balancer, happening, front)
         lateness = Lateness(self._loop, self.books.lag_ns)
         quiet_collector()
@@ -241,6 +245,23 @@
         if await balancer.ready():
             front.known.add(balancer.number)
 
+    def _spawn_flood(self, happening: Happening) -> None:
+        self._spawn(self._flood(happening))
+
+    async def _flood(self, happening: Happening) -> None:
+        """From a process of its own, so that the callers are not late for it."""
+        listen = self._balancers[happening.who].place.listen
+        seconds = (happening.until_ns - happening.at_ns) / SECOND
+        flood = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanemux.rehearsal.flood", *map(str, listen), str(int(happening.size)),
+            f"{self._prefix}.210", str(happening.sources), str(seconds), stdout=asyncio.subprocess.PIPE)
+        try:
+            told, _ = await flood.communicate()
+            self.books.flooded.append(json.loads(told))
+        finally:
+            if flood.returncode is None:
+                flood.kill()
+
     async def _monitor(self, progress: Progress | None) -> None:
         """Once a second: who waits for a processor, what the balancers hold, who has crashed."""
         while True:
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -15,7 +15,8 @@
 MAX_BOXES = 120  # with their successors at most 250: one byte of a loopback address numbers them
 MAX_BALANCERS = 16  # each pair has a datagram socket of its own
 MAX_ASKS = 200_000  # the books of a run stay in memory, some KiB for each ask
-FAULTS = ("freeze", "neighbour", "heavy", "deploy", "crash", "vanish", "kill")
+FAULTS = ("freeze", "neighbour", "heavy", "deploy", "crash", "vanish", "kill", "flood", "partner")
+AT_BALANCERS = ("kill", "revive", "flood")  # what befalls balancers and not boxes
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,12 +131,15 @@
     pause_ms: Range = bounded(1, 60_000, (66.0, 240.0))  # freeze: how long a box stands still
     every_s: Range = bounded(0.05, 600, (0.97, 2.6))  # freeze: between two; neighbour: its time on or off
     take: Range = bounded(0, 0.95, (0.3, 0.62))  # neighbour: of the machine
-    factor: Range = bounded(1, 100, (5.5, 29.0))  # heavy: times the usual work
+    factor: Range = bounded(1, 100, (5.5, 29.0))  # heavy: times the usual work; partner: times its usual asks
     share: Range = bounded(0, 1, (0.0067, 0.027))  # heavy: of one class
     class_name: str = ""  # heavy: which class; "": drawn
     batch: Range = bounded(0.001, 1, (0.051, 0.19))  # deploy: of the fleet at a time
     drain_s: Range = bounded(0, 60, (2.3, 5.1))  # deploy: from the drain to the exit
     down_s: Range = bounded(0.05, 600, (5.7, 22.0))  # crash, kill: until it is back
+    connections: int = bounded(1, 15_000, 1000)  # flood: opened within a second at each balancer, and silent
+    sources: int = bounded(1, 200, 4)  # flood: from so many addresses
+    partner_name: str = ""  # partner: whose callers ask so much more, and retry at once; "": drawn
     die_in_drain: float = bounded(0, 1, 0.1)  # deploy: share of boxes that die before their drain is over
 
 
@@ -170,6 +174,7 @@
     classes: tuple[RequestClass, ...] = ()
     partners: tuple[Partner, ...] = ()
     faults: tuple[Fault, ...] = ()
+    operators: str = ""  # the balancers' own operators' file (TOML); "": they have none
 
 
 USUAL_CLASSES = (
@@ -205,6 +210,10 @@
                for i, f in enumerate(scenario.faults) if f.class_name and f.class_name not in names]
     if len(names) < len(scenario.classes) or len({p.name for p in scenario.partners}) < len(scenario.partners):
         faults.append(f"{where}: two classes or two partners of the same name")
+    partners = {p.name for p in scenario.partners}
+    faults += [f"{where}: faults[{i}].partner_name: no partner {f.partner_name!r}; "
+               f"there are {', '.join(sorted(partners))}"
+               for i, f in enumerate(scenario.faults) if f.partner_name and f.partner_name not in partners]
     if not scenario.fleet.rooms or not all(scenario.fleet.rooms):
         faults.append(f"{where}: fleet.rooms: at least one, and none without a name")
     if sum(c.share for c in scenario.classes) <= 0 or sum(p.share for p in scenario.partners) <= 0:
--- a/lanemux/rehearsal/service.py
+++ b/lanemux/rehearsal/service.py
@@ -15,6 +15,9 @@
 
 WORST_S = 10  # length of the worst stretch
 BIN_NS = SECOND // 2  # of the plots
+RECOVERED, RECOVERED_NS, RECOVERY_STEP_NS = 0.95, 2 * SECOND, SECOND // 4  # shorter stretches are chance
+AFTER_RETURN_NS = 3 * SECOND  # boxes that are back are cold, and the list has to tell of them
+RETURNS_BIN_NS = SECOND // 10
 HEAVY_PART = 0.1  # the heaviest tenth by the cost hint, which is all that a balancer knows
 
 
@@ -62,6 +65,9 @@
     refusal_p50_share: float = 0.0  # of a try's time that had gone by when it was refused
     refusal_p90_share: float = 0.0
     blindness: float = 0.0  # attempts that met a frozen box, over what chance would send there
+    outage_service: float = 0.0  # while boxes that died together are away or have just come back
+    recovery_s: float = -1.0  # from the last one's return until service is 95% of that before; -1: never, or no outage
+    returns_peak: float = 0.0  # refused callers that come back in 100 ms of an outage: most over mean
     connections_most: int = 0  # open at all boxes at once
     cold_budget_most: float = 0.0  # of what a cold box bears, the most that it was sent
     descriptors_most: int = 0
@@ -154,6 +160,33 @@
     return met / len(attempts) / chance if attempts and chance > 0 else 0.0
 
 
+def outage(plan: Plan) -> tuple[int, int] | None:
+    """From the first box that died to come back to the last one that is back; None where none did."""
+    died = {h.who: h.at_ns for h in plan.happenings if h.what == "die"}
+    back = {h.who: h.at_ns for h in plan.happenings if h.what == "start" and h.who in died}
+    return (min(died[who] for who in back), max(back.values())) if back else None
+
+
+def _recovery_s(plan: Plan, rows: list[Result], span: tuple[int, int]) -> float:
+    """The first moment from which RECOVERED_NS are served as well as before the outage, nearly."""
+    before = _share(r for r in rows if r.ask.at_ns < span[0])
+    for at in range(span[1], int(plan.scenario.seconds * SECOND) - RECOVERED_NS, RECOVERY_STEP_NS):
+        if _share(r for r in rows if at <= r.ask.at_ns < at + RECOVERED_NS) >= RECOVERED * before:
+            return (at - span[1]) / SECOND
+    return -1.0
+
+
+def _returns_peak(tries: Sequence[Try], span: tuple[int, int]) -> float:
+    """How unevenly refused callers come back: the fullest 100 ms over the mean one."""
+    refused = {(t.ask, t.number) for t in tries if t.how == "answered" and t.status in (429, 503)}
+    counts = [0] * max(1, (span[1] - span[0]) // RETURNS_BIN_NS)
+    for t in tries:
+        bin_of = (t.sent_ns - span[0]) // RETURNS_BIN_NS
+        if t.number and (t.ask, t.number - 1) in refused and 0 <= bin_of < len(counts):
+            counts[bin_of] += 1
+    return max(counts) * len(counts) / sum(counts) if sum(counts) else 0.0
+
+
 def figures(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> Figures:
     """The figures of a run, from the books alone."""
     rows = results(plan, callers.tries)
@@ -171,7 +204,12 @@
     how = Counter(a.how for a in attempts)
     waited = [(t.end_ns - t.sent_ns) / max(1, t.deadline_ns - t.sent_ns) for t in refused]
     asks = max(1, len(rows))
+    span = outage(plan)
+    away = (span[0], span[1] + AFTER_RETURN_NS) if span is not None else (0, 0)
     return Figures(
+        outage_service=_share(r for r in rows if away[0] <= r.ask.at_ns < away[1]),
+        recovery_s=_recovery_s(plan, rows, span) if span is not None else -1.0,
+        returns_peak=_returns_peak(tries, span) if span is not None else 0.0,
         service=_share(rows), worst_10_s=_worst(plan, rows),
         by_class={c: _share(own) for c, own in sorted(_grouped(rows, lambda r: r.ask.class_name).items())},
         by_partner=dict(sorted(_partners(plan, rows).items())),
--- a/lanemux/virtual/command.py
+++ b/lanemux/virtual/command.py
@@ -50,7 +50,7 @@
         return _replay(options)
     first, last = options.seeds
     began = time.monotonic()
-    played = _played(range(first, last + 1), options.jobs, options.first)
+    played = _played(range(first, last + 1), options.jobs, options.first, options.storm)
     wall_s = time.monotonic() - began
     failed = [p for p in played if p.violations]
     for p in failed:
@@ -59,13 +59,13 @@
     if options.json:
         Path(options.json).write_text(json.dumps(as_json(played, wall_s, options.jobs), indent=1) + "\n")
     for p in failed[:SHRUNK] if options.shrink else ():
-        _cut_down(p.seed)
+        _cut_down(p.seed, options.storm)
     return FAILED if failed else PASSED
 
 
-def _played(seeds: Iterable[int], jobs: int, until_failed: bool) -> list[Played]:
+def _played(seeds: Iterable[int], jobs: int, until_failed: bool, storm: bool) -> list[Played]:
     found = []
-    with contextlib.closing(run_seeds(seeds, jobs)) as runs:
+    with contextlib.closing(run_seeds(seeds, jobs, storm)) as runs:
         for played in runs:
             found.append(played)
             if until_failed and played.violations:
@@ -73,18 +73,24 @@
     return found
 
 
-def run_seeds(seeds: Iterable[int], jobs: int) -> Generator[Played, None, None]:
+def run_seeds(seeds: Iterable[int], jobs: int, storm: bool = False) -> Generator[Played, None, None]:
     """Each seed's run, in the order of the seeds."""
+    run = run_storm if storm else run_seed
     if jobs == 1:
-        yield from map(run_seed, seeds)
+        yield from map(run, seeds)
         return
     with multiprocessing.get_context("spawn").Pool(jobs) as pool:
-        yield from pool.imap(run_seed, seeds, chunksize=4)
+        yield from pool.imap(run, seeds, chunksize=4)
 
 
-def run_seed(seed: int) -> Played:
+def run_storm(seed: int) -> Played:
+    """One seed's storm as drawn."""
+    return run_seed(seed, storm=True)
+
+
+def run_seed(seed: int, storm: bool = False) -> Played:
     """One seed's run as drawn."""
-    result = play(draw(seed))
+    result = play(draw(seed, storm))
     return Played(seed, result.digest, [_line(v.rule, v.at_ns, v.request, v.box, v.proof) for v in result.violations],
                   result.steps, result.virtual_s, result.figures.service, result.covered)
 
@@ -127,9 +133,9 @@
           f"{virtual / wall_s:.0f} virtual seconds a second; {sum(p.steps for p in played)} steps, {faults} faults")
 
 
-def _cut_down(seed: int, most: int = MOST_TRIES) -> None:
+def _cut_down(seed: int, storm: bool = False, most: int = MOST_TRIES) -> None:
     """Print the least script that still fails as the seed does."""
-    result = play(draw(seed))
+    result = play(draw(seed, storm))
     rules = {v.rule for v in result.violations}
 
     def fails(script: Script) -> bool:
@@ -142,12 +148,12 @@
 
 
 def _replay(options: argparse.Namespace) -> int:
-    result = play(draw(options.replay), traced=bool(options.trace))
+    result = play(draw(options.replay, options.storm), traced=bool(options.trace))
     _summarize(result)
     if options.trace:
         Path(options.trace).write_text("\n".join(timeline(result)) + "\n")
     if result.violations and options.shrink:
-        _cut_down(options.replay)
+        _cut_down(options.replay, options.storm)
     return FAILED if result.violations else PASSED
 
 
@@ -201,6 +207,8 @@
     parser.add_argument("--jobs", metavar="N", type=int, default=os.cpu_count() or 1, help="processes (default: cores)")
     parser.add_argument("--replay", metavar="SEED", type=int, help="play one seed again")
     parser.add_argument("--trace", metavar="FILE", help="with --replay: write what each party saw there")
+    parser.add_argument("--storm", action="store_true",
+                        help="boxes die together, callers retry at once, and [storm] is on")
     parser.add_argument("--first", action="store_true", help="stop at the first seed that fails")
     parser.add_argument("--no-shrink", dest="shrink", action="store_false", help="do not cut a failing seed down")
     options = parser.parse_args(argv)
--- a/lanemux/virtual/judge.py
+++ b/lanemux/virtual/judge.py
@@ -15,6 +15,10 @@
 from lanemux.rehearsal.plan import MS, Plan
 from lanemux.rehearsal.rules import LIMIT_GRACE_NS, Violation, drains, lost, repeats, told_at, twice
 
+HERD = 20  # refusals that are looked at together
+REFUSED_WITHIN_NS = 300 * MS  # their span
+HERD_NS = 15 * MS  # half of them come back within less: by chance that is a matter of many more refusals
+
 
 @dataclass(slots=True)
 class Excuses:
@@ -47,6 +51,26 @@
         return by - grace_ns
 
 
+def herded(tries: Iterable[Try]) -> Iterable[Violation]:
+    """Many who were refused within a moment, by one balancer, and told to come back within a much shorter one."""
+    refused: dict[int, list[tuple[int, int]]] = defaultdict(list)
+    for entry in tries:
+        if entry.status in (429, 503) and entry.retry_after:
+            refused[entry.balancer].append((entry.end_ns, entry.end_ns + int(float(entry.retry_after) * 1e9)))
+    for balancer, pairs in refused.items():
+        for first in range(0, len(pairs) - HERD + 1, HERD // 2):
+            herd = sorted(pairs[first:first + HERD])
+            if herd[-1][0] - herd[0][0] > REFUSED_WITHIN_NS:
+                continue
+            back = sorted(at for _, at in herd)
+            width = min(back[i + HERD // 2] - back[i] for i in range(HERD // 2))
+            if width < HERD_NS:
+                yield Violation("herd", herd[0][0], "", "", f"balancer {balancer} refused {HERD} within "
+                                f"{(herd[-1][0] - herd[0][0]) / MS:.0f} ms and called half of them back within "
+                                f"{width / MS:.1f} ms")
+                break
+
+
 class Judge:
     """Looks at the books after each step; `violations` grows."""
 
@@ -164,8 +188,10 @@
         """Something else that must not be: it is told like a broken rule."""
         self._found.setdefault((rule, "", what), Violation(rule, at_ns, "", "", what))
 
-    def finish(self) -> None:
-        """At the end nothing is open: every request has had its one outcome."""
+    def finish(self, herds: bool = False) -> None:
+        """At the end nothing is open: every request has had its one outcome. `herds`: nor are clients to come back in
+        one instant."""
         self.look()
+        self._hold(herded(self._callers.tries) if herds else ())
         for entry in self._open_tries.values():
             self.accuse("outcome", entry.sent_ns, f"request {entry.id} never had an end")
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -58,12 +58,15 @@
     "member": (2, 0, 0),  # etcd: a member starts again
     "stall": (2, 200, 4000),  # etcd: a member says nothing
     "compact": (3, 0, 0),  # etcd: history goes while the watch is away
+    "outage": (0, 400, 2500),  # storms: a third of the boxes die together; each comes back cold in its own time
 }
 ETCD = ("drop", "member", "stall", "compact")
-BOXES = ("drain", "die", "freeze", "vanish", "swap", "reset", "hold", "shut", "mute", "trade")
+BOXES = ("drain", "die", "freeze", "vanish", "swap", "reset", "hold", "shut", "mute", "trade", "outage")
+STORM_ONLY = ("outage",)  # not drawn in the usual worlds
 ABOUT_EVENT = -1  # whom the event is about
 MOST_FAULTS = 6
 SECONDS = 4.0
+STORM_SECONDS = 6.0
 TWIN = 0.45  # share of faults that come with another one at the same moment
 ON_EVENT = 0.7
 LATE_MS = 600_000  # datagrams that are minutes late come after the run
@@ -90,6 +93,7 @@
     faults: tuple[Fault, ...] = ()
     asks: tuple[int, ...] | None = None  # the numbers of those that are sent; None: all
     calm: bool = False  # links without jitter, cuts and loss
+    storm: bool = False  # more callers than boxes can serve, who retry at once; balancers with the storm module
 
 
 @dataclass(slots=True)
@@ -110,8 +114,22 @@
 PARTNERS = (Partner("brooklyn-desk", 0.6, (0.8, 1.2)), Partner("toronto-desk", 0.4, (0.8, 1.2)))
 
 
-def setting(seed: int, calm: bool = False) -> Setting:
+def setting(seed: int, calm: bool = False, storm: bool = False) -> Setting:
     """The world of a seed."""
+    made = _usual(seed, calm)
+    if storm:
+        rng = random.Random(f"{seed}/storm")
+        boxes, s = rng.randint(4, 8), made.scenario
+        made.scenario = dataclasses.replace(
+            s, seconds=STORM_SECONDS, fleet=dataclasses.replace(s.fleet, boxes=boxes, balancers=rng.randint(2, 4)),
+            load=Load(rate=rng.uniform(10.0, 16.0) * boxes),
+            callers=Callers(at_once=rng.choice((0.5, 1.0)), impatient=0.01, honour=rng.choice((0.0, 0.5, 1.0))),
+            discovery=dataclasses.replace(s.discovery, notice_s=(0.05, 3.0), add_s=(0.05, 2.0)))
+        made.sockets = 1024  # few would leave callers unaccepted: that is the usual worlds' matter
+    return made
+
+
+def _usual(seed: int, calm: bool) -> Setting:
     rng = random.Random(f"{seed}/setting")
     boxes, balancers = rng.randint(2, 5), rng.choice((1, 2, 2, 3))
     source = "etcd" if rng.random() < 0.35 else "agent"
@@ -141,10 +159,15 @@
     return Weather(latency, jitter, cut=rng.choice((0.0, 0.0, 0.5, 0.9)), room=rng.choice((700, 4096, 65_536)))
 
 
-def draw(seed: int) -> Script:
-    """The script of a seed."""
-    world, rng = setting(seed), random.Random(f"{seed}/faults")
+def draw(seed: int, storm: bool = False) -> Script:
+    """The script of a seed; with `storm`, one in which boxes die together."""
+    world, rng = setting(seed, storm=storm), random.Random(f"{seed}/{'storm ' if storm else ''}faults")
     faults: list[Fault] = []
+    if storm:
+        first = rng.uniform(300, 1200)
+        faults = [Fault("outage", rng.randrange(world.scenario.fleet.boxes), at_ms=round(at, 3),
+                        for_ms=round(rng.uniform(*FAULTS["outage"][1:]), 1))
+                  for at in (first, first + rng.uniform(500, 3000))[:rng.choice((1, 1, 2))]]
     for _ in range(rng.randint(1, MOST_FAULTS)):
         fault = _fault(rng, world)
         faults.append(fault)
@@ -154,12 +177,13 @@
                 twin, at_ms=fault.at_ms, on=fault.on, nth=fault.nth,
                 lag_us=rng.choice((fault.lag_us, fault.lag_us, fault.lag_us + 1000)),
                 who=twin.who if fault.on or twin.who != ABOUT_EVENT else 0))
-    return Script(seed, tuple(faults))
+    return Script(seed, tuple(faults), storm=storm)
 
 
 def _fault(rng: random.Random, world: Setting) -> Fault:
     source = world.scenario.discovery.source
-    kinds = [k for k in FAULTS if (source == "etcd" or k not in ETCD) and (source == "agent" or k != "move")]
+    kinds = [k for k in FAULTS if k not in STORM_ONLY
+             and (source == "etcd" or k not in ETCD) and (source == "agent" or k != "move")]
     what = rng.choices(kinds, [FAULTS[k][0] for k in kinds])[0]
     low, high = FAULTS[what][1:]
     lasts = round(rng.uniform(low, high), 1) if high > low else 0.0
@@ -184,6 +208,8 @@
         lines.append(f"        asks={script.asks!r},")
     if script.calm:
         lines.append("        calm=True,")
+    if script.storm:
+        lines.append("        storm=True,")
     return "\n".join([*lines, "    )).violations == []"])
 
 
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -19,7 +19,7 @@
 from lanemux.core.membership import Membership
 from lanemux.core.source import MakeSource
 from lanemux.net.daemon import Lists, read_config, serve
-from lanemux.net.node import Node
+from lanemux.net.node import Module, Node
 from lanemux.policy import Balancer
 from lanemux.rehearsal.balancers import Place, configuration
 from lanemux.rehearsal.books import BoxBooks, CallerBooks, Life
@@ -31,6 +31,9 @@
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation
 from lanemux.rehearsal.service import Figures, figures
+from lanemux.storm.doors import Doors
+from lanemux.storm.module import Plan as StormPlan
+from lanemux.storm.module import Storm
 from lanemux.virtual.agenda import START_NS
 from lanemux.virtual.judge import Excuses, Judge
 from lanemux.virtual.network import Address, End, Label
@@ -57,6 +60,7 @@
 HALF_NS = 100 * MS
 FIRST_BYTES = 60  # of what arrives, shown in the timeline
 TOLD_BETWEEN = 0.5
+STORM_PLAN = StormPlan()
 DECIDED = 0.6  # share of lurches that come between a decision to send and the sending
 
 
@@ -81,10 +85,12 @@
 class Observed:
     """The module between the node and its decisions: it holds that every Send has one Outcome, and one is out."""
 
-    def __init__(self, settings_told: api.Settings, seed: int, now: int, accuse: Callable[[str, str], None],
-                 excused: Callable[[int, int], bool], listed: Callable[[int, api.ListUpdate], None],
+    def __init__(self, settings_told: api.Settings, seed: int, now: int, storm: bool,
+                 accuse: Callable[[str, str], None], excused: Callable[[int, int], bool],
+                 listed: Callable[[int, api.ListUpdate], None],
                  sending: Callable[[], None]) -> None:
-        self.inner = Balancer(settings_told, seed, now)
+        self.decides = Balancer(settings_told, seed, now)
+        self.inner: Module = Storm(self.decides, settings_told, STORM_PLAN, seed, now) if storm else self.decides
         self.out: dict[tuple[str, int], int] = {}  # attempt -> when it is to time out; 0: not told
         self._sends: Counter[str] = Counter()
         self._accuse, self._excused, self._listed, self._sending = accuse, excused, listed, sending
@@ -173,7 +179,7 @@
 
     def __init__(self, script: Script, traced: bool = False, made: Setting | None = None) -> None:
         self.script = script
-        made = made or setting(script.seed, script.calm)
+        made = made or setting(script.seed, script.calm, script.storm)
         self.plan = draw(made.scenario, script.seed)
         self.drawn = len(self.plan.asks)
         if script.asks is not None:
@@ -226,7 +232,7 @@
                 self._blame("crash", f"the world did not come up: {self._kit.faults}")
             else:
                 self._play()
-            self.judge.finish()
+            self.judge.finish(herds=self.script.storm)
         finally:
             self.world.close()
         for process in self.world.processes:
@@ -349,7 +355,7 @@
         self._write(seat)
 
         def module(told: api.Settings, seed: int, now: int) -> Observed:
-            seat.module = Observed(told, seed, now, accuse, excused, listed, sending)
+            seat.module = Observed(told, seed, now, self.script.storm, accuse, excused, listed, sending)
             return seat.module
 
         def accuse(rule: str, what: str) -> None:
@@ -372,7 +378,8 @@
 
         async def balancer() -> None:
             lists = Lists(lambda: self._make_source(seat, process))
-            await serve(read_config(CONFIG, process), CONFIG, lists, process, module, up)
+            doors = (lambda places: Doors(places, 0.5)) if self.script.storm else None
+            await serve(read_config(CONFIG, process), CONFIG, lists, process, module, up, doors)
 
         process.run(balancer())
 
@@ -420,7 +427,9 @@
             if seat.process.still_until_ns > self.world.agenda.now_ns + SECOND:
                 continue
             self._check_list(seat, seat.node)
-            held = {**seat.node.held(), **held_by(seat.module.inner), "sends": len(seat.module.out)}
+            held = {**seat.node.held(), **held_by(seat.module.decides), "sends": len(seat.module.out)}
+            if isinstance(seat.module.inner, Storm):
+                held["storm's"] = seat.module.inner.open
             left = {name: count for name, count in held.items() if count}
             if left:
                 self._blame("left", f"balancer {seat.number} at rest still holds {left}")
@@ -546,6 +555,11 @@
     def _fell(self, box: int, at_ns: int) -> None:
         self.trace(f"box {box}", "falls over")
 
+    def _outage(self, box: int, lasts: int, about: object) -> None:
+        boxes = self.plan.scenario.fleet.boxes
+        for number in range(-(-boxes // 3)):
+            self._die((box + number) % boxes, int(lasts * self._rng.uniform(0.3, 1.0)), None)
+
     def _freeze(self, box: int, lasts: int, about: object) -> None:
         self._happen("freeze", box, self.now() + lasts)
 
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -18,6 +18,7 @@
     name: str
     what: str
     changes: tuple[tuple[str, str, str], ...]
+    storm: bool = False  # it is looked for in storms
 
 
 def _one(name: str, what: str, file: str, old: str, new: str) -> Planted:
@@ -86,6 +87,23 @@
 )
 
 
+STORMS = (
+    Planted("equal-retry-after", "all refused clients are told to come back after the same time",
+            (("storm/module.py", "self._returns.wait_ns(matters, now))", "500_000_000)"),), True),
+    Planted("budget-not-shared", "each balancer takes a cold box's whole budget",
+            (("storm/shares.py", "self.careful = 1 / max(1, count)", "self.careful = 1.0"),), True),
+    Planted("cold-unbounded", "sends to a cold box keep no distance",
+            (("policy.py", "        if self.fleet.cold(server, now):\n            self.fleet.rest(",
+              "        if False:\n            self.fleet.rest("),), True),
+    Planted("restart-unnoticed", "a box that came back before the list said so is taken for warm",
+            (("storm/restarts.py", "        if not back:\n", "        if True:\n"),), True),
+    Planted("storm-forgets-nothing", "requests whose client went away stay in the storm module's table",
+            (("storm/module.py", "        elif kind is api.ClientGone:\n", "        elif False:\n"),), True),
+    Planted("grant-outlives", "a lender takes its part back at once",
+            (("storm/shares.py", "PROMISE_NS = 3 * SECOND // 2", "PROMISE_NS = 0"),), True),
+)
+
+
 def plant(planted: Planted, folder: Path) -> Path:
     """A copy of the program with the fault in it; each of its lines must be there once."""
     copy = folder / planted.name
