Keep established clients through a flood of silent connections, and cut the storm module's cost

Cause: answers end their connections while more than six tenths of the places are taken. Silent connections in the lobby counted too, so that a flood ended the connections of those who asked (net/server.py, Server.crowded): one run in some ten of the flood's test failed by it. And the module walked each look at a box through all its cases.

Change: the lobby does not count there; looks that succeed are passed on at once while no box is suspected; counts fade in steps of 10 ms.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -344,7 +344,8 @@
             client.source = str(accepted.getpeername()[0])
         except OSError:
             return False
-        other = doors.instead(client.source) if self.crowded else None
+        scarce = len(self._connections) > ROOMY * self._capacity
+        other = doors.instead(client.source) if scarce else None
         if isinstance(other, ClientConnection):
             self.forget(other)
         doors.entered(client.source, client)
@@ -397,8 +398,9 @@
 
     @property
     def crowded(self) -> bool:
-        """So many connections are held that clients without one may find none."""
-        return len(self._connections) > ROOMY * self._capacity
+        """So many connections are held that clients without one may find none. Those in the lobby make place for them:
+        a flood of silent ones must not end the others'."""
+        return len(self._connections) - len(self._lobby) > ROOMY * self._capacity
 
     @property
     def held(self) -> int:
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -87,8 +87,12 @@
         """As the module's: what it decides on these events, with when to come back, and messages to peers."""
         passed: list[api.Event] = []
         tells: list[api.Action] = []
+        suspects = self._restarts.suspects
         for event in events:
-            self._see(event, now, passed, tells)
+            if type(event) is api.ProbeResult and event.result is api.Result.OK and not suspects:
+                passed.append(event)  # most events are these: they must cost next to nothing
+            else:
+                self._see(event, now, passed, tells)
         if now - self._looked_ns >= LOOK_NS:
             self._look(now, passed, tells)
         actions = self.inner.handle(now, passed)
--- a/lanemux/storm/sense.py
+++ b/lanemux/storm/sense.py
@@ -11,6 +11,7 @@
 
 SECOND = 1_000_000_000
 FADE_NS = SECOND // 2  # counts fall to 1/e in this time: a storm is told within half a second, chance is not
+STEP_NS = FADE_NS // 50  # within so long a count does not fade: 2% at most, and most requests cost no power
 LEAST = 8.0  # requests in the faded counts below which nothing is told
 ENTER, AGAIN = 0.25, 0.15  # share of retries among what comes that makes a storm, and makes one of an ebb
 STAY = 0.10  # and below which a storm begins to ebb
@@ -34,8 +35,10 @@
     at_ns: int = 0
 
     def add(self, amount: float, now: int) -> None:
-        self.value = self.now(now) + amount
-        self.at_ns = now
+        if now - self.at_ns > STEP_NS:
+            self.value = self.now(now)
+            self.at_ns = now
+        self.value += amount
 
     def now(self, now: int) -> float:
         """The count as it is by now."""
@@ -77,6 +80,8 @@
 
     def look(self, now: int) -> bool:
         """Tell the phase anew; did it change?"""
+        if self.phase is Phase.CALM and self.again.value < LEAST * ENTER:
+            return False  # too few retries, faded or not: most looks end here
         was, retries, unmet = self.phase, self.retries(now), self.unmet(now)
         if self.phase is Phase.STORM:
             if retries < STAY or unmet < STAY:
--- a/tests/storm/test_floods.py
+++ b/tests/storm/test_floods.py
@@ -57,13 +57,13 @@
             server = client.node.server
             assert (await client.ask(READY)).status == 200
             with silent(client.port, 600, "127.0.0.9"):
-                for _ in range(20):
+                for least in (0, 20, 40, 200, 400, 601):  # on one connection, all through it
+                    while server._entered < least:
+                        await asyncio.sleep(0)
                     assert (await client.ask(request())).status == 503
                     assert len(server._connections) <= PLACES
-                await until(lambda: server._entered >= 601)
                 assert (await client.another().ask(READY)).status == 200  # a new one comes through as well
-            await until(lambda: not server._lobby)
-            assert len(server._connections) <= 2
+            await until(lambda: not server._lobby and len(server._connections) <= 2)
     run(test())
 
 
--- a/tests/storm/test_restarts.py
+++ b/tests/storm/test_restarts.py
@@ -68,4 +68,4 @@
     refuse(restarts, SECOND)
     assert restarts.met(7, api.Result.OK, 2 * SECOND) is None
     restarts.listed(api.ListUpdate(FULL, [api.Upstream(9)]))
-    assert set(restarts._known) == {9}
+    assert set(restarts._known) == {9} and not restarts.suspects
