--- a/bench/seam_cost.py
+++ b/bench/seam_cost.py
@@ -169,7 +169,10 @@
 async def measure(commit: str, rounds: int, other: Path, folder: Path, what: str) -> None:
     figures: dict[str, list[tuple[float, float, int]]] = {"here": [], commit: []}
     async with standing({"here": ROOT, commit: other}, folder, PROGRAMS[what]) as found:
+        cores = sorted(os.sched_getaffinity(0))
         for number in range(rounds):
+            for place, (_, pid) in enumerate(found.values()):  # cores are not alike: each has either one in turn
+                os.sched_setaffinity(pid, {cores[-1 - (place + number) % 2]})
             for name in random.Random(number).sample(sorted(found), 2):
                 figures[name].append(await load(*found[name], number, PAUSE_S[what]))
     for name, rows in figures.items():
