--- a/tests/virtual/test_judge.py
+++ b/tests/virtual/test_judge.py
@@ -78,6 +78,17 @@
     assert rules(made) == []
 
 
+def test_news_is_overtaken_by_any_later_up_and_not_only_by_the_next() -> None:
+    """Storm seed 880096: the next `up` was never written, since the box had died once more before the link spoke."""
+    silent = Excuses()
+    silent.unheard[0].append((SECOND + 200 * MS, 5 * SECOND))
+    made, boxes, callers = judge(silent)
+    callers.told += [Told(0, 0, "removed", SECOND, 7 * SECOND), Told(0, 0, "up", 0, 8 * SECOND),
+                     Told(0, 0, "removed", 3 * SECOND, 9 * SECOND), Told(0, 0, "up", 4 * SECOND, 10 * SECOND)]
+    boxes.attempts.append(attempt(6 * SECOND))
+    assert rules(made) == []
+
+
 def test_two_attempts_out_at_once_are_found_when_the_first_ends() -> None:
     made, boxes, _ = judge()
     first = attempt(SECOND, how="")
