End looks that are out, and begin nothing any more, once a balancer's end has come

Cause: storm left a task of Exchange._open, two timers and a descriptor behind SIGTERM: a look at a box whose link was silent. Node counted its looks and did not hold them, so close() could not end them; and what close() ended told the module, which answered with further sends (in a test of it without end).

Change: the node holds its looks and abandons them; a closed node takes no events; the drain waits for the connections that were coming up and have been called off.

Measured: a loopback test that fails without it; leaves nothing.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -95,7 +95,8 @@
         self._by_client: dict[ClientConnection, Call] = {}
         self._ids: set[bytes] = set()  # that clients gave to their open requests
         self._count = 0
-        self._probes = 0
+        self._looks: dict[Exchange, None] = {}  # probes that are out
+        self._closed = False
         self._events: list[api.Event] = []
         self._feeding = False
         self._timers: dict[str, asyncio.TimerHandle] = {}  # the module's, by name
@@ -166,6 +167,7 @@
             await asyncio.sleep(FLUSH_LOOK_S)  # a large answer is whole only when its last byte is out
         self.close()
         await self._source.stopped()
+        await self._hub.stopped()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
     def move_discovery(self, address: Address) -> None:
@@ -199,11 +201,12 @@
     def held(self) -> dict[str, int]:
         """What is held for requests and clients, by kind: at rest, without clients, all is zero."""
         return {"calls": len(self._calls), "clients' calls": len(self._by_client), "ids": len(self._ids),
-                "events": len(self._events), "probes": self._probes, "connections": self.server.held,
+                "events": len(self._events), "probes": len(self._looks), "connections": self.server.held,
                 "attempts": self._hub.open - len(self._hub.idle)}
 
     def close(self) -> None:
-        """Stop everything at once; what is open fails."""
+        """Stop everything at once; what is open fails, and nothing is begun any more."""
+        self._closed = True
         for call in list(self._calls.values()):
             self._finish(call, 504)
         self._source.stop()
@@ -211,6 +214,9 @@
             self._successor.stop()
         for timer in (*self._timers.values(), *([self._sweep] if self._sweep is not None else [])):
             timer.cancel()
+        for look in list(self._looks):
+            look.abandon()
+        self._looks.clear()
         for pool in self._hub.pools.values():
             pool.close_idle()
         self._peers.close()
@@ -220,6 +226,8 @@
 
     def feed(self, *events: api.Event) -> None:
         """Hand events over; those raised while actions are carried out wait for their turn."""
+        if self._closed:
+            return  # the last requests' ends must not make the module begin something
         self._events += events
         if self._feeding:
             return
@@ -406,13 +414,12 @@
 
     def _probe(self, upstream: int) -> None:
         pool, now = self._hub.pools.get(upstream), now_ns()
-        if pool is None or self._probes >= MAX_PROBES:
+        if pool is None or len(self._looks) >= MAX_PROBES:
             self.feed(api.ProbeResult(upstream, api.Result.CONNECT_FAILED, 0))
             return
-        self._probes += 1
 
         def ended(result: api.Result, response: Message | None) -> None:
-            self._probes -= 1
+            del self._looks[look]
             report = None
             if response is not None:
                 result = api.Result.OK if response.status == 200 else api.Result.FULL
@@ -420,8 +427,10 @@
             self.feed(api.ProbeResult(upstream, result, now_ns() - now, report))
 
         host = "{}:{}".format(*pool.address).encode()
-        pool.exchange(write_request(b"GET", self._probe_path, [(b"Host", host)]), PROBE_TIMEOUT_S, ended,
-                      self._hub.capacity // PROBE_SPARE)
+        look = Exchange(pool, write_request(b"GET", self._probe_path, [(b"Host", host)]), ended,
+                        self._hub.capacity // PROBE_SPARE)
+        self._looks[look] = None
+        look.start(self._loop.time() + PROBE_TIMEOUT_S)
 
     def _listed(self, listing: Listing | None) -> None:
         if listing is None:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -60,6 +60,7 @@
             # Its place is taken here: what is begun in the same turn must find it taken.
             self._coming = Connection(self.pool, self.pool.address)
             self._opening = asyncio.get_running_loop().create_task(self._open(self._coming))
+            self.pool.hub.own(self._opening)
 
     async def _open(self, connection: Connection) -> None:
         try:
@@ -180,8 +181,8 @@
     ready: bool = True  # it may be sent something new
     idle: list[Connection] = field(default_factory=list)
 
-    def exchange(self, data: bytes, timeout_s: float | None, done: Done, spare: int = 0) -> Exchange:
-        exchange = Exchange(self, data, done, spare)
+    def exchange(self, data: bytes, timeout_s: float | None, done: Done) -> Exchange:
+        exchange = Exchange(self, data, done)
         exchange.start(None if timeout_s is None else asyncio.get_running_loop().time() + timeout_s)
         return exchange
 
@@ -232,6 +233,17 @@
         self.open = 0  # connections, also those that are only coming up
         self.pools: dict[int, Pool] = {}
         self.idle: dict[Connection, None] = {}  # of all pools, the longest so first
+        self._opening: set[asyncio.Task[None]] = set()
+
+    def own(self, opening: asyncio.Task[None]) -> None:
+        """Hold a connection's coming up until it is over."""
+        self._opening.add(opening)
+        opening.add_done_callback(self._opening.discard)
+
+    async def stopped(self) -> None:
+        """Wait for the end of what was coming up and has been called off."""
+        if self._opening:
+            await asyncio.wait(self._opening)
 
     def make_place(self, spare: int = 0) -> bool:
         """Is there room for one more connection? An idle one is given up for it."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -200,6 +200,31 @@
     run(test())
 
 
+def test_nothing_is_out_or_begun_once_a_node_is_closed() -> None:
+    """Storm seed 880186: a look at a box was coming up when the drain's end came, and outlived it."""
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        sent: list[str] = []
+
+        def decide(e: api.Event) -> list[api.Action]:
+            if isinstance(e, api.Wake):
+                return [api.Probe(script.ids()[0])] * 3
+            if isinstance(e, api.Arrival) or (isinstance(e, api.Outcome) and len(sent) < 3):
+                sent.append(e.request)
+                return [api.Send(e.request, script.ids()[0], 0), api.Probe(script.ids()[0])]
+            return []
+
+        script = Script(decide)
+        async with node(script, upstream) as client:
+            await client.send(request())
+            await until(lambda: any("/read" in got.first for got in upstream.got))
+            client.node.feed(api.Wake("now"))  # these are coming up
+            client.node.close()
+            await client.node._hub.stopped()
+            assert len(sent) == 1 and not client.node.held()["probes"] and not client.node._hub.open
+    run(test())
+
+
 def test_requests_that_come_late_in_a_drain_are_answered_too() -> None:
     async def test() -> None:
         release = asyncio.Event()
