--- a/lanemux/virtual/loop.py
+++ b/lanemux/virtual/loop.py
@@ -111,8 +111,8 @@
     def step(self) -> None:
         """One turn: look at the sockets, then run what is due and what waited."""
         now = self._process.world.agenda.now_ns
-        super().call_soon(self.stop)
         self._waiting = False
+        self.stop()  # told beforehand, a loop looks once, runs what is due by then, and returns
         self.run_forever()
         while self._due and self._due[0][0] <= now:
             heapq.heappop(self._due)
@@ -131,15 +131,18 @@
 
     def poke(self, number: int) -> None:
         self._virtual.poke(number)
+        self._process.stir()
 
     def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:  # type: ignore[override]
         self._waiting = True
+        self._process.stir()
         return super().call_soon(callback, *args, context=context)
 
     def call_at(self, when: float, callback: Any, *args: Any,  # type: ignore[override]
                 context: Any = None) -> asyncio.TimerHandle:
         handle = super().call_at(when + self._process.world.rng.random() * TIE_S, callback, *args, context=context)
         self._timers += 1
+        self._process.stir()
         heapq.heappush(self._due, (math.ceil(when * SECOND - 0.01), self._timers, handle))
         return handle
 
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -55,7 +55,10 @@
         self.disk = Disk()
         self.wall_offset_ns = 1_700_000_000 * 10**9
         self.sockets: dict[int, VirtualSocket] = {}
+        self.judged = False  # what the judge looks at is written in its turns
         self.still_until_ns = 0  # it does not run before then
+        self._next_ns = 0  # what `next_ns` told last
+        self._stale = True  # and whether that may be another by now
         self.lurch_ns = 0  # the machine is to stand still for so long in the middle of a turn
         self.lurch_decided = False  # and that behind a decision, before it is carried out
         self.lurched: Callable[[int], None] = lambda for_ns: None
@@ -119,17 +122,32 @@
         return self.main
 
     def next_ns(self) -> int:
-        """When it has something to do; NEVER once it is gone."""
-        if not self.alive:
-            return NEVER
+        """When it has something to do; NEVER once it is gone. Asked before every step of the world: worked out anew
+        only when something has happened to it."""
+        if self._stale:
+            self._stale = False
+            self._next_ns = self._due_ns() if self.alive else NEVER
+        return self._next_ns
+
+    def _due_ns(self) -> int:
         due = self.loop.next_ns()
         if 0 < due <= self._stepped_ns:
             due = self._stepped_ns + 1  # what was due has run; a turn for nothing must not repeat for ever
         return max(due, self.still_until_ns)
 
+    def stir(self) -> None:
+        """Something has happened to it: when it runs next may be another time by now."""
+        self._stale = True
+
+    def stay_still(self, until_ns: int) -> None:
+        """It does not run before then."""
+        self.still_until_ns = max(self.still_until_ns, until_ns)
+        self._stale = True
+
     def step(self) -> None:
         self._stepped_ns = self.world.agenda.now_ns
         self.loop.step()
+        self._stale = True
         if self.main is not None and self.main.done() and self.alive:
             self._over(self.main)
 
@@ -138,8 +156,7 @@
         if not main.cancelled() and (error := main.exception()) is not None:
             self.faults.append(f"it ended by {error!r}")
         self.world.ended(self)
-        self.alive = False
-        self._leave()
+        self.kill()
 
     def lurch(self) -> None:
         """The machine stands still in the middle of a turn: the clock goes on between two instructions."""
@@ -155,6 +172,7 @@
     def kill(self) -> None:
         """As SIGKILL: its connections are closed by the kernel, nothing of it runs any more."""
         self.alive = False
+        self._stale = True
         self._leave()
 
     def _leave(self) -> None:
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -205,6 +205,7 @@
         self._seats: list[Seat] = []
         self._kit = self.world.process("kit", 1_000_000)
         self._boxes_process = self.world.process("boxes", 1_000_000)
+        self._kit.judged = self._boxes_process.judged = True  # books are kept there alone
         self._addresses: list[list[Address]] = []
         self._relay: Relay | None = None
         self._front: Front | None = None
@@ -633,7 +634,7 @@
     def _still(self, seat: Seat, lasts: int, about: object) -> None:
         if seat.process is not None and seat.process.alive:
             until = self.world.agenda.now_ns + lasts
-            seat.process.still_until_ns = max(seat.process.still_until_ns, until)
+            seat.process.stay_still(until)
             self.excuses.away[seat.number].append((self.now(), self.now() + lasts))
 
     def _lurch(self, seat: Seat, lasts: int, about: object) -> None:
--- a/tests/virtual/test_judge.py
+++ b/tests/virtual/test_judge.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lanemux.rehearsal.books import Attempt, BoxBooks, CallerBooks, Oddity, Told, Try
+from lanemux.rehearsal.books import Attempt, BoxBooks, CallerBooks, Life, Oddity, Told, Try
 from lanemux.rehearsal.plan import MS, SECOND, draw
 from lanemux.virtual.judge import Excuses, Judge
 from lanemux.virtual.script import setting
@@ -89,6 +89,17 @@
     assert rules(made) == []
 
 
+def test_news_on_a_silent_link_does_not_count_for_the_process_after_it() -> None:
+    """Storm seed 957: the balancer had started again since, with a newer list."""
+    silent = Excuses()
+    silent.unheard[0].append((0, 5 * SECOND))
+    made, boxes, callers = judge(silent)
+    callers.told += [Told(0, 0, "removed", SECOND, 7 * SECOND), Told(0, 0, "up", 0, 20 * SECOND)]
+    callers.balancers_down.append(Life(0, "down", 2 * SECOND, 3 * SECOND))
+    boxes.attempts.append(attempt(6 * SECOND))
+    assert rules(made) == []
+
+
 def test_two_attempts_out_at_once_are_found_when_the_first_ends() -> None:
     made, boxes, _ = judge()
     first = attempt(SECOND, how="")
