--- a/lanemux/checked.py
+++ b/lanemux/checked.py
@@ -11,6 +11,7 @@
 import tomllib
 import types
 from collections.abc import Mapping, Sequence
+from importlib.util import find_spec
 from typing import Any, TypeVar, cast, get_args, get_origin, get_type_hints
 
 T = TypeVar("T")
@@ -110,3 +111,11 @@
         return "one of " + ", ".join(meta["choices"]) if "choices" in meta else "text"
     number = "a whole number" if hint is int else "a number"
     return f"{number} from {meta['low']:g} to {meta['high']:g}" if "low" in meta else number
+
+
+def installed(name: str) -> bool:
+    """Is an optional library there? It is looked for and not imported."""
+    try:
+        return find_spec(name) is not None
+    except (ModuleNotFoundError, ValueError):  # its package is missing, or barred
+        return False
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from importlib.util import find_spec
 from pathlib import Path
 
-from lanemux.checked import Faulty, bounded, build, parse
+from lanemux.checked import Faulty, bounded, build, installed, parse
 from lanemux.core.address import BadAddress, read_address
 
 MAX_FILE = 1024 * 1024  # bytes; a file by hand has some KiB, and a larger one is the wrong file
@@ -46,7 +45,7 @@
             found.append("user, password_file: one without the other; give both or neither")
         elif self.password_file and not Path(self.password_file).is_file():
             found.append(f"password_file: {self.password_file[:80]!r} is not a file that can be read")
-        if not (_installed("grpclib") and _installed("google.protobuf")):
+        if not (installed("grpclib") and installed("google.protobuf")):
             found.append("needs the extra `etcd`: pip install '.[etcd]'")
         return found
 
@@ -74,13 +73,6 @@
     rehearsal: Rehearsal = field(default_factory=Rehearsal)
 
 
-def _installed(name: str) -> bool:
-    try:
-        return find_spec(name) is not None
-    except (ModuleNotFoundError, ValueError):  # its package is missing, or barred
-        return False
-
-
 def load(path: str | None) -> Operators:
     """The file, read and checked whole; with no path, everything off.
 
--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -12,10 +12,9 @@
 import sys
 from collections.abc import Sequence
 from importlib import resources
-from importlib.util import find_spec
 from pathlib import Path
 
-from lanemux.checked import Faulty
+from lanemux.checked import Faulty, installed
 from lanemux.operators import load, read_text
 from lanemux.rehearsal import report
 from lanemux.rehearsal.callers import Callers
@@ -44,10 +43,10 @@
         for fault in error.faults:
             print(f"lanemux: {fault}", file=sys.stderr)
         return BAD_USE
-    if options.html and not find_spec("plotly"):
+    if options.html and not installed("plotly"):
         print("lanemux: --html needs the extra `rehearsal`: pip install '.[rehearsal]'", file=sys.stderr)
         return BAD_USE
-    if scenario.discovery.source == "etcd" and not find_spec("grpclib"):
+    if scenario.discovery.source == "etcd" and not installed("grpclib"):
         print("lanemux: this scenario needs the extra `etcd`: pip install '.[etcd]'", file=sys.stderr)
         return BAD_USE
     command = shlex.split(options.program) if options.program else [sys.executable, "-m", "lanemux"]
@@ -73,7 +72,7 @@
     """Play it; a terminal is shown how far it is."""
     if not sys.stderr.isatty():
         return asyncio.run(_played(scenario, seed, command, None))
-    if not find_spec("rich"):
+    if not installed("rich"):
         run = asyncio.run(_played(scenario, seed, command, _progress))
         print(file=sys.stderr)
         return run
@@ -87,7 +86,7 @@
 
 def _show(run: Run, name: str) -> None:
     """The table: plain lines for scripts and where rich is not installed."""
-    if not (sys.stdout.isatty() and find_spec("rich")):
+    if not (sys.stdout.isatty() and installed("rich")):
         print(report.as_text(run, name))
         return
     from rich.console import Console
--- a/lanemux/virtual/command.py
+++ b/lanemux/virtual/command.py
@@ -13,10 +13,10 @@
 from collections import Counter
 from collections.abc import Generator, Iterable, Sequence
 from dataclasses import dataclass, field
-from importlib.util import find_spec
 from pathlib import Path
 
-from lanemux.virtual.script import EVENTS, FAULTS, Script, as_test, draw
+from lanemux.checked import installed
+from lanemux.virtual.script import EVENTS, FAULTS, Script, as_test, draw, needs_etcd
 from lanemux.virtual.shrink import MOST_TRIES, shrink
 from lanemux.virtual.stage import Result, play
 
@@ -24,6 +24,7 @@
 DEFAULT_SEEDS = "1-200"
 MOST_SEEDS = 1_000_000
 SHRUNK = 3  # failing seeds of one call that are cut down; the others are only named
+EXTRA = "they need the extra `etcd`: pip install '.[etcd]'"
 SHOWN = 5  # violations of a seed that are told
 
 
@@ -43,26 +44,34 @@
 def main(argv: Sequence[str]) -> int:
     """Play seeds. 0: none failed; 1: some did; 2: bad use."""
     options = _options(argv)
-    if not find_spec("grpclib"):
-        print("lanemux: simulate needs the extra `etcd`: pip install '.[etcd]'", file=sys.stderr)
-        return BAD_USE
     if options.replay is not None:
         return _replay(options)
-    first, last = options.seeds
+    seeds, left_out = playable(range(options.seeds[0], options.seeds[1] + 1))
+    if left_out:
+        print(f"{len(left_out)} seeds that take their list from etcd are left out: {EXTRA}", file=sys.stderr)
     began = time.monotonic()
-    played = _played(range(first, last + 1), options.jobs, options.first, options.storm)
+    played = _played(seeds, options.jobs, options.first, options.storm)
     wall_s = time.monotonic() - began
     failed = [p for p in played if p.violations]
     for p in failed:
         _tell(p)
     _summary(played, wall_s, options.jobs)
     if options.json:
-        Path(options.json).write_text(json.dumps(as_json(played, wall_s, options.jobs), indent=1) + "\n")
+        report = as_json(played, wall_s, options.jobs) | {"left_out": left_out}
+        Path(options.json).write_text(json.dumps(report, indent=1) + "\n")
     for p in failed[:SHRUNK] if options.shrink else ():
         _cut_down(p.seed, options.storm)
     return FAILED if failed else PASSED
 
 
+def playable(seeds: range) -> tuple[Sequence[int], list[int]]:
+    """Those that can be played with what is installed, and those that can't."""
+    if installed("grpclib"):
+        return seeds, []
+    left_out = [seed for seed in seeds if needs_etcd(seed)]
+    return [seed for seed in seeds if not needs_etcd(seed)], left_out
+
+
 def _played(seeds: Iterable[int], jobs: int, until_failed: bool, storm: bool) -> list[Played]:
     found = []
     with contextlib.closing(run_seeds(seeds, jobs, storm)) as runs:
@@ -148,6 +157,9 @@
 
 
 def _replay(options: argparse.Namespace) -> int:
+    if needs_etcd(options.replay) and not installed("grpclib"):
+        print(f"lanemux: seed {options.replay} takes its list from etcd: {EXTRA}", file=sys.stderr)
+        return BAD_USE
     result = play(draw(options.replay, options.storm), traced=bool(options.trace))
     _summarize(result)
     if options.trace:
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -134,6 +134,11 @@
     return made
 
 
+def needs_etcd(seed: int) -> bool:
+    """Do the balancers of this seed take their list from etcd?"""
+    return setting(seed).scenario.discovery.source == "etcd"
+
+
 def _usual(seed: int, calm: bool) -> Setting:
     rng = random.Random(f"{seed}/setting")
     boxes, balancers = rng.randint(2, 5), rng.choice((1, 2, 2, 3))
--- a/tests/rehearsal/test_report.py
+++ b/tests/rehearsal/test_report.py
@@ -81,7 +81,7 @@
 
 def test_a_page_without_its_extra_is_bad_use_before_anything_is_played(
         monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
-    monkeypatch.setattr(command, "find_spec", lambda name: None)
+    monkeypatch.setattr(command, "installed", lambda name: False)
     monkeypatch.setattr(asyncio, "run", lambda work: pytest.fail("it was played"))
     assert main(["calm-short", "--html", "x.html"]) == BAD_USE
     assert "pip install '.[rehearsal]'" in capsys.readouterr().err
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -98,7 +98,7 @@
     Planted("restart-unnoticed", "a box that came back before the list said so is taken for warm",
             (("storm/restarts.py", "        if not back:\n", "        if True:\n"),), True),
     Planted("storm-forgets-nothing", "requests whose client went away stay in the storm module's table",
-            (("storm/module.py", "        elif kind is api.ClientGone:\n", "        elif False:\n"),), True),
+            (("storm/module.py", "        elif isinstance(event, api.ClientGone):\n", "        elif False:\n"),), True),
     Planted("grant-outlives", "a lender takes its part back at once",
             (("storm/shares.py", "PROMISE_NS = 3 * SECOND // 2", "PROMISE_NS = 0"),), True),
 )
--- a/tests/virtual/test_command.py
+++ b/tests/virtual/test_command.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lanemux.cli import main
-from tests.virtual.planted import PLANTED, plant
+from tests.virtual.planted import PLANTED, STORMS, plant
 
 
 def test_seeds_that_pass_give_0_and_a_report(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
@@ -34,6 +34,23 @@
     assert "Fault(" in capsys.readouterr().out
 
 
+def test_without_the_extra_the_seeds_that_need_etcd_are_left_out_and_named(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(sys.modules, "grpclib", None)
+    report = tmp_path / "report.json"
+    assert main(["simulate", "--seeds", "1-3", "--jobs", "1", "--json", str(report)]) == 0
+    told = json.loads(report.read_text())
+    assert told["seeds"] == [2] and told["left_out"] == [1, 3]
+    assert "2 seeds that take their list from etcd are left out" in capsys.readouterr().err
+    assert main(["simulate", "--replay", "3"]) == 2
+    assert "pip install '.[etcd]'" in capsys.readouterr().err
+
+
+def test_every_planted_fault_still_finds_its_lines(tmp_path: Path) -> None:
+    for fault in (*PLANTED, *STORMS):
+        plant(fault, tmp_path)
+
+
 @pytest.mark.parametrize("words", [["--seeds", "5-3"], ["--seeds", "x"], ["--jobs", "0"], ["--trace", "f"]])
 def test_bad_use_is_told(words: list[str]) -> None:
     with pytest.raises(SystemExit) as ended:
