Play outages whole on the virtual clock, and the storm module without each of its parts

Need: the storm module had no outage that it prevents; on loopback an outage costs minutes a run and is often not valid.

Change: the virtual stage plays a scenario's own faults at boxes, and takes what stands round the decisions; scenarios say whether boxes may be looked at ([fleet] looks) and retries are marked ([callers] marks). bench/outages.py plays eight balancers before eight boxes without looks, a third of which dies and is back, cold, before anybody is told; with the module, without it, and without one part at a time.

--- /dev/null
+++ b/bench/outages.py
@@ -0,0 +1,228 @@
+"""The outage that the storm module is for, on the virtual clock: with it, without it, and without each part of it.
+
+    python -m bench.outages [SEEDS] [--first N] [--world NAME] [--only BUILD ...] [--jobs N] [--json FILE]
+
+A third of the boxes dies in one moment and comes back cold before discovery tells of it; boxes are not looked at;
+callers retry at once and do not say that it is a retry. Every build plays the same plans, seed by seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import json
+import math
+import multiprocessing
+import os
+import statistics
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from lanemux import interface as api
+from lanemux.policy import Balancer
+from lanemux.rehearsal.command import find
+from lanemux.rehearsal.scenario import USUAL_CLASSES, USUAL_PARTNERS, Callers, Discovery, Fault, Fleet, Load, Scenario
+from lanemux.storm.module import Plan, Storm
+from lanemux.virtual.network import Weather
+from lanemux.virtual.script import Script, Setting
+from lanemux.virtual.stage import play
+
+MS, SECOND = 1_000_000, 1_000_000_000
+OFF, ON = "off", "on"
+
+
+class _Without(Storm):
+    """The module with one part of it out."""
+
+
+class _NoRetryBudgets(_Without):
+    def _figures(self, strength: float, now: int) -> api.Guidance:
+        return super()._figures(strength, now)._replace(again=math.inf, retries={})
+
+
+class _NoSpread(_Without):
+    def _refused(self, action: api.Refuse, now: int) -> api.Refuse:
+        self._lost(action.request, now)
+        return action
+
+
+class _NoSharedBudget(_Without):
+    def _figures(self, strength: float, now: int) -> api.Guidance:
+        return super()._figures(strength, now)._replace(part=0.0, bounded=False)
+
+
+class _NoLending(_Without):
+    def _figures(self, strength: float, now: int) -> api.Guidance:
+        return super()._figures(strength, now)._replace(part=self._shares.careful)
+
+
+class _NoBound(_Without):
+    def _figures(self, strength: float, now: int) -> api.Guidance:
+        return super()._figures(strength, now)._replace(bounded=False)
+
+
+class _NoRestarts(_Without):
+    def _met(self, upstream: int, result: api.Result, now: int, passed: list[api.Event]) -> None:
+        """Nothing is found out: the list alone tells of starts."""
+
+
+class _NoEchoes(_Without):
+    def __init__(self, inner: Balancer, settings: api.Settings, plan: Plan, seed: int, now: int) -> None:
+        super().__init__(inner, settings, plan, seed, now)
+        self._echoes = None
+
+
+BUILDS: dict[str, type[Storm] | None] = {
+    OFF: None, ON: Storm, "no retry budgets": _NoRetryBudgets, "no spread of returns": _NoSpread,
+    "no shared budget": _NoSharedBudget, "no lending": _NoLending, "no bound on R": _NoBound,
+    "no finding out": _NoRestarts, "no echoes": _NoEchoes}
+
+
+@dataclass(frozen=True, slots=True)
+class World:
+    """A kind of outage."""
+
+    looks: bool = False
+    marks: bool = False
+    balancers: int = 8
+    boxes: int = 8
+    load: float = 0.8  # of what the boxes can do
+    part: float = 0.34
+    down_s: tuple[float, float] = (1.0, 3.0)
+    notice_s: tuple[float, float] = (5.0, 9.0)  # of a death: after the box is back
+    seconds: float = 16.0
+    honour: float = 0.3
+    fall_multiple: float = 2.5  # a cold box falls over at so many times what it can do
+
+
+WORLDS = {
+    "blind": World(),  # no looks, deaths told after the boxes are back
+    "told": World(notice_s=(0.3, 0.9), down_s=(2.0, 4.0)),  # no looks, deaths told soon
+    "looks": World(looks=True),
+    "marked": World(marks=True),
+    "overload": World(load=1.1),
+    "many": World(balancers=16, boxes=6, load=0.9),
+    "many-over": World(balancers=16, boxes=6, load=1.4, part=0.5),
+    "half": World(balancers=16, boxes=8, load=0.9, part=0.5, honour=0.0),
+    "frail": World(fall_multiple=1.3),
+    "frail-over": World(fall_multiple=1.3, load=1.1),
+    "frail-told": World(fall_multiple=1.3, load=1.1, notice_s=(0.3, 0.9), down_s=(2.0, 4.0)),
+}
+DIES_S = 5.0
+
+
+PARTNER, PARTNERS_WORLD = "miami-desk", "partner"  # who storms there: the kit's partner-storm
+
+
+def setting(name: str) -> Setting:
+    """The world as the virtual stage takes it."""
+    links = dict.fromkeys(("client", "box", "list", "peer"), Weather(jitter_ns=100_000))
+    return Setting(find("partner-storm", "") if name == PARTNERS_WORLD else _outage(WORLDS[name]), links)
+
+
+def _outage(world: World) -> Scenario:
+    mean_s = sum(c.share * c.work_ms for c in USUAL_CLASSES) / 1000
+    return Scenario(
+        "an outage", world.seconds, 1.0,
+        Fleet(boxes=world.boxes, balancers=world.balancers, looks=world.looks, fall_multiple=world.fall_multiple),
+        Load(rate=world.load * world.boxes / mean_s, swing=0.1),
+        Callers(at_once=1.0, honour=world.honour, marks=world.marks),
+        Discovery(notice_s=world.notice_s, add_s=(0.77, 2.5)),
+        classes=USUAL_CLASSES, partners=USUAL_PARTNERS,
+        faults=(Fault("crash", at_s=DIES_S, part=(world.part, world.part), down_s=world.down_s),))
+
+
+@dataclass(slots=True)
+class Row:
+    """One build's run of one seed."""
+
+    build: str
+    seed: int
+    service: float
+    outage_service: float  # from the deaths until some seconds behind the last return
+    recovery_s: float
+    returns_peak: float
+    fell: int  # boxes pushed over
+    budget: float  # of what a cold box bears, the most that it was sent
+    attempts_per_ask: float
+    others: float  # service of the partners that do not storm, within their shares
+    broken: dict[str, int]
+
+
+def run(job: tuple[str, str, int]) -> Row:
+    """One run."""
+    name, build, seed = job
+    kind = BUILDS[build]
+
+    def around(decides: Balancer, told: api.Settings, seed: int, now: int) -> Storm | Balancer:
+        return decides if kind is None else kind(decides, told, Plan(), seed, now)
+
+    result = play(Script(seed), made=setting(name), around=around)
+    broken: dict[str, int] = {}
+    for violation in result.violations:
+        broken[violation.rule] = broken.get(violation.rule, 0) + 1
+    f = result.figures
+    fell = len({v.box for v in result.violations if v.rule == "cold"})
+    return Row(build, seed, f.service, f.outage_service, f.recovery_s, f.returns_peak, fell, f.cold_budget_most,
+               f.attempts_per_ask, statistics.mean(v for p, v in f.by_partner.items() if p != PARTNER), broken)
+
+
+def spread(values: Sequence[float]) -> str:
+    """Mean and standard deviation."""
+    return f"{statistics.mean(values):.3f} ({statistics.pstdev(values):.3f})" if values else "-"
+
+
+def line(build: str, rows: Sequence[Row], off: Sequence[Row]) -> str:
+    """One build's row of the table."""
+    others: dict[str, int] = {}
+    for row in rows:
+        for rule, count in row.broken.items():
+            if rule != "cold":
+                others[rule] = others.get(rule, 0) + count
+    back = [r.recovery_s for r in rows if r.recovery_s >= 0]
+    before = {r.seed: r.outage_service for r in off}
+    gaps = [r.outage_service - before[r.seed] for r in rows if r.seed in before]
+    error = statistics.stdev(gaps) / len(gaps) ** 0.5 if len(gaps) > 1 else 0.0
+    return (f"{build:<22}{sum(r.fell for r in rows):>5}{sum(r.fell > 0 for r in rows):>6}"
+            f"{max(r.budget for r in rows):>8.2f}{statistics.median(r.budget for r in rows):>7.2f}  "
+            f"{spread([r.service for r in rows])}  {spread([r.outage_service for r in rows])}  "
+            f"{statistics.mean(gaps) if gaps else 0:+.3f} ({error:.3f})  "
+            f"{statistics.median(back) if back else math.nan:6.2f} s{len(rows) - len(back):>5}  "
+            f"{statistics.median(r.returns_peak for r in rows):6.2f}  "
+            f"{statistics.median(r.attempts_per_ask for r in rows):5.2f}  "
+            f"{spread([r.others for r in rows])}  {others or ''}")
+
+
+def table(rows: Iterable[Row]) -> None:
+    """All builds, a row each."""
+    by_build: dict[str, list[Row]] = {}
+    for row in rows:
+        by_build.setdefault(row.build, []).append(row)
+    print(f"{'':<22}{'fell':>5}{'seeds':>6}{'budget':>8}{'med.':>7}  service        in the outage  over off        "
+          "back after  never  peak  tries  other partners  other rules broken")
+    for build, own in by_build.items():
+        print(line(build, own, by_build.get(OFF, [])), flush=True)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("seeds", type=int, nargs="?", default=20)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--world", choices=sorted([*WORLDS, PARTNERS_WORLD]), default="blind")
+    parser.add_argument("--only", nargs="+", choices=list(BUILDS), default=list(BUILDS))
+    parser.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
+    parser.add_argument("--json", type=Path)
+    options = parser.parse_args()
+    jobs = [(options.world, build, seed) for seed in range(options.first, options.first + options.seeds)
+            for build in options.only]
+    with multiprocessing.get_context("spawn").Pool(options.jobs) as pool:
+        rows = list(pool.imap_unordered(run, jobs))
+    rows.sort(key=lambda r: (options.only.index(r.build), r.seed))
+    table(rows)
+    if options.json:
+        options.json.write_text(json.dumps([dataclasses.asdict(r) for r in rows], indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -140,7 +140,7 @@
         headers = {"Host": "quotes.internal", "Req-Id": self.entry.id, "Req-Owner": self.ask.partner,
                    "Cookie": f"user={self.ask.user}", "Req-Deadline-Ms": str(remaining_ms),
                    "Req-Cost": str(self.ask.hint_us)}
-        if self.entry.number:
+        if self.entry.number and self._callers.plan.scenario.callers.marks:
             headers["Req-Retry"] = "1"
         if self.ask.effect == "keyed":
             headers["Idempotency-Key"] = idempotency_key(self._callers.plan.seed, self.ask.number)
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -389,7 +389,7 @@
     return {
         "me": me, "replicas_of_me": fleet.balancers, "locality": room_of(fleet, me), "zones": list(fleet.rooms),
         "registry_mode": "push", "weight_source": "none", "over_share_worth": 0.05,
-        "kinds": ["box-a", "box-b"], "clients": {"marks_retry": True},
+        "kinds": ["box-a", "box-b"], "clients": {"marks_retry": s.callers.marks},
         "load_report": {"columns": ["inflight", "queue"], "how": "probe"},
         "profiles": [{"name": c.name, "repeat": REPEATS[c.effect], "dedup_scope": c.scope, "stream": False,
                       "aim_ns": int(c.aim_ms * MS), "hard_limit_ns": int(c.deadline_ms * MS),
@@ -398,7 +398,7 @@
                     "quota_per_s": 0.8 * capacity * p.share / whole} for p in s.partners],
         "limits": {"conn_idle_ns": int(fleet.idle_s * SECOND), "connect_timeout_ns": 200 * MS,
                    "max_open": 20_000, "max_retry_after_ns": 2 * SECOND, "max_streams": 1,
-                   "may_cancel": True, "peers": True, "probes": True, "retry_after": True,
+                   "may_cancel": True, "peers": True, "probes": fleet.looks, "retry_after": True,
                    "second_copies": False, "send_cap": 5},
         "prices": {"cross_zone": 0.005, "waste": 0.02, "probe": 0.002, "peer": 0.01, "late_fail": 0.08,
                    "connection": 0.0, "handshake": 0.0, "registry_mode": 0.0},
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -74,6 +74,7 @@
     connections: int = bounded(1, 10_000, 512)  # a box holds so many, and resets more
     full_tax: float = bounded(0, 0.9, 0.25)  # speed lost with a full table of connections
     idle_s: float = bounded(0.1, 600, 15.0)  # a connection idle for so long is closed
+    looks: bool = True  # balancers may ask a box for its load; else they go by what they sent there
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +96,7 @@
     try_share: Range = bounded(0.05, 1, (0.33, 0.55))  # of the deadline, after which a try is given up
     at_once: float = bounded(0, 1, 0.5)  # share of callers that retry at once; others wait a fixed time
     backoff_ms: Range = bounded(0, 10_000, (20.0, 160.0))
+    marks: bool = True  # a retry says that it is one
     honour: float = bounded(0, 1, 0.3)  # share of callers that come back no sooner than Retry-After says
     impatient: float = bounded(0, 1, 0.01)  # share of tries whose caller goes away at some moment
     front_notice_s: Range = bounded(0, 60, (1.5, 3.8))  # the front goes on sending to a dead balancer
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -61,6 +61,7 @@
 FIRST_BYTES = 60  # of what arrives, shown in the timeline
 TOLD_BETWEEN = 0.5
 STORM_PLAN = StormPlan()
+PLANNED = ("die", "start", "drain", "leave", "vanish", "return", "freeze", "neighbour")  # a plan's own, of boxes
 DECIDED = 0.6  # share of lurches that come between a decision to send and the sending
 
 
@@ -82,15 +83,22 @@
     timeline: list[str] = field(default_factory=list)
 
 
+Round = Callable[[Balancer, api.Settings, int, int], Module]  # what stands round the decisions; with seed and time
+
+
+def _storm(decides: Balancer, told: api.Settings, seed: int, now: int) -> Module:
+    return Storm(decides, told, STORM_PLAN, seed, now)
+
+
 class Observed:
     """The module between the node and its decisions: it holds that every Send has one Outcome, and one is out."""
 
-    def __init__(self, settings_told: api.Settings, seed: int, now: int, storm: bool,
+    def __init__(self, settings_told: api.Settings, seed: int, now: int, around: Round | None,
                  accuse: Callable[[str, str], None], excused: Callable[[int, int], bool],
                  listed: Callable[[int, api.ListUpdate], None],
                  sending: Callable[[], None]) -> None:
         self.decides = Balancer(settings_told, seed, now)
-        self.inner: Module = Storm(self.decides, settings_told, STORM_PLAN, seed, now) if storm else self.decides
+        self.inner: Module = around(self.decides, settings_told, seed, now) if around is not None else self.decides
         self.out: dict[tuple[str, int], int] = {}  # attempt -> when it is to time out; 0: not told
         self._sends: Counter[str] = Counter()
         self._accuse, self._excused, self._listed, self._sending = accuse, excused, listed, sending
@@ -177,8 +185,11 @@
 class Stage:
     """All parties of one virtual run."""
 
-    def __init__(self, script: Script, traced: bool = False, made: Setting | None = None) -> None:
+    def __init__(self, script: Script, traced: bool = False, made: Setting | None = None,
+                 around: Round | None = None) -> None:
+        """`around`: round the decisions; None: the storm's module in storms, else nothing."""
         self.script = script
+        self._around = around or (_storm if script.storm else None)
         made = made or setting(script.seed, script.calm, script.storm)
         self.plan = draw(made.scenario, script.seed)
         self.drawn = len(self.plan.asks)
@@ -251,6 +262,12 @@
                 self._waiting.setdefault((fault.on, fault.nth), []).append(fault)
             else:
                 self.world.agenda.at(ZERO_NS + int(fault.at_ms * MS), lambda f=fault: self._do(f, "time", None))  # type: ignore[misc]
+        for happening in self.plan.happenings:
+            if happening.what in PLANNED:
+                self.world.agenda.at(ZERO_NS + happening.at_ns, lambda h=happening: self._planned(h))  # type: ignore[misc]
+        for notice in self.plan.notices:
+            self.world.agenda.at(ZERO_NS + notice.at_ns,
+                                 lambda n=notice: self._tell(n.box, n.health, n.born_ns))  # type: ignore[misc]
         callers = self._callers
         assert callers is not None
         last = self.plan.asks[-1].at_ns if self.plan.asks else 0
@@ -356,7 +373,7 @@
         self._write(seat)
 
         def module(told: api.Settings, seed: int, now: int) -> Observed:
-            seat.module = Observed(told, seed, now, self.script.storm, accuse, excused, listed, sending)
+            seat.module = Observed(told, seed, now, self._around, accuse, excused, listed, sending)
             return seat.module
 
         def accuse(rule: str, what: str) -> None:
@@ -509,9 +526,12 @@
             seat.agent.tell(row, self._addresses[slot][seat.number], Notice(self.now(), box, health, born_ns))
 
     def _happen(self, what: str, box: int, until_ns: int = 0) -> None:
+        self._planned(Happening(self.now(), what, box, until_ns))
+
+    def _planned(self, happening: Happening) -> None:
         assert self._boxes is not None
-        self.trace(f"box {box}", what)
-        self._in(self._boxes_process, self._boxes.happen, Happening(self.now(), what, box, until_ns))
+        self.trace(f"box {happening.who}", happening.what)
+        self._in(self._boxes_process, self._boxes.happen, happening)
 
     def _take(self, box: int) -> bool:
         """A box goes through one change of its life at a time."""
@@ -884,7 +904,8 @@
         logging.disable(before)
 
 
-def play(script: Script, traced: bool = False, made: Setting | None = None) -> Result:
-    """Play a script on a virtual clock; `made`: in this setting, and not in that of its seed."""
+def play(script: Script, traced: bool = False, made: Setting | None = None, around: Round | None = None) -> Result:
+    """Play a script on a virtual clock; `made`: in this setting, and not in that of its seed; `around`: with this
+    round the decisions."""
     with quiet():
-        return Stage(script, traced, made).play()
+        return Stage(script, traced, made, around).play()
