Keep of the storm module what outages show to count: starts found out, returns, doors

Finding out restarts is what kept cold boxes up. It missed some: a balancer meets a dead box once, leaves it alone until it is back, and two refusals were asked for.

One refused connection and an answer 50 ms later tell a start; where seven tenths of the list refuse, nobody has started: this balancer lacks descriptors.

--- a/lanemux/interface.py
+++ b/lanemux/interface.py
@@ -6,11 +6,9 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
-from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -230,17 +228,7 @@
     name: str
 
 
-class Guidance(NamedTuple):
-    """What a subsystem beside the module makes of the moment; it holds until the next one. Without any, nothing is
-    bounded and upstreams are shared out by count alone."""
-
-    again: float = math.inf  # attempts after the first, for each first one
-    retries: Mapping[str, float] = MappingProxyType({})  # tenant -> its clients' retries, for each fresh one admitted
-    part: float = 0.0  # of the fleet, and of each cold upstream's budget, this proxy's; 0: by count
-    bounded: bool = False  # R stays within what the list and the cold shares say that the fleet bears
-
-
-Event = ListUpdate | Arrival | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage | Wake | Guidance
+Event = ListUpdate | Arrival | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage | Wake
 
 # ---- actions -------------------------------------------------------------------------------------------
 
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -54,13 +54,8 @@
 class Storm:
     """[storm]: retry storms are noticed and softened. The section's presence switches it on."""
 
-    retries: float = bounded(0, 10, 0.2)  # clients' retries for each fresh request admitted, of a tenant in a storm
-    retries_ebb: float = bounded(0, 10, 0.5)  # and while it ebbs
-    again: float = bounded(0, 10, 0.2)  # attempts after the first for each first one, in a storm
-    again_ebb: float = bounded(0, 10, 0.5)
     longest_wait_ms: int = bounded(0, 600_000, 0)  # that Retry-After tells; 0: the platform's limit
     whole_seconds: bool = False  # Retry-After in whole seconds (RFC 9110), for ordinary clients
-    peer_messages: bool = True  # cold budgets are lent by datagrams, where the platform's settings allow them
     source_part: float = bounded(0.01, 1, 0.5)  # of the places for connections, that one source may hold
 
 
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 import random
 from bisect import bisect_left
 from collections import Counter, deque
@@ -43,11 +42,6 @@
 LINE_PART = 0.5  # of a request's time to spare may go by in the line
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
-GUIDED_COLD = 0.45  # the same where parts of it are shared out: still more than it can do, as it has a line of its own
-LONGEST_GAP = SECOND  # between sends to a cold upstream: what it can do and whose it is are other figures by then
-UNLEARNED = 0.25  # of what an upstream seems to do, before enough outcomes have told
-HEADROOM = 1.4  # a bounded R stands so far above what the fleet seems to do: seeming is not knowing
-BURST = 10.0  # attempts after the first, and clients' retries of a tenant, that may come at once
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
 COMMON_MAX = 0.3  # share of broken connections beyond which none is put down to the network
@@ -135,8 +129,8 @@
 class Throttle:
     """One tenant's gate: the paper's counter U = T - J + C_J in [0, C_J + C_T] (2.1), (2.8)."""
 
-    def __init__(self, weight: float, rng: random.Random, now: int, name: str = "") -> None:
-        self.weight, self.name = weight, name
+    def __init__(self, weight: float, rng: random.Random, now: int) -> None:
+        self.weight = weight
         self.bank = round(START_RATE * BANK_S)  # C_T
         self.hold = round(self.bank * HOLD_PART)  # C_J
         self.u = self.bank + self.hold  # starts full
@@ -149,7 +143,6 @@
         self.waking = False  # a timer for the next token is set
         self.over = False
         self.short = False  # a request found no token since R was last set
-        self.retries = BURST  # of its clients that may be admitted, where they are bounded
 
     def set_rate(self, rate: float, now: int) -> None:
         """Change the rate and with it the capacities; tokens in the bank and requests held stay."""
@@ -188,17 +181,6 @@
         self.u -= 1
         return True
 
-    def retry(self, cost: float, share: float, now: int) -> bool:
-        """Admit a client's retry? Only with a spare token, and while retries keep to their share of what is fresh.
-
-        `cost`: in usual requests. Guards against a heavy request that comes three times."""
-        if share < math.inf and self.retries < cost:
-            return False
-        if not self.spare(now):
-            return False
-        self.retries -= cost if share < math.inf else 0.0
-        return True
-
     def released(self, now: int) -> Iterable[Request]:
         self.accrue(now)
         while len(self.held) > max(0, self.hold - self.u):
@@ -224,12 +206,6 @@
         self.unplaced = 0  # requests that no upstream had room for in time
         self.bad: Counter[int] = Counter()  # by upstream
 
-    def bound(self, ceiling: float, now: int) -> None:
-        """R is no more than this: after a shrink it comes down before failures tell."""
-        if self.value > ceiling:
-            self.value = ceiling
-            self._share(now)
-
     def adjust(self, now: int, width: int, crowded: bool = True) -> None:
         elapsed = now - self.since
         bad = sorted(self.bad.values(), reverse=True)
@@ -425,7 +401,6 @@
         self.barred: dict[int, Server] = {}  # those last left alone, some of them free again
         self.ended = self.broke = 0.0  # over all upstreams, see Server
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
-        self.guide = api.Guidance()
 
     def pool(self, cls: api.RequestClass) -> Pool:
         placement = (cls.zones, cls.kinds)
@@ -444,15 +419,11 @@
                 changed |= self._enter(missing, missing.entry._replace(state=api.State.GONE))
         for entry in update.upstreams:
             s = self.servers.get(entry.id)
-            started = s.entry.started_ns if s is not None else 0
             if s is None:
                 s = self.servers[entry.id] = Server(entry.id, entry)
                 changed |= self._enter(s, entry)
             else:
                 changed |= self._update(s, entry)
-            if self.guide.part and entry.started_ns != started and self.cold(s, now):
-                # All hear of it in one moment: their first sends must not come in one.
-                self.rest(s, now + int(self.rng.random() * self.cold_gap_ns(s, now)))
             if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
                 # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
                 size = self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
@@ -520,27 +491,13 @@
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
 
-    def warmth(self, s: Server, now: int) -> float:
-        """The part of its capacity that it has at the least."""
-        rules = self.settings.rules
-        return rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-
-    def cold_gap_ns(self, s: Server, now: int, weight: float = 1.0) -> int:
+    def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
-        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`.
-        `weight`: of what was sent last, in usual requests; it counts where parts of the budget are shared out."""
-        multiple, warmth = self.settings.rules.fall_multiple, self.warmth(s, now)
-        if self.guide.part:
-            bears = self.crowding.rate() * self.guide.part
-            return min(LONGEST_GAP, int(weight * SECOND / (GUIDED_COLD * multiple * warmth * bears)))
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        rules = self.settings.rules
+        part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
         bears = max(self.borne, SECOND / self.crowding.each / self.place(s).sharers)
-        return int(SECOND / (COLD_PART * multiple * warmth * bears))
-
-    def bears(self, now: int) -> float:
-        """Requests a second that this proxy's part of the fleet seems to do, cold ones by their warmth."""
-        warm = sum(self.warmth(s, now) if self.cold(s, now) else 1.0 for s in self.servers.values()
-                   if s.entry.state is api.State.READY)
-        return warm * self.crowding.rate() * self.guide.part
+        return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
         if not self.place(s).own:  # other proxies fill it, and own counts say little of it
@@ -661,10 +618,6 @@
         self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
         self.base = max(0.0, mean_took - self.each * mean_held)
 
-    def rate(self) -> float:
-        """Requests a second that a warm upstream seems to do."""
-        return SECOND / self.each * max(UNLEARNED, min(1.0, self.sums[0] / EVIDENCE))
-
     def time(self, held: float) -> float:
         """What a request takes at an upstream that holds so many, this one included."""
         return self.base + self.each * held
@@ -716,7 +669,7 @@
         self.settings = settings
         self.rng = random.Random(seed)
         tenants = settings.tenants or {"": api.Tenant("")}
-        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now, name) for name, t in tenants.items()}
+        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now) for name, t in tenants.items()}
         self.rate = Rate(list(self.throttles.values()), now)
         self.crowding = Crowding()
         self.fleet = Fleet(settings, self.crowding, self.rng)
@@ -727,7 +680,6 @@
         self.actions: list[api.Action] = []
         self.checked_ns = now
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
-        self.again = BURST  # attempts after the first that may be made, where they are bounded
         self.subscribed = settings.discovery_push
         if not self.subscribed:
             self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
@@ -749,8 +701,6 @@
                 self._probed(e, now)
             elif type(e) is api.AnswerBegun and e.request in self.requests:
                 self.requests[e.request].begun = True
-            elif type(e) is api.Guidance:
-                self.fleet.guide = e
             elif type(e) is api.Wake and e.name == str(self.timer):
                 self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
         while self.due and self.due[0][0] <= now:
@@ -794,10 +744,7 @@
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
         self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
         # Marked retries take spare tokens only: they must not starve fresh work.
-        share = self.fleet.guide.retries.get(throttle.name, math.inf)
-        answer = throttle.retry(self._usual(r), share, now) if e.retry else throttle.offer(r, now)
-        if not e.retry and answer is not False and share < math.inf:
-            throttle.retries = min(BURST, throttle.retries + share)
+        answer = throttle.spare(now) if e.retry else throttle.offer(r, now)
         if answer is False:
             self._refuse(r, now)
         elif answer is None:
@@ -806,10 +753,6 @@
         else:
             self._admit(r, now)
 
-    def _usual(self, r: Request) -> float:
-        """What it takes, in usual requests; one at the least."""
-        return max(1.0, self.crowding.expected(r) / self.crowding.mean)
-
     def _admit(self, r: Request, now: int) -> None:
         r.place = ""
         r.hurried = r.stood or 2 * (r.aim_ns - now) < r.cls.aim_ns
@@ -904,22 +847,13 @@
 
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
-        if (r.attempts and now < r.give_up_ns and any(r.may_send(s, now, self.settings.limits)
-                                                      for s in self._choices(r) or r.pool.reach[:1])
-                and self._may_repeat()):
+        if r.attempts and any(r.may_send(s, now, self.settings.limits)
+                              for s in self._choices(r) or r.pool.reach[:1]) and now < r.give_up_ns:
             r.pool.line.appendleft(r)
             self._look_around(r, now)
         else:
             self._refuse(r, now)
 
-    def _may_repeat(self) -> bool:
-        """Attempts after the first keep to their share of the first ones, where they are bounded."""
-        if self.fleet.guide.again < math.inf:
-            if self.again < 1:
-                return False
-            self.again -= 1
-        return True
-
     def _choices(self, r: Request) -> list[Server] | None:
         """Where a request that may have run may go again; None: anywhere."""
         first = next((a for a in r.attempts if a.may_have_run), None)
@@ -1034,11 +968,9 @@
         server.inflight += 1
         server.load += server.load_ns > 0
         expected = max(1.0, self.crowding.expected(r) * server.pace)
-        if not r.attempts:
-            self.again = min(BURST, self.again + self.fleet.guide.again)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
-            self.fleet.rest(server, now + self.fleet.cold_gap_ns(server, now, self._usual(r)))
+            self.fleet.rest(server, now + self.fleet.cold_gap_ns(server, now))
             self._later(server.barred_ns, "pump", None)
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
@@ -1054,8 +986,6 @@
         for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
             pool.width = min(len(pool.reach), pool.home + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
-        if fleet.guide.bounded:
-            self.rate.bound(HEADROOM * fleet.bears(now), now)
         fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
--- a/lanemux/storm/restarts.py
+++ b/lanemux/storm/restarts.py
@@ -1,6 +1,7 @@
 """Upstreams that came back before the list said so: they are cold, whatever the list says. No I/O.
 
-A process that ended refuses connections; one that answers again afterwards has started anew. Until the list tells of
+A process that ended refuses connections; one that answers again afterwards has started anew. One refusal tells it: most
+balancers meet a dead upstream once, leave it alone, and come back when it is there again. Until the list tells of
 that start, its entry is given a start of now. The table holds the list's entries and is bounded by the list.
 """
 
@@ -11,8 +12,8 @@
 from lanemux import interface as api
 
 MS = 1_000_000
-REFUSALS = 2  # connections in a row that did not come up: one may be chance, or this proxy out of descriptors
-SPAN_NS = 50 * MS  # and over so long at the least: several of one turn are one
+SPAN_NS = 50 * MS  # from a refusal to the answer, at the least: a connection that broke by chance is tried again sooner
+COMMON, LEAST = 0.7, 3  # more of the list than this refuse at once: that is this proxy, out of descriptors, not they
 SILENT = (api.Result.MOOT, api.Result.CANCELLED, api.Result.TIMEOUT, api.Result.RESET)  # they say neither
 
 
@@ -21,8 +22,7 @@
     """What is known of one upstream's starts."""
 
     told: api.Upstream  # the list's word
-    refused: int = 0  # connections in a row
-    since_ns: int = 0  # the first of them
+    refused_ns: int = 0  # its first connection that did not come up, and no answer since; 0: none
     start_ns: int = 0  # found out here; 0: the list's word holds
 
 
@@ -59,7 +59,7 @@
             self._known[entry.id] = Known(entry)
             return entry
         if entry.started_ns != known.told.started_ns:  # the list knows of a start: its word is exact
-            known.start_ns = known.refused = 0
+            known.start_ns = known.refused_ns = 0
             self._suspects.discard(entry.id)
         known.told = entry
         return entry._replace(started_ns=known.start_ns) if known.start_ns else entry
@@ -67,17 +67,22 @@
     def met(self, upstream: int, result: api.Result, now: int) -> api.Upstream | None:
         """An attempt or a look has ended; the entry as it is now, if that shows a start the list has not told of."""
         known = self._known.get(upstream)
-        if known is None or result in SILENT or (result is not api.Result.CONNECT_FAILED and not known.refused):
+        if known is None or result in SILENT:
             return None
         if result is api.Result.CONNECT_FAILED:
-            known.since_ns = known.since_ns if known.refused else now
-            known.refused += 1
-            self._suspects.add(upstream)
+            self._refused(upstream, known, now)
             return None
-        back = known.refused >= REFUSALS and now - known.since_ns >= SPAN_NS
-        known.refused = 0
+        since, known.refused_ns = known.refused_ns, 0
         self._suspects.discard(upstream)
-        if not back:
+        if not since or now - since < SPAN_NS:
             return None
         known.start_ns = now
         return known.told._replace(started_ns=now)
+
+    def _refused(self, upstream: int, known: Known, now: int) -> None:
+        known.refused_ns = known.refused_ns or now
+        self._suspects.add(upstream)
+        if len(self._suspects) >= max(LEAST, COMMON * len(self._known)):
+            for number in self._suspects:
+                self._known[number].refused_ns = 0
+            self._suspects.clear()
--- a/lanemux/storm/setup.py
+++ b/lanemux/storm/setup.py
@@ -19,8 +19,7 @@
 
 def plan(told: Told) -> Plan:
     """The section as the module takes it."""
-    return Plan(told.retries, told.retries_ebb, told.again, told.again_ebb, told.longest_wait_ms * MS,
-                told.whole_seconds, told.peer_messages)
+    return Plan(told.longest_wait_ms * MS, told.whole_seconds)
 
 
 def make(told: Told) -> tuple[MakeModule, MakeDoors]:
