Drop a class of the outage bench that nothing told apart

Need: _Without added nothing to the storm module that its two variants did not have.

Change: the variants derive from the module itself.

--- a/bench/outages.py
+++ b/bench/outages.py
@@ -32,17 +32,13 @@
 OFF, ON = "off", "on"
 
 
-class _Without(Storm):
-    """The module with one part of it out."""
-
-
-class _NoSpread(_Without):
+class _NoSpread(Storm):
     def _refused(self, action: api.Refuse, now: int) -> api.Refuse:
         self._lost(action.request, now)
         return action
 
 
-class _NoRestarts(_Without):
+class _NoRestarts(Storm):
     def _met(self, upstream: int, result: api.Result, now: int, passed: list[api.Event]) -> None:
         """Nothing is found out: the list alone tells of starts."""
 
