--- a/tests/rehearsal/test_pure.py
+++ b/tests/rehearsal/test_pure.py
@@ -17,7 +17,7 @@
 from lanemux.rehearsal.command import _known, find
 from lanemux.rehearsal.plan import MS, SECOND, Box, draw
 from lanemux.rehearsal.scenario import Fleet, Scenario, read_scenario
-from lanemux.rehearsal.service import figures, results
+from lanemux.rehearsal.service import figures, missed, results
 from lanemux.rehearsal.validity import judge
 
 BOX = Box("q-1", "woodbrook", 0, "box-a", 0, 1.0, 2, 0.0, 100.0, 0.31, 8 * SECOND, 10**18, 0.0, 2 * MS, 0, 0, 1)
@@ -207,6 +207,15 @@
     assert figures(plan, boxes, books).refusal_held_share == pytest.approx(0.9)
 
 
+def test_a_last_try_of_a_few_milliseconds_is_not_held_for_longer_than_its_time() -> None:
+    scenario, books = played((0, 0, 503, 4.3), (1, 0, 503, 1))
+    books.tries[0].deadline_ns = books.tries[0].sent_ns + 3 * MS
+    found = figures(draw(scenario, 1), BoxBooks(), books)
+    assert found.refusal_held_share < 0.01
+    said = missed(draw(scenario, 1), dataclasses.replace(found, refusal_held_share=1.4))
+    assert not any("held" in line for line in said)  # the scenario says nothing of it
+
+
 def test_two_answers_to_one_ask_count_once() -> None:
     scenario, books = played((0, 0, 200, 240), (0, 1, 200, 250))
     assert figures(draw(scenario, 1), BoxBooks(), books).answered_in_time == 1
