Count a calm request in the storm module with fewer steps, pairs of processes anew

Change: the module counts a batch in one pass and hands it on as it came unless something bears on starts; counts fade at looks, ten a second, and not at every request. bench/seam_cost starts its pair anew, keeps its connections from round to round, tells the error between pairs, and measures [storm] on over off in the whole daemon. Planted storm faults: two that no rule can see gave way to four that were not there.

--- a/bench/outages.py
+++ b/bench/outages.py
@@ -34,13 +34,14 @@
 
 class _NoSpread(Storm):
     def _refused(self, action: api.Refuse, now: int) -> api.Refuse:
-        self._lost(action.request, now)
+        self._lost(action.request)
         return action
 
 
 class _NoRestarts(Storm):
-    def _met(self, upstream: int, result: api.Result, now: int, passed: list[api.Event]) -> None:
+    def _met(self, upstream: int, result: api.Result, now: int) -> api.Upstream | None:
         """Nothing is found out: the list alone tells of starts."""
+        return None
 
 
 BUILDS: dict[str, type[Storm] | None] = {
--- a/bench/seam_cost.py
+++ b/bench/seam_cost.py
@@ -1,10 +1,14 @@
-"""What the seams cost in service: this tree's balancer beside another commit's, in turns, on one machine.
+"""What a change costs in service: this tree's balancer beside another commit's, or with a section of the operators'
+file beside itself without, in turns, on one machine.
 
-    python -m bench.seam_cost COMMIT [ROUNDS]
+    python -m bench.seam_cost COMMIT [ROUNDS] [PAIRS]
+    python -m bench.seam_cost storm [ROUNDS] [PAIRS]     # [storm] on over off
 
-Both balancers stand all the time, each on a core of its own, before four upstreams that answer at once; sixteen
-connections load one of them for a quarter of a second, then the other, in drawn order. Told are requests a second and
-the processor time of the balancer for each (Linux, /proc/PID/schedstat), as ratios round by round, for two loads:
+Both balancers stand for a pair's rounds, each on a core of its own, before four upstreams that answer at once; sixteen
+connections load one of them for a quarter of a second, then the other, in drawn order. Two processes of the same code
+differ by 3% for as long as they live, so the pair is started anew PAIRS times, and the error told is that between
+pairs. Told are requests a second and the processor time of the balancer for each (Linux, /proc/PID/schedstat), as
+ratios round by round, for two loads:
 
     full   as fast as it goes, with a module that only deals requests out: the network code alone, nothing refused
     paced  some 600 requests a second, with the daemon as it is
@@ -22,6 +26,7 @@
 import sys
 import tempfile
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from pathlib import Path
 
 from lanemux.rehearsal import framing
@@ -32,7 +37,7 @@
 
 ROOT = Path(__file__).parent.parent
 # Short rounds: what drifts on a shared machine is then the same for both of a pair.
-UPSTREAMS, CONNECTIONS, ROUND_S, ROUNDS = 4, 16, 0.25, 300
+UPSTREAMS, CONNECTIONS, ROUND_S, ROUNDS, PAIRS = 4, 16, 0.25, 24, 10
 PAUSE_S = {"full": 0.0, "paced": 0.025}  # of a connection between its requests
 DEALER = """
 import asyncio, os
@@ -85,9 +90,16 @@
     def __init__(self, port: int, number: int) -> None:
         self.port, self.number, self.count, self.served = port, number, 0, 0
 
+    async def open(self) -> None:
+        """Come up; the connection is kept for all rounds, as callers keep theirs."""
+        self._reader, self._writer = await asyncio.open_connection(HOST, self.port)
+
+    def close(self) -> None:
+        self._writer.close()
+
     async def ask(self, until: float, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
-        reader, writer = await asyncio.open_connection(HOST, self.port)
+        reader, writer = self._reader, self._writer
         framer = framing.Framer(answers=True)
         while loop.time() < until:
             self.count += 1
@@ -100,18 +112,27 @@
             self.served += answers[0].status == 200
             if pause_s:
                 await asyncio.sleep(pause_s)
-        writer.close()
 
 
-async def start(root: Path, folder: Path, name: str, core: int, agent: Agent, place: Place,
+@dataclass(frozen=True)
+class Side:
+    """One of the two: where its program lies, and its operators' file."""
+
+    name: str
+    root: Path
+    operators: Path
+
+
+async def start(side: Side, folder: Path, core: int, agent: Agent, place: Place,
                 program: list[str]) -> asyncio.subprocess.Process:
     told = settings(draw(find("calm-short", ""), 1), 0)
     told["realms"] = [{"name": "brooklyn-desk", "share": 1.0}]
-    path = folder / f"{name}.json"
-    path.write_text(json.dumps(configuration(name, place, "1", agent.listing(), told)))
+    path = folder / f"{side.name}.json"
+    path.write_text(json.dumps(configuration(side.name, place, "1", agent.listing(), told)))
+    more = ["--operators", str(side.operators)] if "-m" in program else []
     return await asyncio.create_subprocess_exec(
-        sys.executable, *program, cwd=root, stdin=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
-        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(root)},
+        sys.executable, *program, *more, cwd=side.root, stdin=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(side.root)},
         preexec_fn=lambda: os.sched_setaffinity(0, {core}))
 
 
@@ -122,13 +143,13 @@
         agent.tell(plan.boxes[number], server.sockets[0].getsockname()[:2], Notice(0, number, "up", 0), True)
 
 
-async def load(port: int, pid: int, number: int, pause_s: float) -> tuple[float, float, int]:
+async def load(clients: list[Client], pid: int, pause_s: float) -> tuple[float, float, int]:
     """Requests served a second, processor microseconds for each, and how many were not served."""
     loop = asyncio.get_running_loop()
-    clients = [Client(port, number * 100 + i) for i in range(CONNECTIONS)]
+    before = sum(c.count for c in clients), sum(c.served for c in clients)
     used, began = ran_ns(pid), loop.time()
     await asyncio.gather(*(c.ask(began + ROUND_S, pause_s) for c in clients))
-    asked, served = sum(c.count for c in clients), sum(c.served for c in clients)
+    asked, served = sum(c.count for c in clients) - before[0], sum(c.served for c in clients) - before[1]
     return served / (loop.time() - began), (ran_ns(pid) - used) / 1000 / asked, asked - served
 
 
@@ -137,7 +158,7 @@
 
 
 @contextlib.asynccontextmanager
-async def standing(trees: dict[str, Path], folder: Path,
+async def standing(sides: tuple[Side, Side], folder: Path,
                    program: list[str]) -> AsyncIterator[dict[str, tuple[int, int]]]:
     """The balancers' ports and process numbers."""
     agent = Agent(0, lambda: 0, 0, [])
@@ -145,11 +166,11 @@
     await open_upstreams(agent)
     cores = sorted(os.sched_getaffinity(0))
     found, processes = {}, []
-    for number, (name, root) in enumerate(trees.items()):
+    for number, side in enumerate(sides):
         listen, peer = free_port(HOST), free_port(HOST, datagrams=True)
         place = Place(listen, discovery, peer, [peer], peer)
-        processes.append(await start(root, folder, name, cores[-1 - number], agent, place, program))
-        found[name] = (listen[1], processes[-1].pid)
+        processes.append(await start(side, folder, cores[-1 - number], agent, place, program))
+        found[side.name] = (listen[1], processes[-1].pid)
     try:
         for port, _ in found.values():
             while True:
@@ -166,36 +187,61 @@
         await agent.close()
 
 
-async def measure(commit: str, rounds: int, other: Path, folder: Path, what: str) -> None:
-    figures: dict[str, list[tuple[float, float, int]]] = {"here": [], commit: []}
-    async with standing({"here": ROOT, commit: other}, folder, PROGRAMS[what]) as found:
+async def measure(sides: tuple[Side, Side], rounds: int, number: int, folder: Path,
+                  what: str) -> dict[str, list[tuple[float, float, int]]]:
+    """One pair's rounds."""
+    figures: dict[str, list[tuple[float, float, int]]] = {side.name: [] for side in sides}
+    async with standing(sides if number % 2 else (sides[1], sides[0]), folder, PROGRAMS[what]) as found:
         cores = sorted(os.sched_getaffinity(0))
-        for number in range(rounds):
+        clients = {name: [Client(port, i) for i in range(CONNECTIONS)] for name, (port, _) in found.items()}
+        await asyncio.gather(*(c.open() for own in clients.values() for c in own))
+        for turn in range(rounds):
             for place, (_, pid) in enumerate(found.values()):  # cores are not alike: each has either one in turn
-                os.sched_setaffinity(pid, {cores[-1 - (place + number) % 2]})
-            for name in random.Random(number).sample(sorted(found), 2):
-                figures[name].append(await load(*found[name], number, PAUSE_S[what]))
-    for name, rows in figures.items():
+                os.sched_setaffinity(pid, {cores[-1 - (place + turn) % 2]})
+            for name in random.Random(turn).sample(sorted(found), 2):
+                figures[name].append(await load(clients[name], found[name][1], PAUSE_S[what]))
+        for own in clients.values():
+            for client in own:
+                client.close()
+    return figures
+
+
+def tell(sides: tuple[Side, Side], pairs: list[dict[str, list[tuple[float, float, int]]]], what: str) -> None:
+    here, there = (side.name for side in sides)
+    for name in (here, there):
+        rows = [row for pair in pairs for row in pair[name]]
         print(f"{what}, {name}: {statistics.median(r[0] for r in rows):.0f} requests/s, "
-              f"{statistics.median(r[1] for r in rows):.1f} us of processor a request (medians of {rounds} rounds), "
+              f"{statistics.median(r[1] for r in rows):.1f} us of processor a request (medians), "
               f"{sum(r[2] for r in rows)} not served")
     for figure, column in (("requests/s", 0), ("us a request", 1)):
-        ratios = [h[column] / o[column] for h, o in zip(figures["here"], figures[commit], strict=True)]
-        print(f"{what}, {figure}, here over {commit}: median {statistics.median(ratios):.4f}, "
-              f"mean {statistics.mean(ratios):.4f}, standard error {statistics.stdev(ratios) / len(ratios) ** 0.5:.4f}")
+        ratios = [statistics.median(h[column] / t[column] for h, t in zip(pair[here], pair[there], strict=True))
+                  for pair in pairs]
+        error = statistics.stdev(ratios) / len(ratios) ** 0.5 if len(ratios) > 1 else 0.0
+        print(f"{what}, {figure}, {here} over {there}: {len(pairs)} pairs, mean of their medians "
+              f"{statistics.mean(ratios):.4f}, standard error {error:.4f}", flush=True)
+
+
+def compare(sides: tuple[Side, Side], rounds: int, pairs: int, folder: Path, loads: list[str]) -> None:
+    for what in loads:
+        tell(sides, [asyncio.run(measure(sides, rounds, number, folder, what)) for number in range(pairs)], what)
 
 
 def main() -> None:
     if len(sys.argv) < 2:
         raise SystemExit(__doc__)
-    commit, rounds = sys.argv[1], int(sys.argv[2]) if len(sys.argv) > 2 else ROUNDS
+    other_name, *more = sys.argv[1:]
+    rounds, pairs = [int(word) for word in more] + [ROUNDS, PAIRS][len(more):]
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        other = folder / "other"
-        subprocess.run(["git", "worktree", "add", "-q", "--detach", str(other), commit], cwd=ROOT, check=True)
+        plain, storm, other = folder / "plain.toml", folder / "storm.toml", folder / "other"
+        plain.write_text("")
+        storm.write_text("[storm]\n")
+        if other_name == "storm":
+            compare((Side("on", ROOT, storm), Side("off", ROOT, plain)), rounds, pairs, folder, ["paced"])
+            return
+        subprocess.run(["git", "worktree", "add", "-q", "--detach", str(other), other_name], cwd=ROOT, check=True)
         try:
-            for what in PROGRAMS:
-                asyncio.run(measure(commit, rounds, other, folder, what))
+            compare((Side("here", ROOT, plain), Side(other_name, other, plain)), rounds, pairs, folder, list(PROGRAMS))
         finally:
             subprocess.run(["git", "worktree", "remove", "--force", str(other)], cwd=ROOT, check=True)
 
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -15,10 +15,10 @@
 from lanemux import interface as api
 from lanemux.storm.restarts import Restarts
 from lanemux.storm.returns import Returns
-from lanemux.storm.sense import Gauge, Phase
+from lanemux.storm.sense import FADE_NS, LOOK_NS, Gauge, Phase
 
 SECOND = 1_000_000_000
-LOOK_NS = SECOND // 10  # how often the phase is told anew; a storm of clients that retry at once doubles in that time
+OK = api.Result.OK
 CAPACITY_FADE = 0.98  # of the most that was served a second, a look: half of it is forgotten in 3.4 s
 
 
@@ -56,19 +56,16 @@
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         """As the module's: what it decides on these events, with when to come back."""
-        passed: list[api.Event] = []
-        suspects = self._restarts.suspects
-        for event in events:
-            if type(event) is not api.ProbeResult or suspects or event.result is not api.Result.OK:
-                event = self._see(event, now, passed)
-            passed.append(event)  # most events are looks that went well: they must cost next to nothing
-        notes = self._look(now) if now - self._looked_ns >= LOOK_NS else []
-        actions = self.inner.handle(now, passed)
+        events = events if type(events) is list else list(events)
+        notes = self._look(now) if now - self._looked_ns >= LOOK_NS else None
+        if self._count(events):
+            events = self._told(events, now)
+        actions = self.inner.handle(now, events)
         for i, action in enumerate(actions):
             if type(action) is api.Refuse:
                 actions[i] = self._refused(action, now)
             elif type(action) is api.Fail:
-                self._lost(action.request, now)
+                self._lost(action.request)
         return actions + notes if notes else actions
 
     @property
@@ -83,30 +80,52 @@
 
     # -- what passes --
 
-    def _see(self, event: api.Event, now: int, passed: list[api.Event]) -> api.Event:
-        """Note an event; what is to be handed on for it. Starts that are found out go before it."""
-        if isinstance(event, api.Arrival):
-            self.gauge.arrived(event.retry, now)
-            self._open[event.request] = event.class_name
-        elif isinstance(event, api.ProbeResult):
-            self._met(event.upstream, event.result, now, passed)
-        elif isinstance(event, api.Outcome):
-            if event.complete and event.result is api.Result.OK and self._open.pop(event.request, None) is not None:
-                self.gauge.ended(True, now)
-            self._met(event.upstream, event.result, now, passed)
-        elif isinstance(event, api.ClientGone):
-            self._lost(event.request, now)
-        elif isinstance(event, api.ListUpdate):
-            return self._restarts.listed(event)
-        return event
-
-    def _lost(self, request: str, now: int) -> None:
+    def _count(self, events: list[api.Event]) -> bool:
+        """Count what passes; does any of it bear on what is known of starts?
+
+        Most events are looks that went well, arrivals and answers. They are handed on in the list in which they came:
+        a process that has slept misses its caches at every object and line, so a calm request must touch few."""
+        strange = bool(self._restarts.suspects)
+        for event in events:
+            if type(event) is api.ProbeResult:
+                strange = strange or event.result is not OK
+            elif type(event) is api.Arrival:
+                self.gauge.arrived(event.retry)
+                self._open[event.request] = event.class_name
+            elif type(event) is api.Outcome:
+                if event.result is not OK:
+                    strange = True
+                elif event.complete and self._open.pop(event.request, None) is not None:
+                    self.gauge.ended(True)
+            elif type(event) is api.ClientGone:
+                self._lost(event.request)
+            elif type(event) is api.ListUpdate:
+                strange = True
+        return strange
+
+    def _told(self, events: list[api.Event], now: int) -> list[api.Event]:
+        """The same, with the starts that were found out: in the list's news, and before what shows them."""
+        passed: list[api.Event] = []
+        for event in events:
+            if isinstance(event, api.ListUpdate):
+                event = self._restarts.listed(event)
+            elif isinstance(event, api.ProbeResult | api.Outcome):
+                entry = self._met(event.upstream, event.result, now)
+                if entry is not None:
+                    passed.append(api.ListUpdate(api.ListKind.DELTA, [entry]))
+            passed.append(event)
+        return passed
+
+    def _met(self, upstream: int, result: api.Result, now: int) -> api.Upstream | None:
+        return self._restarts.met(upstream, result, now)
+
+    def _lost(self, request: str) -> None:
         if self._open.pop(request, None) is not None:
-            self.gauge.ended(False, now)
+            self.gauge.ended(False)
 
     def _refused(self, action: api.Refuse, now: int) -> api.Refuse:
         class_name = self._open.get(action.request)
-        self._lost(action.request, now)
+        self._lost(action.request)
         if not action.retry_after_ns or class_name is None:
             return action
         cls = self._settings.classes.get(class_name)
@@ -114,21 +133,16 @@
         matters = (cls.worth - self._least_worth) / spread if cls is not None and spread else 1.0
         return action._replace(retry_after_ns=self._returns.wait_ns(matters, now))
 
-    def _met(self, upstream: int, result: api.Result, now: int, passed: list[api.Event]) -> None:
-        entry = self._restarts.met(upstream, result, now)
-        if entry is not None:
-            passed.append(api.ListUpdate(api.ListKind.DELTA, [entry]))
-
     # -- what it makes of it --
 
     def _look(self, now: int) -> list[api.Action]:
         """Tell the phase anew, and what can be borne."""
         looks = max(1, (now - self._looked_ns) // LOOK_NS)
-        self._looked_ns = now
         was, gauge = self.phase, self.gauge
-        changed = gauge.look(now)
-        served = gauge.served.now(now) * 2  # a second: FADE_NS is half a one
+        changed = gauge.look(now, now - self._looked_ns)
+        self._looked_ns = now
+        served = gauge.served * SECOND / FADE_NS
         self._capacity = max(self._capacity * CAPACITY_FADE ** min(looks, 1000), served)
-        self._returns.bear(max(1.0, served if self.phase is Phase.STORM else self._capacity), gauge.rate(now))
-        return [api.Note(f"storm: {was.value} -> {self.phase.value}; of what comes {gauge.retries(now):.0%} are "
-                         f"retries, of what ends {gauge.unmet(now):.0%} is not served")] if changed else []
+        self._returns.bear(max(1.0, served if self.phase is Phase.STORM else self._capacity), gauge.rate)
+        return [api.Note(f"storm: {was.value} -> {self.phase.value}; of what comes {gauge.retries:.0%} are retries, of "
+                         f"what ends {gauge.unmet:.0%} is not served")] if changed else []
--- a/lanemux/storm/restarts.py
+++ b/lanemux/storm/restarts.py
@@ -31,12 +31,7 @@
 
     def __init__(self) -> None:
         self._known: dict[int, Known] = {}
-        self._suspects: set[int] = set()  # that refused a connection, and have not answered since
-
-    @property
-    def suspects(self) -> bool:
-        """Has any refused a connection, and not answered since?"""
-        return bool(self._suspects)
+        self.suspects: set[int] = set()  # that refused a connection, and have not answered since
 
     def listed(self, update: api.ListUpdate) -> api.ListUpdate:
         """The same news, where a start that was found out stays until the list tells of one itself."""
@@ -48,7 +43,7 @@
 
     def _forget(self, upstream: int) -> None:
         self._known.pop(upstream, None)
-        self._suspects.discard(upstream)
+        self.suspects.discard(upstream)
 
     def _entered(self, entry: api.Upstream) -> api.Upstream:
         if entry.state is api.State.GONE:
@@ -60,7 +55,7 @@
             return entry
         if entry.started_ns != known.told.started_ns:  # the list knows of a start: its word is exact
             known.start_ns = known.refused_ns = 0
-            self._suspects.discard(entry.id)
+            self.suspects.discard(entry.id)
         known.told = entry
         return entry._replace(started_ns=known.start_ns) if known.start_ns else entry
 
@@ -73,7 +68,7 @@
             self._refused(upstream, known, now)
             return None
         since, known.refused_ns = known.refused_ns, 0
-        self._suspects.discard(upstream)
+        self.suspects.discard(upstream)
         if not since or now - since < SPAN_NS:
             return None
         known.start_ns = now
@@ -81,8 +76,8 @@
 
     def _refused(self, upstream: int, known: Known, now: int) -> None:
         known.refused_ns = known.refused_ns or now
-        self._suspects.add(upstream)
-        if len(self._suspects) >= max(LEAST, COMMON * len(self._known)):
-            for number in self._suspects:
+        self.suspects.add(upstream)
+        if len(self.suspects) >= max(LEAST, COMMON * len(self._known)):
+            for number in self.suspects:
                 self._known[number].refused_ns = 0
-            self._suspects.clear()
+            self.suspects.clear()
--- a/tests/storm/test_sense.py
+++ b/tests/storm/test_sense.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lanemux.storm.sense import CALM_AFTER_NS, Gauge, Phase
+from lanemux.storm.sense import CALM_AFTER_NS, LOOK_NS, Gauge, Phase
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -17,10 +17,10 @@
         owed_fresh, owed_again = owed_fresh + fresh / 100, owed_again + again / 100
         for retry, owed in ((False, int(owed_fresh)), (True, int(owed_again))):
             for n in range(owed):
-                gauge.arrived(retry, now)
-                gauge.ended((n + now // (10 * MS)) % 100 >= 100 * unserved, now)
+                gauge.arrived(retry)
+                gauge.ended((n + now // (10 * MS)) % 100 >= 100 * unserved)
         owed_fresh, owed_again = owed_fresh % 1, owed_again % 1
-        if now % (100 * MS) == 0 and gauge.look(now):
+        if now % (100 * MS) == 0 and gauge.look(now, LOOK_NS):
             phases.append(gauge.phase)
     return phases
 
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -90,13 +90,18 @@
 STORMS = (
     Planted("equal-retry-after", "all refused clients are told to come back after the same time",
             (("storm/module.py", "self._returns.wait_ns(matters, now))", "500_000_000)"),), True),
-    Planted("cold-unbounded", "sends to a cold box keep no distance",
-            (("policy.py", "        if self.fleet.cold(server, now):\n            self.fleet.rest(",
-              "        if False:\n            self.fleet.rest("),), True),
-    Planted("restart-unnoticed", "a box that came back before the list said so is taken for warm",
-            (("storm/restarts.py", "        if not since or now - since < SPAN_NS:\n", "        if True:\n"),), True),
     Planted("storm-forgets-nothing", "requests whose client went away stay in the storm module's table",
-            (("storm/module.py", "        elif isinstance(event, api.ClientGone):\n", "        elif False:\n"),), True),
+            (("storm/module.py", "            elif type(event) is api.ClientGone:\n                self._lost(event.request)\n", ""),),
+            True),
+    Planted("start-on-old-news", "a start that was found out goes on with what the list said of the box at first",
+            (("storm/restarts.py", "        known.told = entry\n", ""),), True),
+    Planted("gone-and-started", "a box that is gone is found started by an answer that was still out",
+            (("storm/restarts.py", "        if entry.state is api.State.GONE:\n            self._forget(entry.id)\n",
+              "        if entry.state is api.State.GONE:\n"),), True),
+    Planted("turn-for-decisions", "where a storm begins or ends, what was decided in that moment is lost",
+            (("storm/module.py", "return actions + notes if notes else actions", "return notes or actions"),), True),
+    Planted("lobby-open", "the descriptor of a silent connection that makes place stays open",
+            (("net/server.py", "            waiting.close()\n", ""),), True),
 )
 
 
