--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -62,6 +62,8 @@
         self.lurch_ns = 0  # the machine is to stand still for so long in the middle of a turn
         self.lurch_decided = False  # and that behind a decision, before it is carried out
         self.lurched: Callable[[int], None] = lambda for_ns: None
+        self.accepted = 0  # connections that it has accepted and not closed
+        self.entered: Callable[[int], None] = lambda accepted: None  # told of each change of that
         self.alive = True
         self.faults: list[str] = []  # exceptions that nobody caught
         self.main: asyncio.Task[Any] | None = None
@@ -97,6 +99,11 @@
     def poke(self, number: int) -> None:
         self.loop.poke(number)
 
+    def took(self, change: int) -> None:
+        """A connection has been accepted (1) or closed (-1)."""
+        self.accepted += change
+        self.entered(self.accepted)
+
     def socket(self) -> StreamSocket:
         return StreamSocket(self)
 
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -70,6 +70,7 @@
 CUT_IN_STORM = 0.1  # of the links that may cut writes
 TWIN = 0.45  # share of faults that come with another one at the same moment
 ON_EVENT = 0.7
+BLIND = 0.2  # share of worlds in which boxes are not looked at: there a request goes out again in its own turn
 LATE_MS = 600_000  # datagrams that are minutes late come after the run
 
 
@@ -146,7 +147,7 @@
     scenario = Scenario(
         "a virtual run", SECONDS, 0.0,
         Fleet(boxes=boxes, balancers=balancers, cell_size=2, connections=64, idle_s=rng.choice((3.0, 15.0)),
-              error_rate=(0.0, 0.02), cold_s=(1.0, 3.0)),
+              error_rate=(0.0, 0.02), cold_s=(1.0, 3.0), looks=random.Random(f"{seed}/looks").random() >= BLIND),
         Load(rate=rng.uniform(3.0, 7.0) * boxes),
         Callers(impatient=0.05, honour=0.5),
         Discovery(source=source, notice_s=(0.05, 0.6), add_s=(0.05, 0.6), spread_ms=(0.0, 20.0)),
--- a/lanemux/virtual/sockets.py
+++ b/lanemux/virtual/sockets.py
@@ -91,6 +91,7 @@
         self._error = 0
         self._call_off: Callable[[], None] = lambda: None
         self._linger: int | None = None
+        self._accepted = False
         self._peer: Address = (HOST, 0)
         if end is not None:
             end.changed = self._poke
@@ -111,7 +112,8 @@
         self.process.check_room()
         end = self._queue.waiting.popleft()
         accepted = StreamSocket(self.process, end)
-        accepted._own = self._own
+        accepted._own, accepted._accepted = self._own, True
+        self.process.took(1)
         return accepted, accepted._peer
 
     # -- connecting --
@@ -195,6 +197,8 @@
             self._queue.close()
         if self.end is not None:
             self.end.close(reset=self._linger == 0)
+        if self._accepted:
+            self.process.took(-1)
 
 
 class DatagramSocket(VirtualSocket):
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -60,6 +60,7 @@
 HALF_NS = 100 * MS
 FIRST_BYTES = 60  # of what arrives, shown in the timeline
 TOLD_BETWEEN = 0.5
+LEAST_PLACES, SPARE_SOCKETS = 8, 32  # for clients' connections: what a balancer may keep of its descriptors for others
 STORM_PLAN = StormPlan()
 PLANNED = ("die", "start", "drain", "leave", "vanish", "return", "freeze", "neighbour")  # a plan's own, of boxes
 DECIDED = 0.6  # share of lurches that come between a decision to send and the sending
@@ -366,6 +367,14 @@
         seat.ending = False
         disk = seat.process.disk if seat.process is not None else None
         process = self.world.process(f"n{seat.number}", self._sockets)
+        places = max(LEAST_PLACES, (self._sockets - SPARE_SOCKETS) // 2)  # the other half are for connections to boxes
+        self.excuses.crowd(seat.number, False, self.now())
+
+        def entered(accepted: int) -> None:
+            if process is seat.process:
+                self.excuses.crowd(seat.number, accepted >= places, self.now())
+
+        process.entered = entered
         if disk is not None:
             process.disk = disk
             disk.unreadable = False  # a start waits for its disk
--- a/tests/virtual/test_judge.py
+++ b/tests/virtual/test_judge.py
@@ -45,6 +45,20 @@
     assert rules(made) == ["lost"]
 
 
+def test_who_waits_while_all_places_are_taken_has_not_been_taken() -> None:
+    for freed_ms, found in ((60, []), (40, ["lost"])):
+        excuses = Excuses()
+        excuses.crowd(0, True, SECOND)
+        excuses.crowd(0, False, SECOND + 20 * MS)
+        excuses.crowd(0, True, SECOND + 20 * MS)  # the place that came free was taken at once
+        excuses.crowd(0, True, SECOND + 30 * MS)
+        excuses.crowd(0, False, SECOND + freed_ms * MS)
+        assert excuses.crowded[0] == [(SECOND, SECOND + freed_ms * MS)]
+        made, _, callers = judge(excuses)
+        callers.tries.append(answer(SECOND, SECOND + 200 * MS))  # 50 ms after its time and the grace
+        assert rules(made) == found
+
+
 def drained(excuses: Excuses, sent_ns: int) -> list[str]:
     """Told at one second; sent then."""
     made, boxes, callers = judge(excuses)
