Send nothing new to an entry whose address a later upstream has come up at

Ruled out: the drain was read and acted on in the same instant; the requests went out under the older entry's number. Lines at fault: none asked who is at an address (Node._take_entries takes each entry by itself).

Change: core/addresses.py, pure: of two at one address the one with the later start is there, the other is handed on as draining until the source says better; a row without a start keeps the one told before; without starts both stand. Every list source goes through it.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -11,8 +11,9 @@
 
 from lanemux import interface as api
 from lanemux.core.address import Address
+from lanemux.core.addresses import Addresses
 from lanemux.core.clock import now_ns
-from lanemux.core.membership import Listing, Membership
+from lanemux.core.membership import Entry, Listing, Membership
 from lanemux.core.source import Heard, ListSource, MakeSource
 from lanemux.core.system import Machine, System
 from lanemux.net.discovery import Discovery, read_listing
@@ -109,6 +110,7 @@
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND)
         self.server = Server(self, room, system, doors(room) if doors is not None else None)
         self._membership = Membership(system.wall_ns() - now_ns())
+        self._addresses = Addresses()
         self._source = (source or self._platform)(self._membership, random.Random(config.seed + 1), self._listed)
         self._successor: ListSource | None = None  # is to replace it, and has not told a whole list yet
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
@@ -136,8 +138,7 @@
         if self.config.known is not None:
             listing = read_listing(self.config.known, self._membership, now_ns())
             self._source.take_known(listing)
-            self._take_entries(listing)
-            entries = [e.upstream for e in listing.entries]
+            entries = [e.upstream for e in self._take_entries(listing)]
         self.feed(api.ListUpdate(api.ListKind.CACHED, entries))
 
     def _sweep_idle(self) -> None:
@@ -436,15 +437,16 @@
         if listing is None:
             self.feed(api.ListUpdate(api.ListKind.FAILED))
             return
-        self._take_entries(listing)
-        if listing.whole or listing.entries:
+        entries = self._take_entries(listing)
+        if listing.whole or entries:
             kind = api.ListKind.FULL if listing.whole else api.ListKind.DELTA
-            self.feed(api.ListUpdate(kind, [e.upstream for e in listing.entries]))
+            self.feed(api.ListUpdate(kind, [e.upstream for e in entries]))
 
-    def _take_entries(self, listing: Listing) -> None:
-        pools = self._hub.pools
-        left_out = set(pools) - {e.upstream.id for e in listing.entries} if listing.whole else set()
-        for entry in listing.entries:
+    def _take_entries(self, listing: Listing) -> list[Entry]:
+        """Connections follow the list; the entries that the module is to know."""
+        pools, entries = self._hub.pools, self._addresses.settle(listing.entries, listing.whole)
+        left_out = set(pools) - {e.upstream.id for e in entries} if listing.whole else set()
+        for entry in entries:
             if entry.upstream.state is api.State.GONE:
                 left_out.add(entry.upstream.id)
                 continue
@@ -458,6 +460,7 @@
             pool.ready = False
             pool.close_idle()
         self._call_off_waiting()
+        return entries
 
     def _call_off_waiting(self) -> None:
         """No first byte may go to an upstream that drains, is gone or has moved, also not when its connection is up."""
--- a/lanemux/virtual/judge.py
+++ b/lanemux/virtual/judge.py
@@ -87,9 +87,11 @@
     """Looks at the books after each step; `violations` grows."""
 
     def __init__(self, plan: Plan, boxes: BoxBooks, callers: CallerBooks, excuses: Excuses,
-                 closed: Callable[[int, int], list[list[int]]] = lambda balancer, box: []) -> None:
-        """`closed`: the spans in which a balancer had read that a box drains or is gone."""
-        self._closed = closed
+                 closed: Callable[[int, int], list[list[int]]] = lambda balancer, box: [],
+                 placed: Callable[[int, int], bool] = lambda balancer, box: True) -> None:
+        """`closed`: the spans in which a balancer had read that a box drains or is gone; `placed`: has it read where
+        the box is?"""
+        self._closed, self._placed = closed, placed
         self._plan, self._boxes, self._callers, self._excuses = plan, boxes, callers, excuses
         self._names = [box.host for box in plan.boxes]
         self._grace_ns = int(plan.scenario.fleet.drain_grace_ms * MS)
@@ -149,6 +151,8 @@
                             f"by balancer {entry.balancer}, with {entry.status}")
 
     def _drain(self, attempt: Attempt) -> Iterable[Violation]:
+        if not self._placed(attempt.balancer, attempt.box):
+            return ()  # it was sent to another, which the balancer still believes where this one came up
         # What was told to an earlier process of the balancer is in the list that this one was given.
         began = max((life.to_ns for life in self._callers.balancers_down
                      if life.who == attempt.balancer and life.to_ns <= attempt.first_lo_ns), default=-NEVER)
--- a/tests/virtual/test_hard_cases.py
+++ b/tests/virtual/test_hard_cases.py
@@ -105,3 +105,22 @@
                                 Fault("trade", on="client up", nth=2, lag_us=4132, for_ms=300.0)),
                          (0, 1, 2, 3, 4, 5, 9, 10, 11, 12, 13, 14, 15, 102, 103)))
     assert result.violations == [] and len(result.covered) == 3
+
+
+def test_a_box_drains_where_the_list_still_has_another_and_says_no_more() -> None:
+    """Found by seed 1001091: told up and then draining at the address of an older entry, it was sent to by that one."""
+    result = play(Script(1001091, (Fault("trade", on="box ask", nth=6, for_ms=1200.0),
+                                   Fault("die", who=0, on="box ask", nth=6, for_ms=1400.0),
+                                   Fault("drain", who=2, at_ms=1690.0, for_ms=2000.0),
+                                   Fault("drop", who=0, at_ms=1690.0)), (3, 21)))
+    assert result.violations == []
+
+
+def test_where_nothing_was_read_of_a_box_since_it_came_up_elsewhere_no_drain_of_it_counts() -> None:
+    """Found by seed 1004528, against the judge: the balancer had read that a box was removed, and nothing of where it
+    came up; what it sent there was for the one that the list still had there."""
+    result = play(Script(1004528, (Fault("trade", who=1, at_ms=166.0, for_ms=500.0),
+                                   Fault("unheard", who=0, on="box look ask", nth=3, for_ms=2300.0),
+                                   Fault("still", on="client ask", nth=2, for_ms=1065.1)),
+                         (0, 1, 4, 9, 10, 11, 18, 19, 20), calm=True))
+    assert result.violations == []
