--- a/lanemux/core/addresses.py
+++ b/lanemux/core/addresses.py
@@ -84,7 +84,7 @@
                 changed.append(number)
                 (self._displaced.add if displaced else self._displaced.discard)(number)
                 if displaced:  # once, until the list says better
-                    log.warning("list: upstream %d gets nothing new: another one came up later at %s:%d", number, *address)
+                    log.warning("list: upstream %d gets nothing new: another came up later at %s:%d", number, *address)
         return changed
 
     def _handed_on(self, entry: Entry) -> Entry:
