Let the silent member of a test tell what is due once it speaks again

Seen: beside busy processors test_a_watch_that_is_open_and_silent_is_found_out failed on 4 of 16 runs: a watch that came while the member was silent was never told its changes, and then got progress at the current revision, which etcd promises not to do. The kit's own stall tells what is due (EtcdAgent._stall); the test did not.

--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -201,6 +201,7 @@
                 await opened(relay, relay.opened + 1)
                 relay.hold(False)
                 standin.faults.silent = False
+                standin.changed()  # for a watch that came while it was silent: progress comes behind changes
                 await until(same(etcd, told))
     run(test())
 
