Keep of who is at an address only what is not known elsewhere

Need: read once more, the new table judged every address of a whole list, held a set and a record for each upstream, and the judge's world kept the traded boxes twice; the storm module had a method for a bench alone.

Change: addresses as tuples, the rule asked only where two are or one was displaced; one table of traded boxes; the bench takes the finding out away at its own module (storm/restarts).

--- a/bench/outages.py
+++ b/bench/outages.py
@@ -25,6 +25,7 @@
 from lanemux.rehearsal.scenario import USUAL_CLASSES, USUAL_PARTNERS, Callers, Discovery, Fault, Fleet, Load, Scenario
 from lanemux.rehearsal.service import over_time
 from lanemux.storm.module import Plan, Storm
+from lanemux.storm.restarts import Restarts
 from lanemux.virtual.network import Weather
 from lanemux.virtual.script import Script, Setting
 from lanemux.virtual.stage import play
@@ -39,12 +40,18 @@
         return action
 
 
-class _NoRestarts(Storm):
-    def _met(self, upstream: int, result: api.Result, now: int) -> api.Upstream | None:
+class _Untold(Restarts):
+    def met(self, upstream: int, result: api.Result, now: int) -> api.Upstream | None:
         """Nothing is found out: the list alone tells of starts."""
         return None
 
 
+class _NoRestarts(Storm):
+    def __init__(self, inner: Balancer, settings: api.Settings, plan: Plan, seed: int, now: int) -> None:
+        super().__init__(inner, settings, plan, seed, now)
+        self._restarts = _Untold()
+
+
 BUILDS: dict[str, type[Storm] | None] = {
     OFF: None, ON: Storm, "no spread of returns": _NoSpread, "no finding out": _NoRestarts}
 
--- a/lanemux/core/addresses.py
+++ b/lanemux/core/addresses.py
@@ -9,9 +9,8 @@
 from __future__ import annotations
 
 import logging
-from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from lanemux import interface as api
 from lanemux.core.address import Address
@@ -20,71 +19,58 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """An upstream's entry as told, and the latest start that it was ever told with at that address."""
-
-    entry: Entry
-    started_ns: int
-
-
 class Addresses:
     """Who is where. Its tables hold what is listed, and no more; a change costs what is at its addresses."""
 
     def __init__(self) -> None:
-        self._claims: dict[int, Claim] = {}
-        self._at: defaultdict[Address, set[int]] = defaultdict(set)
+        self._entries: dict[int, Entry] = {}  # as told
+        self._started: dict[int, int] = {}  # the latest start that each was told with at its address
+        self._at: dict[Address, tuple[int, ...]] = {}
         self._displaced: set[int] = set()
 
     def settle(self, entries: Iterable[Entry], whole: bool) -> list[Entry]:
         """The entries to go by: those told, and those of whom the news decides."""
         told = {e.upstream.id: e for e in entries}
         touched = {e.address for e in told.values()}
-        for number in set(self._claims) - set(told) if whole else ():
+        for number in self._entries.keys() - told.keys() if whole else ():
             touched.add(self._leave(number))
         for number, entry in told.items():
-            touched.add(self._leave(number, entry.address))
+            known = self._entries.get(number)
+            if known is not None and known.address != entry.address:
+                touched.add(self._leave(number))
             if entry.upstream.state is not api.State.GONE:
                 self._come(number, entry)
         changed = dict(told)
         for address in touched:
-            for number in self._judge(address):
-                changed.setdefault(number, self._claims[number].entry)
+            here = self._at.get(address, ())
+            if len(here) > 1 or not self._displaced.isdisjoint(here):  # nearly all are alone
+                changed.update((number, self._entries[number]) for number in self._judge(address, here))
         return [self._handed_on(entry) for entry in changed.values()]
 
-    def _leave(self, number: int, unless: Address | None = None) -> Address:
-        """Where it was. Its claim goes, unless it is told at the same address again."""
-        claim = self._claims.get(number)
-        if claim is None:
-            return unless or ("", 0)
-        was = claim.entry.address
-        if was != unless:
-            del self._claims[number]
-            self._displaced.discard(number)
-            self._at[was].discard(number)
-            if not self._at[was]:
-                del self._at[was]
+    def _leave(self, number: int) -> Address:
+        """Forget one; where it was."""
+        was = self._entries.pop(number).address
+        del self._started[number]
+        self._displaced.discard(number)
+        others = tuple(n for n in self._at.pop(was) if n != number)
+        if others:
+            self._at[was] = others
         return was
 
     def _come(self, number: int, entry: Entry) -> None:
-        known = self._claims.get(number)
+        if number not in self._entries:
+            self._at[entry.address] = (*self._at.get(entry.address, ()), number)
+        self._entries[number] = entry
         # A row that drains may tell no start: what was told before holds.
-        started = max(known.started_ns if known is not None else 0, entry.upstream.started_ns)
-        self._claims[number] = Claim(entry, started)
-        self._at[entry.address].add(number)
+        self._started[number] = max(self._started.get(number, 0), entry.upstream.started_ns)
 
-    def _judge(self, address: Address) -> list[int]:
+    def _judge(self, address: Address, here: tuple[int, ...]) -> list[int]:
         """Those at an address of whom something else holds now."""
-        here = self._at.get(address, set())
-        latest = max((self._claims[n].started_ns for n in here), default=0)
-        changed = []
-        for number in sorted(here):
-            displaced = self._claims[number].started_ns < latest
-            if displaced != (number in self._displaced):
-                changed.append(number)
-                (self._displaced.add if displaced else self._displaced.discard)(number)
-                if displaced:  # once, until the list says better
-                    log.warning("list: upstream %d gets nothing new: another came up later at %s:%d", number, *address)
+        latest = max(self._started[n] for n in here)
+        changed = [n for n in here if (self._started[n] < latest) != (n in self._displaced)]
+        self._displaced.symmetric_difference_update(changed)
+        for number in self._displaced.intersection(changed):  # said once, until the list says better
+            log.warning("list: upstream %d gets nothing new: another came up later at %s:%d", number, *address)
         return changed
 
     def _handed_on(self, entry: Entry) -> Entry:
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -110,15 +110,12 @@
             if isinstance(event, api.ListUpdate):
                 event = self._restarts.listed(event)
             elif isinstance(event, api.ProbeResult | api.Outcome):
-                entry = self._met(event.upstream, event.result, now)
+                entry = self._restarts.met(event.upstream, event.result, now)
                 if entry is not None:
                     passed.append(api.ListUpdate(api.ListKind.DELTA, [entry]))
             passed.append(event)
         return passed
 
-    def _met(self, upstream: int, result: api.Result, now: int) -> api.Upstream | None:
-        return self._restarts.met(upstream, result, now)
-
     def _lost(self, request: str) -> None:
         if self._open.pop(request, None) is not None:
             self.gauge.ended(False)
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -205,7 +205,7 @@
         self.closed: dict[int, dict[int, list[list[int]]]] = {}  # balancer -> upstream -> spans from read news to news
         self._ids = Membership(0)  # numbers hosts as every balancer does
         self.judge = Judge(self.plan, self.boxes_books, self.books, self.excuses, self._closed_at,
-                           lambda balancer, box: box not in self._traded or (balancer, box) in self._placed)
+                           lambda balancer, box: box not in self._traded.values() or (balancer, box) in self._placed)
         self.timeline: list[str] = []
         self.covered: Counter[tuple[str, str]] = Counter()
         self._traced = traced
@@ -213,8 +213,7 @@
         self._events: Counter[str] = Counter()
         self._waiting: dict[tuple[str, int], list[Fault]] = {}
         self._busy_boxes: set[int] = set()
-        self._traded: set[int] = set()  # boxes that came up at another's old address
-        self._traded_as: dict[int, int] = {}  # the same, by their upstreams' numbers
+        self._traded: dict[int, int] = {}  # boxes that came up at another's old address, by their upstreams' numbers
         self._placed: set[tuple[int, int]] = set()  # balancers that have read of such a box where it is
         self._said: dict[int, tuple[str, int]] = {}
         self._seats: list[Seat] = []
@@ -425,13 +424,13 @@
             span = spans.setdefault(upstream.id, [])
             if upstream.state is api.State.READY:
                 self.judge.reopen(span, now)
-                if (box := self._traded_as.get(upstream.id)) is not None:
+                if (box := self._traded.get(upstream.id)) is not None:
                     self._placed.add((balancer, box))
             else:
                 self.judge.close(span, now)
 
     def _closed_at(self, balancer: int, box: int) -> list[list[int]]:
-        if box in self._traded:
+        if box in self._traded.values():
             return []  # it is reached where a balancer still believes another one, until it reads better
         return self.closed.get(balancer, {}).get(self._ids.number(self.plan.boxes[box].host), [])
 
@@ -634,8 +633,7 @@
         def back() -> None:
             slots = self.plan.boxes[other].slot, self.plan.boxes[box].slot
             for one, slot in zip((box, other), slots, strict=True):
-                self._traded.add(one)
-                self._traded_as[self._ids.number(self.plan.boxes[one].host)] = one
+                self._traded[self._ids.number(self.plan.boxes[one].host)] = one
                 self.plan.boxes[one] = dataclasses.replace(self.plan.boxes[one], slot=slot)
                 boxes.hosts[one].box, boxes.hosts[one].addresses = self.plan.boxes[one], self._addresses[slot]
                 self._come_back(one)
