--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
+from lanemux.sharing import MAX_ID, Elsewhere, Word, price, read_word, sharers
 
 SECOND = 1_000_000_000
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
@@ -39,6 +40,8 @@
 LOOK_PRICE = 0.01  # most that the looks of a request may cost
 LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
 RECENT_NS = LOOK_NS // 2  # a look so new is not asked for again: a busy proxy would ask for more than changes
+TELL_PRICE = 0.01  # the same for what peers are told of a request
+UNLIKE = 0.25  # proxies that see the same upstreams idle must not all choose the same one
 LINE_PART = 0.5  # of a request's time to spare may go by in the line
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
@@ -272,6 +275,10 @@
     load_ns: int = 0
     asked_ns: int = 0  # the last look at it
     deaf_ns: int = 0  # the last look that broke
+    peers: tuple[int, ...] = ()  # those that have it in their home too, as of `placed`
+    elsewhere: Elsewhere | None = None  # what those hold there
+    shunned_ns: int = 0  # a peer leaves it alone until then
+    word: int = 0  # number of the last word to them
 
     def hear(self, load: float | None, now: int) -> None:
         """Take a reported load; what cannot be one (negative, huge, not a number) says nothing."""
@@ -283,8 +290,13 @@
 
     def crowd(self, now: int) -> float:
         """Requests it is thought to hold: as reported not long ago, never under this proxy's own."""
+        if self.elsewhere is not None:
+            return self.inflight + self.elsewhere.held(now)
         return max(self.inflight, self.load) if self.told(now) else self.inflight
 
+    def free_ns(self) -> int:
+        return max(self.barred_ns, self.shunned_ns)
+
 
 class Ring:
     """Upstreams in an order that depends on a salt and their ids alone; a change costs what changes."""
@@ -395,6 +407,13 @@
             self.pool(cls)
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
+        # Where looks are too dear, those who share an upstream tell each other what they have there.
+        self.may_tell = (not self.looks and settings.limits.peers and len(self.pools) == 1
+                         and self.any.zones is None and not self.by_zone)
+        self.tells = False
+        longest = max((c.limit_ns if c.late_worth or c.stream else c.aim_ns for c in settings.classes.values()),
+                      default=SECOND)
+        self.word_ns = longest + SECOND // 20  # all that a word told of has ended, and its end been told
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
         self.arranged = 0  # counts the arrangements
         self.leaving: dict[int, Server] = {}  # gone, with attempts of ours still out there when it went
@@ -438,7 +457,7 @@
         """Take up a further word of one that is known; does it change any pool?"""
         was = s.entry
         if entry.started_ns != was.started_ns:
-            s.strikes = s.barred_ns = 0
+            s.strikes = s.barred_ns = s.shunned_ns = 0
         if entry.state is not was.state or entry.zone != was.zone or entry.kind != was.kind:
             return self._enter(s, entry)
         s.entry = entry  # as most of a whole list are
@@ -479,6 +498,7 @@
         least = DEAR_HOME if prices.connection > 0 else max(HOME[0], min(HOME[1], SHARED * n // proxies))
         pool.home = ready if self.looks else min(n, max(least, -(-n // proxies)))
         pool.sharers = proxies * pool.home / n if n else 1.0
+        self.tells = self.may_tell and proxies > 1 and price(pool.sharers, prices.peer) <= TELL_PRICE
         pool.settle()
 
     def place(self, s: Server) -> Server:
@@ -486,6 +506,26 @@
         if s.placed != self.arranged:
             homes = [p.sharers for p in self.pools.values() if p.at_home(s)]
             s.placed, s.own, s.sharers = self.arranged, bool(homes), max([1.0, *homes])
+            s.peers = self._sharers(s) if self.tells else ()
+        return s
+
+    def _sharers(self, s: Server) -> tuple[int, ...]:
+        at, there = self.any.near.ring.find(s)
+        settings, n = self.settings, len(self.any.near.ring)
+        return sharers(at, n, self.any.home, settings.replicas_of_me, settings.me) if there else ()
+
+    def heard(self, peer: int, word: Word, now: int) -> Server | None:
+        """Take a peer's word on an upstream that this proxy's own list has named; the one it shuns for it."""
+        s = self.servers.get(word.upstream)
+        if not self.tells or s is None:
+            return None
+        if s.elsewhere is None:
+            s.elsewhere = Elsewhere(self.word_ns)
+        if not s.elsewhere.hear(peer, word, now) or not word.rest_ns or now + word.rest_ns <= s.free_ns():
+            return None
+        if not self._may_leave(s, now):
+            return None
+        s.shunned_ns, self.barred[s.id] = now + word.rest_ns, s
         return s
 
     def cold(self, s: Server, now: int) -> bool:
@@ -507,20 +547,26 @@
         return max(1, self.crowding.limit // 2) if self.cold(s, now) else self.crowding.limit
 
     def fit(self, s: Server, now: int) -> bool:
-        return (s.entry.state is api.State.READY and now >= s.barred_ns
-                and s.inflight < self.limit_of(s, now))
+        if s.entry.state is not api.State.READY or now < s.barred_ns or now < s.shunned_ns:
+            return False
+        if s.elsewhere is not None and (s.strikes or s.shunned_ns) and s.elsewhere.held(now):
+            return False  # somebody tries it already
+        return s.inflight < self.limit_of(s, now)
 
     def bar(self, s: Server, now: int, base: float) -> None:
         """Leave a failing upstream alone, longer each time, unless that would leave hardly any."""
         if s.barred_ns > now:
             return  # what was out there when it stood still fails together: one strike for it
         s.strikes += 1
-        self.barred = {o.id: o for o in self.barred.values() if o.barred_ns > now}
-        if all(sum(p.reaches(o) for o in self.barred.values()) < 0.7 * p.width
-               for p in self.pools.values() if p.reaches(s)):
+        if self._may_leave(s, now):
             length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
             self.rest(s, now + int(length * self.rng.uniform(0.75, 1.25)))
 
+    def _may_leave(self, s: Server, now: int) -> bool:
+        self.barred = {o.id: o for o in self.barred.values() if o.free_ns() > now}
+        return all(sum(p.reaches(o) for o in self.barred.values()) < 0.7 * p.width
+                   for p in self.pools.values() if p.reaches(s))
+
     def rest(self, s: Server, until_ns: int) -> None:
         s.barred_ns, self.barred[s.id] = until_ns, s
 
@@ -567,8 +613,15 @@
 
     def pick(self, pool: Pool, now: int, allowed: Iterable[Server] | None = None) -> Server | None:
         """The lightest, by requests held and learned speed, of two draws and the previous winner."""
-        drawn = self.draw(pool, DRAWS, now) if allowed is None else [s for s in allowed if self.fit(s, now)]
-        pool.last = min(drawn, key=lambda s: (s.crowd(now) + 1) * s.pace, default=pool.last)
+        if self.tells:
+            # What all hold is known: the lightest of all within reach, by chance among those about alike.
+            near = pool.reach[:pool.width] if allowed is None else allowed
+            drawn, unlike = [s for s in near if self.fit(s, now)][:SCAN], UNLIKE
+        else:
+            drawn = self.draw(pool, DRAWS, now) if allowed is None else [s for s in allowed if self.fit(s, now)]
+            unlike = 0.0
+        chance = self.rng.random if unlike else float
+        pool.last = min(drawn, key=lambda s: (s.crowd(now) + 1) * s.pace * (1 + unlike * chance()), default=pool.last)
         return pool.last if drawn else None
 
 
@@ -678,6 +731,7 @@
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
         self.count = self.failures = 0
         self.actions: list[api.Action] = []
+        self.changed: dict[int, Server] = {}  # where what this proxy holds has changed, untold
         self.checked_ns = now
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
         self.subscribed = settings.discovery_push
@@ -699,6 +753,8 @@
                 self._list(e, now)
             elif type(e) is api.ProbeResult:
                 self._probed(e, now)
+            elif type(e) is api.PeerMessage:
+                self._peer(e, now)
             elif type(e) is api.AnswerBegun and e.request in self.requests:
                 self.requests[e.request].begun = True
             elif type(e) is api.Wake and e.name == str(self.timer):
@@ -710,6 +766,8 @@
             self._pump(pool, now)
         if now - self.checked_ns >= FEEDBACK_NS:
             self._feedback(now)
+        if self.changed:
+            self._tell(now)
         if self.due and (not self.timer_ns or self.due[0][0] < self.timer_ns):
             self.timer_ns = self.due[0][0]
             self.timer += 1
@@ -787,6 +845,22 @@
             server.deaf_ns = now
             self.actions.append(api.Probe(server.id))
 
+    def _peer(self, e: api.PeerMessage, now: int) -> None:
+        word = read_word(e.data)
+        server = self.fleet.heard(e.sender, word, now) if word is not None else None
+        if server is not None:
+            self._later(server.shunned_ns, "pump", None)
+
+    def _tell(self, now: int) -> None:
+        """Tell those who share the upstreams what this proxy has there now."""
+        for s in self.changed.values():
+            peers = self.fleet.place(s).peers
+            if peers and s.id <= MAX_ID:
+                s.word += 1
+                data = Word(s.id, s.word, s.inflight, s.barred_ns - now if s.strikes else 0).data()
+                self.actions += [api.Tell(data, peer) for peer in peers]
+        self.changed.clear()
+
     def _outcome(self, e: api.Outcome, now: int) -> None:
         server = self.fleet.servers.get(e.upstream)
         r = self.requests.get(e.request)
@@ -825,6 +899,7 @@
         else:
             self.rate.good += e.result is api.Result.ERROR
         server.inflight -= 1
+        self.changed[server.id] = server
         server.load = max(0.0, server.load - 1)
         if e.complete:
             self._end(r, now)
@@ -943,8 +1018,7 @@
             fresh = [s for s in r.asked if s.load_ns > old and fleet.fit(s, now)]
             r.asked = []
             server = fleet.pick(pool, now, fresh or choices)
-            full = (server is not None and server.load >= 1 and server.told(now)
-                    and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
+            full = server is not None and self._late_there(r, server, now)
             if full or (server is None and choices is not None):
                 # All that it may go to are busy, or would answer late: it must not stop the line.
                 self.rate.unplaced += not r.hurried
@@ -963,9 +1037,18 @@
         if not pool.line:
             pool.blocked_ns = 0
 
+    def _late_there(self, r: Request, server: Server, now: int) -> bool:
+        """Would the lightest that was found, by what it is known to hold, answer this after its aim?"""
+        if server.elsewhere is not None:
+            held = server.crowd(now)
+            return held >= 1 and self.crowding.time(held + 1) * server.pace > r.aim_ns - now
+        return (server.load >= 1 and server.told(now)
+                and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
+
     def _send(self, r: Request, server: Server, now: int) -> None:
         self.crowding.held(self.fleet.place(server), now)
         server.inflight += 1
+        self.changed[server.id] = server
         server.load += server.load_ns > 0
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,176 @@
+"""What balancers that share upstreams tell one another: the words, and what a fleet gains from them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from lanemux import interface as api
+from lanemux import sharing
+from lanemux.policy import Balancer
+from tests.bench import MS, SECOND, START
+from tests.fleet import Box, Fleet, settings
+
+
+def ready(count: int) -> api.ListUpdate:
+    return api.ListUpdate(api.ListKind.FULL, [api.Upstream(n) for n in range(1, count + 1)])
+
+
+def tells(actions: list[api.Action]) -> list[api.Tell]:
+    return [a for a in actions if isinstance(a, api.Tell)]
+
+
+def test_a_word_comes_back_as_it_was_said() -> None:
+    word = sharing.Word(4_294_967_295, 7, 3, 2 * SECOND)
+    assert sharing.read_word(word.data()) == word
+    longest = sharing.read_word(sharing.Word(1, 300, 999, 60 * SECOND).data())
+    assert longest is not None
+    assert (longest.number, longest.held, longest.rest_ns) == (44, 255, 255 * sharing.REST_STEP_NS)
+
+
+@pytest.mark.parametrize("data", [b"", b"x", b"\x00" * 6, b"\xff" * 8, b"\x00" * 256])
+def test_what_is_no_word_changes_nothing(data: bytes) -> None:
+    balancer = Balancer(settings(0, 40), 1, START)
+    balancer.handle(START, [ready(60)])
+    balancer.handle(START + MS, [api.PeerMessage(3, data)])
+    assert all(s.elsewhere is None for s in balancer.fleet.servers.values())
+
+
+@pytest.mark.parametrize(("proxies", "upstreams", "home"),
+                         [(40, 60, 10), (40, 59, 9), (4, 60, 15), (400, 120, 4), (40, 8, 8), (3, 2, 2), (1, 5, 5)])
+def test_those_who_share_an_upstream_are_those_whose_homes_hold_it(proxies: int, upstreams: int, home: int) -> None:
+    homes = [{(p * upstreams // proxies + i) % upstreams for i in range(home)} for p in range(proxies)]
+    for place in range(upstreams):
+        holders = {p for p in range(proxies) if place in homes[p]}
+        for me in range(proxies):
+            told = sharing.sharers(place, upstreams, home, proxies, me)
+            assert me not in told
+            if len(holders) <= sharing.MOST_TOLD:
+                assert sorted(told) == sorted(holders - {me})
+            assert len(told) <= sharing.MOST_TOLD
+
+
+def test_a_word_that_a_later_one_has_overtaken_says_nothing() -> None:
+    here = sharing.Elsewhere(kept_ns=200 * MS)
+    assert here.hear(5, sharing.Word(1, 255, 2), START)
+    assert here.hear(5, sharing.Word(1, 256, 0), START + MS)
+    assert not here.hear(5, sharing.Word(1, 255, 2), START + 2 * MS)
+    assert here.held(START + 3 * MS) == 0
+    assert here.hear(6, sharing.Word(1, 1, 4), START + 3 * MS)
+    assert here.held(START + 4 * MS) == 4
+    assert here.held(START + 203 * MS) == 0  # its end was lost
+    assert here.hear(5, sharing.Word(1, 90, 1), START + 400 * MS)  # a peer that has begun anew
+
+
+def test_words_of_any_number_of_senders_take_bounded_room() -> None:
+    here = sharing.Elsewhere(kept_ns=200 * MS)
+    for peer in range(10_000):
+        here.hear(peer, sharing.Word(1, 1, 1), START)
+    assert len(here.told) <= 2 * sharing.MOST_TOLD
+    assert here.hear(10_001, sharing.Word(1, 1, 1), START + 200 * MS)
+    assert here.held(START + 200 * MS) == 1
+
+
+@pytest.mark.parametrize("changes", [
+    {"limits": api.Limits(max_attempts=5, may_cancel=True, probes=True)},  # no peers
+    {"prices": api.Prices(peer=0.01, probe=0.002)},  # looks are cheap
+    {"prices": api.Prices(peer=0.1, probe=0.12)},  # words are dear
+])
+def test_nothing_is_told_where_it_is_not_allowed_or_not_worth_its_price(changes: dict[str, object]) -> None:
+    balancer = Balancer(settings(0, 40, **changes), 1, START)
+    balancer.handle(START, [ready(60)])
+    assert not tells(balancer.handle(START + MS, [api.Arrival("a", "quote", "ash", START + 400 * MS)]))
+
+
+def test_a_word_is_no_listing_and_nobody_who_is_barred_there_is_sent_on() -> None:
+    """An upstream that only a peer has named is none; one that a peer leaves alone is left alone here too."""
+    balancer = Balancer(settings(0, 40), 1, START)
+    balancer.handle(START, [ready(60)])
+    home = balancer.fleet.any.reach[:balancer.fleet.any.home]
+    shunned = home[:5]
+    words = [sharing.Word(s.id, 1, 0, SECOND) for s in shunned] + [sharing.Word(999, 1, 0, SECOND)]
+    balancer.handle(START + MS, [api.PeerMessage(1, w.data()) for w in words])
+    assert 999 not in balancer.fleet.servers
+    sent = set()
+    for i in range(5):
+        now = START + (2 + i) * MS
+        actions = balancer.handle(now, [api.Arrival(f"a{i}", "quote", "ash", now + 400 * MS)])
+        sent |= {a.upstream for a in actions if isinstance(a, api.Send)}
+    assert sent == {s.id for s in home[5:]}
+
+
+def test_peers_cannot_talk_a_balancer_out_of_most_of_its_home() -> None:
+    balancer = Balancer(settings(0, 40), 1, START)
+    balancer.handle(START, [ready(60)])
+    words = [sharing.Word(s.id, 1, 0, 3 * SECOND) for s in balancer.fleet.servers.values()]
+    balancer.handle(START + MS, [api.PeerMessage(1, w.data()) for w in words])
+    pool = balancer.fleet.any
+    assert sum(balancer.fleet.fit(s, START + 2 * MS) for s in pool.reach) >= 0.2 * pool.width
+
+
+def test_the_load_of_others_is_seen_and_a_struck_upstream_is_tried_by_one() -> None:
+    balancer = Balancer(settings(0, 40), 1, START)
+    balancer.handle(START, [ready(60)])
+    home = balancer.fleet.any.reach[:balancer.fleet.any.home]
+    idle = home[3]
+    balancer.handle(START + MS, [api.PeerMessage(2, sharing.Word(s.id, 1, 2).data()) for s in home if s is not idle])
+    actions = balancer.handle(START + 2 * MS, [api.Arrival("a", "quote", "ash", START + 402 * MS)])
+    assert [a.upstream for a in actions if isinstance(a, api.Send)] == [idle.id]
+    assert {a.peer for a in tells(actions)} == set(balancer.fleet.place(idle).peers)
+    struck = home[0]
+    balancer.handle(START + 3 * MS, [api.PeerMessage(2, sharing.Word(struck.id, 2, 0, 50 * MS).data())])
+    now = START + 60 * MS
+    assert balancer.fleet.fit(struck, now)
+    balancer.handle(now, [api.PeerMessage(7, sharing.Word(struck.id, 1, 1).data())])
+    assert not balancer.fleet.fit(struck, now + MS)
+
+
+@pytest.mark.parametrize(("proxies", "boxes", "seconds"), [(40, 60, 3.0), (400, 600, 0.3)])
+def test_a_fleet_that_tells_serves_what_one_that_does_not_lets_run_late(proxies: int, boxes: int,
+                                                                        seconds: float) -> None:
+    """Half of what the upstreams can do is asked, spread thin. What a request costs in words does not grow."""
+    late = {}
+    for tell in (True, False):
+        fleet = Fleet(proxies, boxes, 5, tell)
+        fleet.run(seconds, boxes * 560.0 / 60)
+        late[tell] = fleet.ended["refused"] / fleet.ended["asked"]
+        assert fleet.told / fleet.ended["asked"] < 14
+    assert late[True] < 0.8 * late[False]
+
+
+def test_balancers_that_share_nothing_tell_nothing() -> None:
+    fleet = Fleet(4, 60, 5)
+    fleet.run(1.0, 560.0)
+    assert not fleet.told
+
+
+def test_one_balancer_that_finds_an_upstream_dead_spares_those_that_share_it() -> None:
+    """A third of the upstreams refuses every connection, and the list says nothing of it."""
+    failed = {}
+    for tell in (True, False):
+        fleet = Fleet(40, 60, 8, tell, known=lambda n: Box(dead=n % 3 == 0))
+        fleet.run(4.0, 300.0)
+        failed[tell] = sum(k for (_, result), k in fleet.by_box.items() if result is api.Result.CONNECT_FAILED)
+    assert failed[True] < 0.6 * failed[False]
+
+
+def test_upstreams_that_finish_nothing_in_time_cost_a_fleet_that_tells_few_requests() -> None:
+    slow, late = random.Random(3).sample(range(1, 61), 9), {}
+    for tell in (True, False):
+        fleet = Fleet(40, 60, 9, tell, known=lambda n: Box(speed=0.15 if n in slow else 1.0))
+        fleet.run(5.0, 400.0)
+        late[tell] = sum(fleet.by_box[n, api.Result.TIMEOUT] for n in slow)
+    assert late[True] < 0.6 * late[False]
+
+
+@pytest.mark.parametrize(("proxies", "boxes"), [(40, 60)])
+def test_all_together_stay_within_what_cold_upstreams_bear(proxies: int, boxes: int) -> None:
+    """Half of the upstreams come back cold, at once, under more than the other half can do."""
+    cold = 0.31
+    fleet = Fleet(proxies, boxes, 6, known=lambda n: (Box(speed=cold, started_ns=START - MS) if n % 2 else Box()))
+    fleet.run(2.0, boxes * 12.0)
+    window, bears = 3 * SECOND // 2, 2.5 * cold * 1.5
+    for box in (b for n, b in fleet.boxes.items() if n % 2):
+        for i, (start, _) in enumerate(box.sent):
+            assert sum(w for when, w in box.sent[i:] if when - start < window) <= bears
