Tell peers of strikes and recoveries, spare cold upstreams their common first requests

A rest told by a peer counts as a strike here, a served request told clears strikes; R is not cut while the home's own upstreams hold less than one request each, nor by requests that the known load alone turned away; no attempt starts that the known load lets end late; a cold upstream's pace is at least what its age implies; first sends to a cold one are spread over its gap, which takes a cautious time for a request until eight were seen. All of it only where words are on, or looks off.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -279,6 +279,7 @@
     elsewhere: Elsewhere | None = None  # what those hold there
     shunned_ns: int = 0  # a peer leaves it alone until then
     word: int = 0  # number of the last word to them
+    good: bool = False  # its last attempt was served
 
     def hear(self, load: float | None, now: int) -> None:
         """Take a reported load; what cannot be one (negative, huge, not a number) says nothing."""
@@ -413,6 +414,7 @@
         self.tells = False
         longest = max((c.limit_ns if c.late_worth or c.stream else c.aim_ns for c in settings.classes.values()),
                       default=SECOND)
+        self.unknown_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND) // 3
         self.word_ns = longest + SECOND // 20  # all that a word told of has ended, and its end been told
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
         self.arranged = 0  # counts the arrangements
@@ -431,7 +433,7 @@
 
     def learn(self, update: api.ListUpdate, now: int) -> None:
         """Take up a list or changes; the work grows with what they hold, not with the fleet."""
-        changed = False
+        changed, started = False, []
         if update.kind is not api.ListKind.DELTA:
             listed = {e.id for e in update.upstreams}
             for missing in [s for s in self.servers.values() if s.id not in listed]:
@@ -441,7 +443,10 @@
             if s is None:
                 s = self.servers[entry.id] = Server(entry.id, entry)
                 changed |= self._enter(s, entry)
+                started.append(s)
             else:
+                if entry.started_ns != s.entry.started_ns:
+                    started.append(s)
                 changed |= self._update(s, entry)
             if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
                 # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
@@ -452,6 +457,10 @@
             self.arranged += 1
             for pool in self.pools.values():
                 self._arrange(pool)
+        for s in started if not self.looks else ():
+            # All hear of a cold one at about the same time: the first requests of all would come to it at once.
+            if self.cold(s, now) and s.entry.state is api.State.READY:
+                self.rest(s, now + int(self.cold_gap_ns(s, now) * self.rng.random()))
 
     def _update(self, s: Server, entry: api.Upstream) -> bool:
         """Take up a further word of one that is known; does it change any pool?"""
@@ -521,22 +530,39 @@
             return None
         if s.elsewhere is None:
             s.elsewhere = Elsewhere(self.word_ns)
-        if not s.elsewhere.hear(peer, word, now) or not word.rest_ns or now + word.rest_ns <= s.free_ns():
+        if not s.elsewhere.hear(peer, word, now):
             return None
-        if not self._may_leave(s, now):
+        if word.good and not word.rest_ns:
+            s.strikes = s.shunned_ns = 0  # what one has found out, all know
+        if now + word.rest_ns <= s.free_ns() or not word.rest_ns or not self._may_leave(s, now):
             return None
+        # Its next failure here is not the first one, or each in turn would begin with the shortest rest.
+        s.strikes = max(1, s.strikes) if s.free_ns() > now else s.strikes + 1
         s.shunned_ns, self.barred[s.id] = now + word.rest_ns, s
         return s
 
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
 
+    def warm(self, s: Server, now: int) -> float:
+        """The least part of its capacity that it has by now."""
+        if not self.cold(s, now):
+            return 1.0
+        rules = self.settings.rules
+        return rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
+
+    def pace(self, s: Server, now: int) -> float:
+        """Its time for a request against the fleet's; a cold one may be as slow as it is told to begin."""
+        return max(s.pace, 1 / self.warm(s, now)) if self.tells else s.pace
+
     def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
         together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
-        rules = self.settings.rules
-        part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-        bears = max(self.borne, SECOND / self.crowding.each / self.place(s).sharers)
+        rules, part = self.settings.rules, self.warm(s, now)
+        each = self.crowding.each
+        if not self.looks and self.crowding.sums[0] < EVIDENCE:
+            each = max(each, self.unknown_ns)  # a new proxy has not seen yet what a request takes
+        bears = max(self.borne, SECOND / each / self.place(s).sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
@@ -598,7 +624,10 @@
 
     def crowded(self, now: int) -> bool:
         """Do upstreams have more than they can work on, by what they last reported? Unknown counts as yes."""
-        told = [s.load for s in self.servers.values() if s.entry.state is api.State.READY and s.told(now)]
+        if self.tells:  # of those that it draws from and that work
+            told = [s.crowd(now) for s in self.any.reach[:SCAN] if now >= s.free_ns()]
+        else:
+            told = [s.load for s in self.servers.values() if s.entry.state is api.State.READY and s.told(now)]
         return not told or sum(told) >= CROWDED * len(told)
 
     def draw(self, pool: Pool, count: int, now: int) -> list[Server]:
@@ -620,8 +649,11 @@
         else:
             drawn = self.draw(pool, DRAWS, now) if allowed is None else [s for s in allowed if self.fit(s, now)]
             unlike = 0.0
-        chance = self.rng.random if unlike else float
-        pool.last = min(drawn, key=lambda s: (s.crowd(now) + 1) * s.pace * (1 + unlike * chance()), default=pool.last)
+
+        def weight(s: Server) -> float:
+            return (s.crowd(now) + 1) * self.pace(s, now) * (1 + (unlike and unlike * self.rng.random()))
+
+        pool.last = min(drawn, key=weight, default=pool.last)
         return pool.last if drawn else None
 
 
@@ -857,7 +889,7 @@
             peers = self.fleet.place(s).peers
             if peers and s.id <= MAX_ID:
                 s.word += 1
-                data = Word(s.id, s.word, s.inflight, s.barred_ns - now if s.strikes else 0).data()
+                data = Word(s.id, s.word, s.inflight, s.barred_ns - now if s.strikes else 0, s.good).data()
                 self.actions += [api.Tell(data, peer) for peer in peers]
         self.changed.clear()
 
@@ -870,6 +902,7 @@
         if a.result is not None or a.server is not server:
             return
         a.learn(e.result, self.settings.rules)
+        server.good = e.result is api.Result.OK
         self.crowding.held(self.fleet.place(server), now)
         if e.report and "inflight" in e.report:
             server.hear(e.report["inflight"] + 1, now)  # this one leaves it below
@@ -1021,7 +1054,7 @@
             full = server is not None and self._late_there(r, server, now)
             if full or (server is None and choices is not None):
                 # All that it may go to are busy, or would answer late: it must not stop the line.
-                self.rate.unplaced += not r.hurried
+                self.rate.unplaced += not r.hurried and not fleet.tells
                 self._refuse(r, now)
             elif server is not None:
                 pool.line.popleft()
@@ -1041,7 +1074,7 @@
         """Would the lightest that was found, by what it is known to hold, answer this after its aim?"""
         if server.elsewhere is not None:
             held = server.crowd(now)
-            return held >= 1 and self.crowding.time(held + 1) * server.pace > r.aim_ns - now
+            return self.crowding.time(held + 1) * self.fleet.pace(server, now) > r.aim_ns - now
         return (server.load >= 1 and server.told(now)
                 and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
 
--- a/lanemux/sharing.py
+++ b/lanemux/sharing.py
@@ -14,9 +14,10 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-FORM = struct.Struct(">IBBB")  # upstream, number of the word, requests in flight, how long it is left alone
+FORM = struct.Struct(">IBBB")  # upstream, number of the word, GOOD and requests in flight, how long it is left alone
 MAX_ID = 2**32 - 1  # what the form has room for
-MAX_HELD = 255  # the same; more in flight at one upstream says no more than that it is full
+GOOD = 128  # bit of the third field: the last attempt there was served
+MAX_HELD = 127  # what its other bits hold; more in flight says no more than that it is full
 REST_STEP_NS = 25_000_000  # a bar of at most three seconds fits, told to within what a message may be late
 MOST_TOLD = 16  # most that one word goes to: work on a request must not grow with the fleet
 WORDS = 2  # an attempt: at its start and at its end
@@ -30,11 +31,12 @@
     number: int  # of the sender's words, modulo 256
     held: int
     rest_ns: int = 0
+    good: bool = False  # the last attempt there was served
 
     def data(self) -> bytes:
         """The datagram. A rest longer than the form holds is told as the longest."""
         steps = min(255, -(-max(0, self.rest_ns) // REST_STEP_NS))
-        return FORM.pack(self.upstream, self.number & 255, min(self.held, MAX_HELD), steps)
+        return FORM.pack(self.upstream, self.number & 255, min(self.held, MAX_HELD) | GOOD * self.good, steps)
 
 
 def read_word(data: bytes) -> Word | None:
@@ -42,7 +44,7 @@
     if len(data) != FORM.size:
         return None
     upstream, number, held, steps = FORM.unpack(data)
-    return Word(upstream, number, held, steps * REST_STEP_NS)
+    return Word(upstream, number, held & MAX_HELD, steps * REST_STEP_NS, held >= GOOD)
 
 
 def price(peers: float, price_a_message: float) -> float:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -22,11 +22,11 @@
 
 
 def test_a_word_comes_back_as_it_was_said() -> None:
-    word = sharing.Word(4_294_967_295, 7, 3, 2 * SECOND)
+    word = sharing.Word(4_294_967_295, 7, 3, 2 * SECOND, good=True)
     assert sharing.read_word(word.data()) == word
     longest = sharing.read_word(sharing.Word(1, 300, 999, 60 * SECOND).data())
     assert longest is not None
-    assert (longest.number, longest.held, longest.rest_ns) == (44, 255, 255 * sharing.REST_STEP_NS)
+    assert (longest.number, longest.held, longest.rest_ns) == (44, 127, 255 * sharing.REST_STEP_NS)
 
 
 @pytest.mark.parametrize("data", [b"", b"x", b"\x00" * 6, b"\xff" * 8, b"\x00" * 256])
@@ -126,17 +126,47 @@
     assert not balancer.fleet.fit(struck, now + MS)
 
 
-@pytest.mark.parametrize(("proxies", "boxes", "seconds"), [(40, 60, 3.0), (400, 600, 0.3)])
-def test_a_fleet_that_tells_serves_what_one_that_does_not_lets_run_late(proxies: int, boxes: int,
-                                                                        seconds: float) -> None:
-    """Half of what the upstreams can do is asked, spread thin. What a request costs in words does not grow."""
+def test_what_one_finds_sound_again_all_use_again_and_failures_of_all_add_up() -> None:
+    balancer = Balancer(settings(0, 40), 1, START)
+    balancer.handle(START, [ready(60)])
+    struck, now = balancer.fleet.any.reach[2], START
+    for number in range(1, 4):  # three rests, told one after the other by different peers
+        balancer.handle(now, [api.PeerMessage(number, sharing.Word(struck.id, 1, 0, 100 * MS).data())])
+        now += 150 * MS
+    assert struck.strikes == 3
+    balancer.handle(now, [api.PeerMessage(9, sharing.Word(struck.id, 1, 0, 2 * SECOND).data())])
+    assert not balancer.fleet.fit(struck, now + MS)
+    balancer.handle(now + 2 * MS, [api.PeerMessage(1, sharing.Word(struck.id, 2, 0, good=True).data())])
+    assert balancer.fleet.fit(struck, now + 3 * MS)
+    assert not struck.strikes
+
+
+def test_a_request_with_too_little_time_left_is_refused_at_once_not_sent() -> None:
+    balancer = Balancer(settings(0, 40), 1, START)
+    balancer.handle(START, [ready(60)])
+    home = balancer.fleet.any.reach[:balancer.fleet.any.home]
+    words = [sharing.Word(s.id, 1, 30) for s in home]
+    balancer.handle(START + MS, [api.PeerMessage(1, w.data()) for w in words])
+    actions = balancer.handle(START + 2 * MS, [api.Arrival("a", "quote", "ash", START + 402 * MS)])
+    assert [type(a) for a in actions if not isinstance(a, api.SetTimer)] == [api.Refuse]
+
+
+def test_a_fleet_that_tells_serves_what_one_that_does_not_lets_run_late() -> None:
+    """Half of what the upstreams can do is asked, spread thin."""
     late = {}
     for tell in (True, False):
-        fleet = Fleet(proxies, boxes, 5, tell)
-        fleet.run(seconds, boxes * 560.0 / 60)
+        fleet = Fleet(40, 60, 5, tell)
+        fleet.run(3.0, 560.0)
         late[tell] = fleet.ended["refused"] / fleet.ended["asked"]
-        assert fleet.told / fleet.ended["asked"] < 14
-    assert late[True] < 0.8 * late[False]
+    assert late[True] < 0.75 * late[False]
+
+
+@pytest.mark.parametrize(("proxies", "boxes"), [(40, 60), (400, 600), (4000, 6000)])
+def test_what_a_request_costs_in_words_does_not_grow_with_the_fleet(proxies: int, boxes: int) -> None:
+    balancer = Balancer(settings(17, proxies), 1, START)
+    balancer.handle(START, [ready(boxes)])
+    actions = balancer.handle(START + MS, [api.Arrival("a", "quote", "ash", START + 400 * MS)])
+    assert 5 <= len(tells(actions)) <= 7
 
 
 def test_balancers_that_share_nothing_tell_nothing() -> None:
@@ -152,7 +182,7 @@
         fleet = Fleet(40, 60, 8, tell, known=lambda n: Box(dead=n % 3 == 0))
         fleet.run(4.0, 300.0)
         failed[tell] = sum(k for (_, result), k in fleet.by_box.items() if result is api.Result.CONNECT_FAILED)
-    assert failed[True] < 0.6 * failed[False]
+    assert failed[True] < 0.4 * failed[False]
 
 
 def test_upstreams_that_finish_nothing_in_time_cost_a_fleet_that_tells_few_requests() -> None:
@@ -161,10 +191,10 @@
         fleet = Fleet(40, 60, 9, tell, known=lambda n: Box(speed=0.15 if n in slow else 1.0))
         fleet.run(5.0, 400.0)
         late[tell] = sum(fleet.by_box[n, api.Result.TIMEOUT] for n in slow)
-    assert late[True] < 0.6 * late[False]
+    assert late[True] < 0.45 * late[False]
 
 
-@pytest.mark.parametrize(("proxies", "boxes"), [(40, 60)])
+@pytest.mark.parametrize(("proxies", "boxes"), [(40, 60), (400, 60)])
 def test_all_together_stay_within_what_cold_upstreams_bear(proxies: int, boxes: int) -> None:
     """Half of the upstreams come back cold, at once, under more than the other half can do."""
     cold = 0.31
