--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import random
+from collections import Counter
 
 import pytest
 
@@ -204,3 +206,33 @@
     for box in (b for n, b in fleet.boxes.items() if n % 2):
         for i, (start, _) in enumerate(box.sent):
             assert sum(w for when, w in box.sent[i:] if when - start < window) <= bears
+
+
+def test_ten_thousand_replaced_upstreams_leave_nothing_behind() -> None:
+    """Each is loaded, barred and told of by peers before it goes, and told of once more when it has gone."""
+    balancer, now = Balancer(settings(0, 40), 1, START), START
+    balancer.handle(now, [ready(60)])
+
+    def replace(first: int, count: int) -> Counter[str]:
+        nonlocal now
+        for old in range(first, first + count):
+            now += 20 * MS
+            words = [sharing.Word(old, now // MS, 1, 100 * MS).data(), sharing.Word(old + 1, now // MS, 0).data()]
+            events = [api.PeerMessage(peer, word) for peer in (1, 2) for word in words]
+            actions = balancer.handle(now, [*events, api.Arrival(f"a{old}", "quote", "ash", now + 400 * MS),
+                                            api.Wake(str(balancer.timer))])
+            for send in [a for a in actions if isinstance(a, api.Send)]:
+                result = (api.Result.OK, api.Result.CONNECT_FAILED)[old % 2]
+                balancer.handle(now + MS, [api.Outcome(send.request, 0, send.upstream, result, MS, True)])
+            change = [api.Upstream(old, api.State.GONE), api.Upstream(old + 60, started_ns=now)]
+            balancer.handle(now + 2 * MS, [api.ListUpdate(api.ListKind.DELTA, change)])
+            balancer.handle(now + 3 * MS, [api.PeerMessage(3, word) for word in words[:1]])
+        now += 20 * SECOND
+        balancer.handle(now, [api.Wake(str(balancer.timer))])
+        gc.collect()
+        return Counter(type(o).__name__ for o in gc.get_objects() if type(o).__module__.startswith("lanemux"))
+
+    before, after = replace(1, 2_000), replace(2_001, 8_000)
+    assert len(balancer.fleet.servers) == 60
+    assert {name: n for name, n in (after - before).items() if n > 20} == {}
+    assert sum(after.values()) < 1_000
