Ring, line and timers as structures of their own; settled timers leave the heap

Need: policy.py holds structures that decide nothing; a line looked through all who wait to let one go, and the heap kept every settled timer until it was due and woke the process for it.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -4,14 +4,15 @@
 
 from __future__ import annotations
 
-import heapq
 import random
-from bisect import bisect_left
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
+from lanemux.core.line import Line
+from lanemux.core.ring import Ring
+from lanemux.core.timers import Timer, Timers
 from lanemux.sharing import MAX_ID, Elsewhere, Word, price, read_word, sharers
 
 SECOND = 1_000_000_000
@@ -55,13 +56,6 @@
 UNSEEN = (api.Result.CANCELLED, api.Result.MOOT)  # they say nothing of the connection
 
 
-def mixed(number: int, salt: int) -> int:
-    """A fixed scramble of an id: the same on every proxy, whatever the hash seed."""
-    x = (number * 0x9E3779B97F4A7C15 + salt * 0xD1B54A32D192ED03 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    return x ^ (x >> 32)
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One send of a request."""
@@ -72,6 +66,7 @@
     load: float  # what the upstream was thought to hold then, this one included
     result: api.Result | None = None
     may_have_run: bool = True  # until its outcome proves the contrary
+    overdue: Timer[Due] | None = None  # looks at it when it is out for too long
 
     def learn(self, result: api.Result, rules: api.Rules) -> None:
         """Note its outcome. "Full" proves nothing where upstreams also drop what they had begun."""
@@ -99,6 +94,7 @@
     stood: bool = False  # the proxy stood still while it was open: nor does any of its times
     place: str = ""  # "held" by its throttle, in the "line", or ""
     give_up_ns: int = 0  # waiting longer than this is of no use
+    giving_up: Timer[Due] | None = None  # tells so
     asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
     asked_ns: int = 0
 
@@ -142,7 +138,7 @@
         self.rate = START_RATE
         self.credit = rng.random()  # phase of the ticks: proxies must not release their holds in step
         self.at = now
-        self.held: deque[Request] = deque()
+        self.held: Line[Request] = Line()
         self.asked = 0
         self.demand = 0.0  # requests a second, learned
         self.waking = False  # a timer for the next token is set
@@ -301,39 +297,11 @@
         return max(self.barred_ns, self.shunned_ns)
 
 
-class Ring:
-    """Upstreams in an order that depends on a salt and their ids alone; a change costs what changes."""
-
-    def __init__(self, salt: int) -> None:
-        self.salt = salt
-        self.keys: list[tuple[int, int]] = []
-        self.servers: list[Server] = []
-
-    def __len__(self) -> int:
-        return len(self.keys)
-
-    def find(self, server: Server) -> tuple[int, bool]:
-        """Where it stands, or would stand, and whether it is there."""
-        key = (mixed(server.id, self.salt), server.id)
-        at = bisect_left(self.keys, key)
-        return at, at < len(self.keys) and self.keys[at] == key
-
-    def put(self, server: Server, inside: bool) -> bool:
-        """Make it a member, or none; did that change anything?"""
-        at, there = self.find(server)
-        if there and not inside:
-            del self.keys[at], self.servers[at]
-        elif inside and not there:
-            self.keys.insert(at, (mixed(server.id, self.salt), server.id))
-            self.servers.insert(at, server)
-        return there is not inside
-
-
 class Part:
     """A part of a pool, on the ring that all proxies compute alike and in this proxy's own order."""
 
     def __init__(self, me: int) -> None:
-        self.ring, self.mine = Ring(0), Ring(me + 1)
+        self.ring, self.mine = Ring[Server](0), Ring[Server](me + 1)
 
     def put(self, server: Server, inside: bool) -> bool:
         return self.ring.put(server, inside) and self.mine.put(server, inside)
@@ -354,7 +322,7 @@
     reach: list[Server] = field(default_factory=list)  # the home, and the next one after it
     width: int = 0  # how many of `reach` it draws from
     last: Server | None = None  # the previous winner
-    line: deque[Request] = field(default_factory=deque)
+    line: Line[Request] = field(default_factory=Line)
     blocked_ns: int = 0  # the line found no upstream since
 
     def admits(self, entry: api.Upstream) -> bool:
@@ -364,7 +332,7 @@
     @property
     def far(self) -> list[Server]:
         """Those outside the part that has the home, in this proxy's own order."""
-        return self.there.mine.servers if self.near is self.here else []
+        return self.there.mine.members if self.near is self.here else []
 
     def at_home(self, server: Server) -> bool:
         n = len(self.near.ring)
@@ -380,16 +348,16 @@
 
     def settle(self) -> None:
         """Work out `reach` anew: one beyond the home is all that a pool ever draws from besides."""
-        ring, n, end = self.near.ring.servers, len(self.near.ring), self.first + self.home
+        ring, n, end = self.near.ring.members, len(self.near.ring), self.first + self.home
         reach = ring[self.first:end] + ring[:min(self.first, max(0, end - n))] + self.far[:max(0, self.home - n)]
-        outside = (s for s in self.near.mine.servers if not self.at_home(s))
+        outside = (s for s in self.near.mine.members if not self.at_home(s))
         beyond = next(outside, None) if self.home < n else next(iter(self.far[self.home - n:][:1]), None)
         self.reach = reach if beyond is None else [*reach, beyond]
         self.width = self.home
 
     def all(self) -> list[Server]:
         """All that it knows: the home, then the others in this proxy's own order."""
-        outside = [s for s in self.near.mine.servers if not self.at_home(s)]
+        outside = [s for s in self.near.mine.members if not self.at_home(s)]
         return self.reach[:self.home] + outside + self.far[max(0, self.home - len(self.near.ring)):]
 
 
@@ -749,6 +717,9 @@
         self.limit = next(k for k in range(1, self.limit + 1) if k == self.limit or self.speed(k) > hope)
 
 
+Due = tuple[str, Request | Throttle | None, int]
+
+
 class Balancer:
     """One proxy. Feed it events with `handle`; carry out the actions it gives, in order."""
 
@@ -761,20 +732,20 @@
         self.crowding = Crowding()
         self.fleet = Fleet(settings, self.crowding, self.rng)
         self.requests: dict[str, Request] = {}
-        self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
+        self.due: Timers[Due] = Timers()
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
-        self.count = self.failures = 0
+        self.failures = 0
         self.actions: list[api.Action] = []
         self.changed: dict[int, Server] = {}  # where what this proxy holds has changed, untold
         self.checked_ns = now
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
         self.subscribed = settings.discovery_push
         if not self.subscribed:
-            self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
+            self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe")
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         self.actions = []
-        if self.due and now - self.due[0][0] > STALL_NS:
+        if now - (self.due.next_ns() or now) > STALL_NS:
             self._stood(now)
         for e in events:
             if type(e) is api.Arrival:
@@ -793,8 +764,7 @@
                 self.requests[e.request].begun = True
             elif type(e) is api.Wake and e.name == str(self.timer):
                 self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
-        while self.due and self.due[0][0] <= now:
-            _, _, what, about, extra = heapq.heappop(self.due)
+        for what, about, extra in self.due.ring(now):
             self._look(what, about, extra, now)
         for pool in self.fleet.pools.values():
             self._pump(pool, now)
@@ -802,8 +772,9 @@
             self._feedback(now)
         if self.changed:
             self._tell(now)
-        if self.due and (not self.timer_ns or self.due[0][0] < self.timer_ns):
-            self.timer_ns = self.due[0][0]
+        due = self.due.next_ns()
+        if due is not None and (not self.timer_ns or due < self.timer_ns):
+            self.timer_ns = due
             self.timer += 1
             self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
         return self.actions
@@ -820,9 +791,12 @@
         for s in self.fleet.servers.values():
             s.since_ns = now  # nor did upstreams hold them for so long without finishing
 
-    def _later(self, at: int, what: str, about: Request | Throttle | None, extra: int = 0) -> None:
-        self.count += 1
-        heapq.heappush(self.due, (at, self.count, what, about, extra))
+    def _later(self, at: int, what: str, about: Request | Throttle | None = None, extra: int = 0) -> Timer[Due]:
+        return self.due.set(at, (what, about, extra))
+
+    def _settle(self, timer: Timer[Due] | None) -> None:
+        if timer is not None:
+            self.due.settle(timer)
 
     def _arrival(self, e: api.Arrival, now: int) -> None:
         if e.request in self.requests:
@@ -835,7 +809,7 @@
         self.requests[r.id] = r
         need = self.crowding.expected(r) * (1 + self.crowding.spread)
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
-        self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
+        r.giving_up = self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at
         # Marked retries take spare tokens only: they must not starve fresh work.
         answer = throttle.spare(now) if e.retry else throttle.offer(r, now)
         if answer is False:
@@ -884,7 +858,7 @@
         word = read_word(e.data)
         server = self.fleet.heard(e.sender, word, now) if word is not None else None
         if server is not None:
-            self._later(server.shunned_ns, "pump", None)
+            self._later(server.shunned_ns, "pump")
 
     def _tell(self, now: int) -> None:
         """Tell those who share the upstreams what this proxy has there now."""
@@ -905,6 +879,7 @@
         if a.result is not None or a.server is not server:
             return
         a.learn(e.result, self.settings.rules)
+        self._settle(a.overdue)
         server.good = e.result is api.Result.OK
         self.crowding.held(self.fleet.place(server), now)
         if e.report and "inflight" in e.report:
@@ -954,13 +929,14 @@
 
     def _bar(self, server: Server, now: int, base: float) -> None:
         self.fleet.bar(server, now, base)
-        self._later(server.barred_ns, "pump", None)  # then the line has one more to go to
+        self._later(server.barred_ns, "pump")  # then the line has one more to go to
 
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
         if r.attempts and any(r.may_send(s, now, self.settings.limits)
                               for s in self._choices(r) or r.pool.reach[:1]) and now < r.give_up_ns:
             r.pool.line.appendleft(r)
+            r.giving_up = self._later(r.give_up_ns, "give up", r)
             self._look_around(r, now)
         else:
             self._refuse(r, now)
@@ -988,6 +964,7 @@
             r.pool.line.remove(r)
         r.place = ""
         r.over = True
+        self._settle(r.giving_up)
         if self.settings.limits.may_cancel:
             for i, a in enumerate(r.attempts):
                 if a.result is None:
@@ -1001,7 +978,7 @@
             self.subscribed = False
             self.failures += 1
             wait = SECOND * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
-            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
+            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe")
         else:
             self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
             self.fleet.learn(e, now)
@@ -1046,7 +1023,7 @@
         """Serve the line in order while an upstream has room."""
         fleet, limits = self.fleet, self.settings.limits
         while pool.line:
-            r = pool.line[0]
+            r = pool.line.first
             old = r.asked_ns - RECENT_NS
             if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns <= old for s in r.asked):
                 break
@@ -1062,6 +1039,7 @@
             elif server is not None:
                 pool.line.popleft()
                 r.place = ""
+                self._settle(r.giving_up)
                 if r.may_send(server, now, limits):
                     self._send(r, server, now)
                 else:
@@ -1093,12 +1071,12 @@
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
             self.fleet.rest(server, now + self.fleet.cold_gap_ns(server, now))
-            self._later(server.barred_ns, "pump", None)
+            self._later(server.barred_ns, "pump")
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
         overdue = now + int(expected * (1.3 + 3 * self.crowding.spread))
-        self._later(overdue, "overdue", r, len(r.attempts) - 1)
+        r.attempts[-1].overdue = self._later(overdue, "overdue", r, len(r.attempts) - 1)
 
     def _feedback(self, now: int) -> None:
         self.checked_ns = now
--- a/tests/test_arrangement.py
+++ b/tests/test_arrangement.py
@@ -7,7 +7,8 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.policy import DEAR_HOME, GOLDEN, HOME, SHARED, Balancer, mixed
+from lanemux.core.ring import mixed
+from lanemux.policy import DEAR_HOME, GOLDEN, HOME, SHARED, Balancer
 
 ZONES = ("east", "west", "north")
 KINDS = ("m", "xl")
