One message for all words of a batch, and no lone claim beyond what others show

Need: each word was a message of its own, and each message that came woke the decisions; where words are off each batch noted what changed, for nobody. Change: words for a peer go together, 36 to a message at most; the node reads peers' messages with whatever is decided next, or 20 ms later; nothing is noted where words are off. A peer's claim counts to at most one request more than the next largest one at that upstream.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -36,6 +36,8 @@
 PROBE_SPARE = 8  # one in so many places for connections is none for a probe: attempts come first
 FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
 SWEEP_S = 1.0
+WORDS_KEPT_S = 0.02  # a peer's message, which takes up to 33 ms on its way, waits so long to be read with others
+MAX_WORDS_KEPT = 64  # and with so many at most: what the loop holds up meanwhile is bounded
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
 LAST_READ_S = 0.05  # for what those have sent already
 FLUSH_LOOK_S = 0.01
@@ -101,6 +103,7 @@
         self._events: list[api.Event] = []
         self._feeding = False
         self._timers: dict[str, asyncio.TimerHandle] = {}  # the module's, by name
+        self._reading: asyncio.TimerHandle | None = None  # peers' messages that wait to be read
         self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
         self._rested_s = 0.0  # not ready before, by the loop's clock
@@ -213,8 +216,9 @@
         self._source.stop()
         if self._successor is not None:
             self._successor.stop()
-        for timer in (*self._timers.values(), *([self._sweep] if self._sweep is not None else [])):
-            timer.cancel()
+        for timer in (*self._timers.values(), self._sweep, self._reading):
+            if timer is not None:
+                timer.cancel()
         for look in list(self._looks):
             look.abandon()
         self._looks.clear()
@@ -233,6 +237,9 @@
         if self._feeding:
             return
         self._feeding = True
+        if self._reading is not None:
+            self._reading.cancel()
+            self._reading = None
         try:
             while self._events:
                 batch, self._events = self._events, []
@@ -469,7 +476,16 @@
                 call.out.finish(api.Result.MOOT)
 
     def _peer_message(self, sender: int, data: bytes) -> None:
-        self.feed(api.PeerMessage(sender, data))
+        """A peer's message is read with whatever is decided next, or by itself a little later.
+
+        Nothing is decided on it alone but who of those that wait goes next, and most are followed at once."""
+        if self._closed:
+            return
+        self._events.append(api.PeerMessage(sender, data))
+        if len(self._events) >= MAX_WORDS_KEPT:
+            self.feed()
+        elif self._reading is None:
+            self._reading = self._loop.call_later(WORDS_KEPT_S, self.feed)
 
 
 def _judged(response: Message) -> api.Result:
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -13,7 +13,7 @@
 from lanemux.core.line import Line
 from lanemux.core.ring import Ring
 from lanemux.core.timers import Timer, Timers
-from lanemux.sharing import MAX_ID, Elsewhere, Word, price, read_word, sharers
+from lanemux.sharing import MAX_ID, Elsewhere, Word, datagrams, price, read_words, sharers
 
 SECOND = 1_000_000_000
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
@@ -496,7 +496,7 @@
     def heard(self, peer: int, word: Word, now: int) -> Server | None:
         """Take a peer's word on an upstream that this proxy's own list has named; the one it shuns for it."""
         s = self.servers.get(word.upstream)
-        if not self.tells or s is None:
+        if s is None:
             return None
         if s.elsewhere is None:
             s.elsewhere = Elsewhere(self.word_ns)
@@ -855,20 +855,28 @@
             self.actions.append(api.Probe(server.id))
 
     def _peer(self, e: api.PeerMessage, now: int) -> None:
-        word = read_word(e.data)
-        server = self.fleet.heard(e.sender, word, now) if word is not None else None
-        if server is not None:
-            self._later(server.shunned_ns, "pump")
+        for word in read_words(e.data) if self.fleet.tells else ():
+            server = self.fleet.heard(e.sender, word, now)
+            if server is not None:
+                self._later(server.shunned_ns, "pump")
+
+    def _changed(self, server: Server) -> None:
+        """What this proxy holds there is another number now: those who share it are to know."""
+        if self.fleet.tells:
+            self.changed[server.id] = server
 
     def _tell(self, now: int) -> None:
-        """Tell those who share the upstreams what this proxy has there now."""
+        """Tell those who share the upstreams what this proxy has there now, in one message each."""
+        words: dict[int, list[bytes]] = {}
         for s in self.changed.values():
-            peers = self.fleet.place(s).peers
-            if peers and s.id <= MAX_ID:
+            peers = self.fleet.place(s).peers if s.id <= MAX_ID else ()
+            if peers:
                 s.word += 1
                 data = Word(s.id, s.word, s.inflight, s.barred_ns - now if s.strikes else 0, s.good).data()
-                self.actions += [api.Tell(data, peer) for peer in peers]
+                for peer in peers:
+                    words.setdefault(peer, []).append(data)
         self.changed.clear()
+        self.actions += [api.Tell(data, peer) for peer, data in datagrams(words)]
 
     def _outcome(self, e: api.Outcome, now: int) -> None:
         server = self.fleet.servers.get(e.upstream)
@@ -910,7 +918,7 @@
         else:
             self.rate.good += e.result is api.Result.ERROR
         server.inflight -= 1
-        self.changed[server.id] = server
+        self._changed(server)
         server.load = max(0.0, server.load - 1)
         if e.complete:
             self._end(r, now)
@@ -1065,7 +1073,7 @@
     def _send(self, r: Request, server: Server, now: int) -> None:
         self.crowding.held(self.fleet.place(server), now)
         server.inflight += 1
-        self.changed[server.id] = server
+        self._changed(server)
         server.load += server.load_ns > 0
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
--- a/lanemux/sharing.py
+++ b/lanemux/sharing.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -20,8 +21,10 @@
 MAX_HELD = 127  # what its other bits hold; more in flight says no more than that it is full
 REST_STEP_NS = 25_000_000  # a bar of at most three seconds fits, told to within what a message may be late
 MOST_TOLD = 16  # most that one word goes to: work on a request must not grow with the fleet
+CLAIM = 1  # requests that a peer may claim to hold beyond what any other does
 WORDS = 2  # an attempt: at its start and at its end
 MESSAGE = 256  # bytes, the unit of a message's price (protocol page)
+MESSAGE_WORDS = MESSAGE // FORM.size
 
 
 class Word(NamedTuple):
@@ -39,12 +42,19 @@
         return FORM.pack(self.upstream, self.number & 255, min(self.held, MAX_HELD) | GOOD * self.good, steps)
 
 
-def read_word(data: bytes) -> Word | None:
-    """A peer's datagram; None if it is no word."""
-    if len(data) != FORM.size:
-        return None
-    upstream, number, held, steps = FORM.unpack(data)
-    return Word(upstream, number, held & MAX_HELD, steps * REST_STEP_NS, held >= GOOD)
+def read_words(data: bytes) -> list[Word]:
+    """The words of a peer's datagram; none if it is anything else."""
+    if len(data) % FORM.size or len(data) > MESSAGE:
+        return []
+    return [Word(upstream, number, held & MAX_HELD, steps * REST_STEP_NS, held >= GOOD)
+            for upstream, number, held, steps in FORM.iter_unpack(data)]
+
+
+def datagrams(words: Mapping[int, Sequence[bytes]]) -> Iterator[tuple[int, bytes]]:
+    """As few as hold all the words for each peer: (peer, datagram)."""
+    for peer, said in words.items():
+        for i in range(0, len(said), MESSAGE_WORDS):
+            yield peer, b"".join(said[i:i + MESSAGE_WORDS])
 
 
 def price(peers: float, price_a_message: float) -> float:
@@ -68,6 +78,18 @@
     return tuple(p for p in ((first + i) % proxies for i in range(count)) if p != me)
 
 
+def believed(claims: Sequence[int]) -> int:
+    """Requests that peers hold at an upstream, of what they claim: each at most CLAIM more than the next one.
+
+    Guards against one that claims many everywhere and so makes its neighbours refuse what their upstreams could
+    serve. All hold little there and choose the lightest, so that one alone seldom has many. Harm: where it does,
+    as long as nobody else has any, it is taken to have less."""
+    if not claims:
+        return 0
+    first, second = (sorted(claims, reverse=True) + [0])[:2]
+    return sum(claims) - max(0, first - second - CLAIM)
+
+
 @dataclass(slots=True)
 class Told:
     """The last word of one peer on one upstream."""
@@ -103,7 +125,7 @@
         """Requests that peers have there."""
         if now >= self.due_ns:
             self._forget(now)
-            self.sum = sum(t.held for t in self.told.values())
+            self.sum = believed([t.held for t in self.told.values()])
             self.due_ns = min((t.heard_ns for t in self.told.values()), default=now) + self.kept_ns
         return self.sum
 
