A fault in the decisions costs one batch: the module is told what is true

Need: an exception inside the module lost its actions. What it had sent by then counted in flight for ever, requests ended only by their deadline, a timer that was never set was waited for, and a drain in that batch was not seen. Change: after one the node tells the module which requests it holds, how often each was sent and whether it is out (event Truth), and the whole list. The module goes on with what is true, begins anew what was lost and ends what it does not know; one log line in ten seconds.

--- a/lanemux/core/addresses.py
+++ b/lanemux/core/addresses.py
@@ -47,6 +47,10 @@
                 changed.update((number, self._entries[number]) for number in self._judge(address, here))
         return [self._handed_on(entry) for entry in changed.values()]
 
+    def listed(self) -> list[Entry]:
+        """All that are listed, as they were handed on."""
+        return [self._handed_on(entry) for entry in self._entries.values()]
+
     def _leave(self, number: int) -> Address:
         """Forget one; where it was."""
         was = self._entries.pop(number).address
--- a/lanemux/interface.py
+++ b/lanemux/interface.py
@@ -228,7 +228,22 @@
     name: str
 
 
-Event = ListUpdate | Arrival | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage | Wake
+class Held(NamedTuple):
+    """What the proxy holds for one request."""
+
+    sends: int  # attempts that it was given
+    out: bool = False  # the last of them has no outcome yet
+
+
+class Truth(NamedTuple):
+    """What the proxy holds, after a batch that the module did not survive: its events and actions are lost.
+
+    Of the requests named the module goes on with those it knows and ends the others; the whole list follows."""
+
+    calls: Mapping[str, Held]
+
+
+Event = ListUpdate | Arrival | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage | Wake | Truth
 
 # ---- actions -------------------------------------------------------------------------------------------
 
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -38,6 +38,7 @@
 SWEEP_S = 1.0
 WORDS_KEPT_S = 0.02  # a peer's message, which takes up to 33 ms on its way, waits so long to be read with others
 MAX_WORDS_KEPT = 64  # and with so many at most: what the loop holds up meanwhile is bounded
+FAILURES_LOGGED_NS = 10 * SECOND  # one failure of the module in so long is told with its trace
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
 LAST_READ_S = 0.05  # for what those have sent already
 FLUSH_LOOK_S = 0.01
@@ -104,6 +105,7 @@
         self._feeding = False
         self._timers: dict[str, asyncio.TimerHandle] = {}  # the module's, by name
         self._reading: asyncio.TimerHandle | None = None  # peers' messages that wait to be read
+        self._failed_ns, self._failures_untold = -FAILURES_LOGGED_NS, 0  # the module's last failure in the log
         self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
         self._rested_s = 0.0  # not ready before, by the loop's clock
@@ -256,8 +258,24 @@
         self._decided_ns = now_ns()
         try:
             return self._module.handle(self._decided_ns, batch)
-        except Exception:  # a fault in the decisions costs these requests their time, not the process
-            log.exception("the module failed on %.200r", batch)
+        except Exception:  # a fault in the decisions costs what came with it, not the process
+            return self._mended(batch)
+
+    def _mended(self, batch: list[api.Event]) -> list[api.Action]:
+        """The module failed: tell it what is true, and the whole list, since a drain may be among what it lost.
+
+        Actions of the failed batch are lost. What it began is ended or begun anew by the module."""
+        failed = self._decided_ns >= self._failed_ns + FAILURES_LOGGED_NS
+        if failed:
+            self._failed_ns = self._decided_ns
+            log.exception("the module failed on %.200r (%d times untold)", batch, self._failures_untold)
+        self._failures_untold = 0 if failed else self._failures_untold + 1
+        calls = {c.id: api.Held(c.sends, c.out is not None) for c in self._calls.values()}
+        listed = [entry.upstream for entry in self._addresses.listed()]
+        try:
+            return self._module.handle(self._decided_ns, [api.Truth(calls), api.ListUpdate(api.ListKind.FULL, listed)])
+        except Exception:
+            log.exception("the module failed on what is true")
             return []
 
     def _carry_out(self, action: api.Action) -> None:
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
@@ -762,6 +762,8 @@
                 self._peer(e, now)
             elif type(e) is api.AnswerBegun and e.request in self.requests:
                 self.requests[e.request].begun = True
+            elif type(e) is api.Truth:
+                self._mend(e.calls, now)
             elif type(e) is api.Wake and e.name == str(self.timer):
                 self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
         for what, about, extra in self.due.ring(now):
@@ -779,6 +781,50 @@
             self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
         return self.actions
 
+    def _mend(self, calls: Mapping[str, api.Held], now: int) -> None:
+        """A batch was lost half way: go on from what the proxy really holds.
+
+        Guards against an exception in here whose actions are lost with it: what had been sent would count in
+        flight for ever, requests would have no end but their deadline, and no timer would ring again."""
+        self.timer_ns = 0  # its action may be among those lost
+        for s in self.fleet.servers.values():
+            s.inflight = 0
+        for pool in self.fleet.pools.values():
+            pool.line = Line()
+        for t in self.throttles.values():
+            for r in [r for r in t.held if r.id not in calls or r.place != "held"]:
+                t.leave(r)
+        known, self.requests = self.requests, {}
+        for r in known.values():
+            self._settle(r.giving_up)
+            held = calls.get(r.id) if not r.over else None
+            for a in [a for a in r.attempts if a.result is None]:
+                if held is not None and held.out and a is r.attempts[:held.sends][-1]:
+                    a.server.inflight += 1
+                else:
+                    a.learn(api.Result.CANCELLED, self.settings.rules)
+                    self._settle(a.overdue)
+            if held is not None:
+                del r.attempts[held.sends:]  # the others never went out
+                self.requests[r.id] = r
+                self._place_again(r, now)
+        for name in calls.keys() - self.requests.keys():
+            self.actions.append(api.Fail(name) if calls[name].sends else api.Refuse(name))
+
+    def _place_again(self, r: Request, now: int) -> None:
+        held, r.place = r in r.tenant.held, ""
+        if r.out or r.begun:
+            return
+        if r.attempts:
+            self._again(r, now)
+            return
+        r.giving_up = self._later(r.give_up_ns, "give up", r)
+        if held:
+            r.place = "held"
+        else:
+            r.pool.line.append(r)
+            self._look_around(r, now)
+
     def _stood(self, now: int) -> None:
         """This proxy stood still: its timers are late. What was open meanwhile ends late for that alone.
 
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -101,6 +101,8 @@
                 self._lost(event.request)
             elif type(event) is api.ListUpdate:
                 strange = True
+            elif type(event) is api.Truth:  # the ends of others were lost
+                self._open = {name: cls for name, cls in self._open.items() if name in event.calls}
         return strange
 
     def _told(self, events: list[api.Event], now: int) -> list[api.Event]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -749,3 +749,34 @@
                 assert caller.recv(100).startswith(b"HTTP/1.1 200")
                 caller.close()
     run(test())
+
+
+def test_after_a_fault_the_module_is_told_what_is_true_and_the_whole_list(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        upstream = await Upstream(silent).start()
+        script = Script()
+        faults = iter([True, True])
+
+        def react(event: api.Event) -> Iterable[api.Action]:
+            if isinstance(event, api.Arrival) and event.class_name == "read":
+                return [api.Send(event.request, script.ids()[0])]
+            if isinstance(event, api.Arrival) and next(faults, False):
+                raise ValueError("a fault in the decisions")
+            if isinstance(event, api.Truth):
+                return [api.Refuse(name) for name, held in event.calls.items() if not held.sends]
+            return ()
+
+        script.react = react
+        async with node(script, upstream) as client:
+            waiting = client.another()
+            await waiting.send(request())
+            await until(lambda: bool(script.of(api.Arrival)))
+            for _ in range(2):
+                assert (await client.ask(request("/pay", method="POST"))).status == 503
+            told = script.of(api.Truth)
+            assert len(told) == 2 and told[0].calls == {"1": api.Held(1, True), "2": api.Held(0)}
+            last = script.of(api.ListUpdate)[-1]
+            assert last.kind is api.ListKind.FULL and [u.id for u in last.upstreams] == script.ids()
+            assert caplog.text.count("the module failed") == 1  # of faults that follow each other one is told
+            waiting.close()
+    run(test())
