The index of a pool and the form of words leave the decisions for core

Need: a reader of policy.py met ring geometry and byte layouts between decisions; the next mechanism had no room. Change: core/index (home, reach, both parts of a pool) and core/words (seven bytes a word, datagrams), pure, moved as they were and made generic. No decision changes.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -10,10 +10,11 @@
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
+from lanemux.core.index import Index
 from lanemux.core.line import Line
-from lanemux.core.ring import Ring
 from lanemux.core.timers import Timer, Timers
-from lanemux.sharing import MAX_ID, Elsewhere, Word, datagrams, price, read_words, sharers
+from lanemux.core.words import MAX_ID, Word, datagrams, read_words
+from lanemux.sharing import Elsewhere, price, sharers
 
 SECOND = 1_000_000_000
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
@@ -297,69 +298,26 @@
         return max(self.barred_ns, self.shunned_ns)
 
 
-class Part:
-    """A part of a pool, on the ring that all proxies compute alike and in this proxy's own order."""
-
-    def __init__(self, me: int) -> None:
-        self.ring, self.mine = Ring[Server](0), Ring[Server](me + 1)
-
-    def put(self, server: Server, inside: bool) -> bool:
-        return self.ring.put(server, inside) and self.mine.put(server, inside)
-
-
-@dataclass(slots=True, eq=False)
-class Pool:
+class Pool(Index[Server]):
     """The upstreams that one placement admits, in this proxy's order, and the requests that wait for them."""
 
-    zones: frozenset[str] | None
-    kinds: frozenset[str] | None
-    here: Part  # ready ones, all or those of its own zone
-    there: Part  # ready ones of other zones, if that makes a difference
-    near: Part  # the part that has the home: `here`, unless that is empty
-    home: int = 0
-    first: int = 0  # where on the near ring the home begins
-    sharers: float = 1.0  # proxies that have one of the home in theirs
-    reach: list[Server] = field(default_factory=list)  # the home, and the next one after it
-    width: int = 0  # how many of `reach` it draws from
-    last: Server | None = None  # the previous winner
-    line: Line[Request] = field(default_factory=Line)
-    blocked_ns: int = 0  # the line found no upstream since
+    def __init__(self, me: int, zones: frozenset[str] | None, kinds: frozenset[str] | None) -> None:
+        super().__init__(me)
+        self.zones, self.kinds = zones, kinds
+        self.sharers = 1.0  # proxies that have one of the home in theirs
+        self.width = 0  # how many of `reach` it draws from
+        self.last: Server | None = None  # the previous winner
+        self.line: Line[Request] = Line()
+        self.blocked_ns = 0  # the line found no upstream since
 
     def admits(self, entry: api.Upstream) -> bool:
         return ((self.zones is None or entry.zone in self.zones)
                 and (self.kinds is None or entry.kind in self.kinds))
 
-    @property
-    def far(self) -> list[Server]:
-        """Those outside the part that has the home, in this proxy's own order."""
-        return self.there.mine.members if self.near is self.here else []
-
-    def at_home(self, server: Server) -> bool:
-        n = len(self.near.ring)
-        at, there = self.near.ring.find(server)
-        if there:
-            return (at - self.first) % n < self.home
-        at, there = self.there.mine.find(server) if self.home > n and self.near is self.here else (0, False)
-        return there and at < self.home - n
-
     def reaches(self, server: Server) -> bool:
         """Is it one that this pool draws from now?"""
         return self.at_home(server) or server in self.reach[self.home:self.width]
 
-    def settle(self) -> None:
-        """Work out `reach` anew: one beyond the home is all that a pool ever draws from besides."""
-        ring, n, end = self.near.ring.members, len(self.near.ring), self.first + self.home
-        reach = ring[self.first:end] + ring[:min(self.first, max(0, end - n))] + self.far[:max(0, self.home - n)]
-        outside = (s for s in self.near.mine.members if not self.at_home(s))
-        beyond = next(outside, None) if self.home < n else next(iter(self.far[self.home - n:][:1]), None)
-        self.reach = reach if beyond is None else [*reach, beyond]
-        self.width = self.home
-
-    def all(self) -> list[Server]:
-        """All that it knows: the home, then the others in this proxy's own order."""
-        outside = [s for s in self.near.mine.members if not self.at_home(s)]
-        return self.reach[:self.home] + outside + self.far[max(0, self.home - len(self.near.ring)):]
-
 
 class Fleet:
     """Membership, cold starts, health, and which upstreams this proxy draws from."""
@@ -396,9 +354,7 @@
     def pool(self, cls: api.RequestClass) -> Pool:
         placement = (cls.zones, cls.kinds)
         if placement not in self.pools:
-            me = self.settings.me
-            here = Part(me)
-            self.pools[placement] = Pool(*placement, here, Part(me), here)
+            self.pools[placement] = Pool(self.settings.me, *placement)
         return self.pools[placement]
 
     def learn(self, update: api.ListUpdate, now: int) -> None:
@@ -452,9 +408,7 @@
         near = not self.by_zone or entry.zone == self.settings.zone
         for pool in self.pools.values():
             admitted = entry.state is api.State.READY and pool.admits(entry)
-            changed |= pool.here.put(s, admitted and near)
-            if self.by_zone:
-                changed |= pool.there.put(s, admitted and not near)
+            changed |= pool.put(s, admitted, near)
         return changed
 
     def _forget(self) -> None:
@@ -468,31 +422,26 @@
         connections have a price the home is small, and in the proxy's own zone if crossing has one too."""
         me, prices = self.settings.me, self.settings.prices
         proxies = max(1, self.settings.replicas_of_me)
-        pool.near = pool.here if len(pool.here.ring) else pool.there
-        n, ready = len(pool.near.ring), len(pool.here.ring) + len(pool.there.ring)
-        pool.first = me * n // proxies
+        n, ready, first = pool.near, len(pool), me * pool.near // proxies
         if n < ready or pool.zones is not None:
             # Which peers share the zone is not told: golden-ratio steps are even over any part of them.
-            proxies, pool.first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
+            proxies, first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
         least = DEAR_HOME if prices.connection > 0 else max(HOME[0], min(HOME[1], SHARED * n // proxies))
-        pool.home = ready if self.looks else min(n, max(least, -(-n // proxies)))
+        pool.settle(first, ready if self.looks else min(n, max(least, -(-n // proxies))))
+        pool.width = pool.home
         pool.sharers = proxies * pool.home / n if n else 1.0
         self.tells = self.may_tell and proxies > 1 and price(pool.sharers, prices.peer) <= TELL_PRICE
-        pool.settle()
 
     def place(self, s: Server) -> Server:
         """The same, with `own` and `sharers` as they are now."""
         if s.placed != self.arranged:
             homes = [p.sharers for p in self.pools.values() if p.at_home(s)]
             s.placed, s.own, s.sharers = self.arranged, bool(homes), max([1.0, *homes])
-            s.peers = self._sharers(s) if self.tells else ()
+            at, settings = self.any.place(s) if self.tells else None, self.settings
+            s.peers = () if at is None else sharers(at, self.any.near, self.any.home, settings.replicas_of_me,
+                                                    settings.me)
         return s
 
-    def _sharers(self, s: Server) -> tuple[int, ...]:
-        at, there = self.any.near.ring.find(s)
-        settings, n = self.settings, len(self.any.near.ring)
-        return sharers(at, n, self.any.home, settings.replicas_of_me, settings.me) if there else ()
-
     def heard(self, peer: int, word: Word, now: int) -> Server | None:
         """Take a peer's word on an upstream that this proxy's own list has named; the one it shuns for it."""
         s = self.servers.get(word.upstream)
--- a/tests/test_mending.py
+++ b/tests/test_mending.py
@@ -17,7 +17,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from lanemux import interface as api
-from lanemux import policy, sharing
+from lanemux import policy
+from lanemux.core import words
 from lanemux.policy import Balancer
 from tests.bench import MS, SECOND, START
 from tests.fleet import settings
@@ -201,7 +202,7 @@
     @rule(peer=st.integers(1, 19), number=st.integers(1, 16), said=st.integers(0, 255), held=st.integers(0, 127),
           rest=st.integers(0, 255), good=st.booleans())
     def word(self, peer: int, number: int, said: int, held: int, rest: int, good: bool) -> None:
-        data = sharing.Word(number, said, held, rest * sharing.REST_STEP_NS, good).data()
+        data = words.Word(number, said, held, rest * words.REST_STEP_NS, good).data()
         self.proxy.give(api.PeerMessage(peer, data))
 
     @rule(ms=st.integers(0, 700))
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from lanemux import interface as api
-from lanemux.policy import FEEDBACK_NS, Balancer, Part, Pool, Rate, Request, Throttle
+from lanemux.policy import FEEDBACK_NS, Balancer, Pool, Rate, Request, Throttle
 from tests.bench import MS, READ, SECOND, START, arrival, upstreams
 from tests.bench import settings as bench_settings
 
@@ -20,7 +20,7 @@
 
 
 def request(number: int, t: Throttle) -> Request:
-    return Request(f"r{number}", READ, Pool(None, None, Part(0), Part(0), Part(0)), t, 10**15, 10**15, 0)
+    return Request(f"r{number}", READ, Pool(0, None, None), t, 10**15, 10**15, 0)
 
 
 def play(t: Throttle, steps: list[int]) -> tuple[list[int], list[int], list[str]]:
