--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -46,7 +46,6 @@
 UNLIKE = 0.25  # proxies that see the same upstreams idle must not all choose the same one
 RETRY_LEFT = 0.35  # of its aim that a client's second try is taken to have left where it would have to wait
 LINE_PART = 0.5  # of a request's time to spare may go by in the line
-OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
@@ -143,7 +142,6 @@
         self.asked = 0
         self.demand = 0.0  # requests a second, learned
         self.waking = False  # a timer for the next token is set
-        self.over = False
         self.short = False  # a request found no token since R was last set
 
     def set_rate(self, rate: float, now: int) -> None:
@@ -240,10 +238,9 @@
     def _share(self, now: int) -> None:
         """Fair shares of R by weight; what quiet tenants leave is lent to those who want more."""
         whole = sum(t.weight for t in self.throttles)
-        lent, fair = self._fill(self.value), self._fill(self.served)
+        lent = self._fill(self.value)
         for i, t in enumerate(self.throttles):
             t.set_rate(max(0.05, self.value * t.weight / whole, lent[i]), now)
-            t.over = t.demand > 1.1 * fair[i]  # it asks more than its share of what is served
 
     def _fill(self, left: float) -> list[float]:
         shares, weights = [0.0] * len(self.throttles), sum(t.weight for t in self.throttles)
@@ -349,7 +346,6 @@
         self.leaving: dict[int, Server] = {}  # gone, with attempts of ours still out there when it went
         self.barred: dict[int, Server] = {}  # those last left alone, some of them free again
         self.ended = self.broke = 0.0  # over all upstreams, see Server
-        self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
 
     def pool(self, cls: api.RequestClass) -> Pool:
         placement = (cls.zones, cls.kinds)
@@ -384,7 +380,8 @@
             for pool in self.pools.values():
                 self._arrange(pool)
         for s in started if not self.looks else ():
-            # All hear of a cold one at about the same time: the first requests of all would come to it at once.
+            # All hear of a cold one at about the same time: the first requests of all would come to it at once,
+            # of 400 balancers over 60 upstreams half of what it bears.
             if self.cold(s, now) and s.entry.state is api.State.READY:
                 self.rest(s, now + int(self.cold_gap_ns(s, now) * self.rng.random()))
 
@@ -476,12 +473,12 @@
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
-        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        together, inside what it can bear now. A warm one bears one in `each`."""
         rules, part = self.settings.rules, self.warm(s, now)
         each = self.crowding.each
         if not self.looks and self.crowding.sums[0] < EVIDENCE:
             each = max(each, self.unknown_ns)  # a new proxy has not seen yet what a request takes
-        bears = max(self.borne, SECOND / each / self.place(s).sharers)
+        bears = SECOND / each / self.place(s).sharers
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
@@ -489,7 +486,7 @@
             return int(not s.strikes and not self.cold(s, now))
         if s.strikes:
             return 1
-        return max(1, self.crowding.limit // 2) if self.cold(s, now) else self.crowding.limit
+        return self.crowding.limit
 
     def fit(self, s: Server, now: int) -> bool:
         if s.entry.state is not api.State.READY or now < s.barred_ns or now < s.shunned_ns:
@@ -818,10 +815,9 @@
     def _admit(self, r: Request, now: int) -> None:
         r.place = ""
         r.hurried = r.stood or 2 * (r.aim_ns - now) < r.cls.aim_ns
-        part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
         # A class with much time must not make the line too long for those with little.
         spare = min(r.give_up_ns - now, self.patience_ns)
-        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
+        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * LINE_PART:
             self.rate.unplaced += not r.hurried  # the line is too long already: better said at once
             self._refuse(r, now)
             return
@@ -1089,6 +1085,5 @@
         for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
             pool.width = min(len(pool.reach), pool.home + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
-        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -118,6 +118,15 @@
             self.now, _, what = heapq.heappop(self._agenda)
             what()
 
+    def join(self, box: Box) -> int:
+        """A further upstream, of which all balancers hear at once; its number."""
+        number = max(self.boxes) + 1
+        self.boxes[number] = box
+        entry = api.Upstream(number, started_ns=box.started_ns)
+        for i in range(len(self.balancers)):
+            self.hand(i, api.ListUpdate(api.ListKind.DELTA, [entry]))
+        return number
+
     def lie(self, liar: int, held: int, every_ns: int, end: int) -> None:
         """From now on one balancer tells each that shares an upstream with it of so many requests there."""
         fleet, numbers = self.balancers[liar].fleet, itertools.count(1)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -304,3 +304,12 @@
     calm = Fleet(20, 24, 4, clients=clients, work_ns=43 * MS, known=lambda n: Box(dead=n % 6 == 0))
     calm.run(3.0, 200.0)
     assert calm.ended["served"] > 0.95 * calm.ended["asked"]
+
+
+def test_many_balancers_that_hear_of_a_cold_upstream_do_not_come_at_once() -> None:
+    """400 over 60, and six more that start cold: up to 13 requests came to one of these, half of what it bears."""
+    fleet = Fleet(400, 60, 1)
+    fleet.run(1.5, 480.0)  # all have learned what a request takes, and are careful for that reason no more
+    cold = [fleet.join(Box(speed=0.31, started_ns=fleet.now - MS)) for _ in range(6)]
+    fleet.run(1.0, 720.0)
+    assert max(sum(work for _, work in fleet.boxes[n].sent) for n in cold) < 0.35 * 2.5 * 0.31 * 1.5
