--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -19,8 +19,9 @@
     import argparse
 
     from lanemux.core.source import MakeSource
-    from lanemux.net.daemon import MakeModule
-    from lanemux.net.node import MakeDoors
+    from lanemux.core.system import System
+    from lanemux.net.daemon import Beside, MakeModule
+    from lanemux.net.node import MakeDoors, Node
     from lanemux.operators import Operators
 
 USAGE_STATUS = 2
@@ -55,7 +56,14 @@
 def _daemon() -> int:
     from lanemux.net.daemon import main as daemon
 
-    return daemon()
+    return daemon(beside=_beside)
+
+
+def _beside(node: Node, system: System) -> Beside:
+    """The operators' address, and what goes from version to version, where the platform tells of them."""
+    from lanemux.admin.beside import make
+
+    return make(node, system, os.environ.get("TMPDIR"))
 
 
 def _source(operators: Operators) -> MakeSource | None:
@@ -101,7 +109,7 @@
         lists = Lists(read)
     except Faulty as error:
         return _faults(error.faults)
-    return main(lists, *_storm(first))
+    return main(lists, *_storm(first), _beside)
 
 
 def _check(rest: Sequence[str]) -> int:
--- /dev/null
+++ b/lanemux/core/front.py
@@ -0,0 +1,59 @@
+"""Whether clients are to come to this balancer. No I/O and no clock.
+
+    READY --quiesce--> SENDING_AWAY --(AWAY_S)--> AWAY
+      ^                     |                       |
+      +------- resume ------+----------- resume ----+
+    any --end--> ENDING, for good
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+EASE_S = 0.6  # after the call: new connections come for 0.2 s behind the first no, which is asked for every 0.1 s
+AWAY_S = 1.8  # after the call: 4 s after it, a connection with a request from the last 2 s must not be held
+
+
+class Phase(Enum):
+    """The state of the front."""
+
+    READY = "ready"
+    SENDING_AWAY = "sending away"  # still serves all that comes, and ends each connection with its answer
+    AWAY = "away"  # whoever is still there is refused at once
+    ENDING = "ending"  # the process leaves: nothing brings it back
+
+
+class Front:
+    """The phase, and its legal changes."""
+
+    def __init__(self) -> None:
+        self.phase = Phase.READY
+
+    def quiesce(self) -> bool:
+        """Send clients away; False when that is so already or the process leaves."""
+        if self.phase is not Phase.READY:
+            return False
+        self.phase = Phase.SENDING_AWAY
+        return True
+
+    def away(self) -> bool:
+        """The time for those who were on their way is over; False unless clients are being sent away."""
+        if self.phase is not Phase.SENDING_AWAY:
+            return False
+        self.phase = Phase.AWAY
+        return True
+
+    def resume(self) -> bool:
+        """Back to work; False when it is at work, or leaves."""
+        if self.phase not in (Phase.SENDING_AWAY, Phase.AWAY):
+            return False
+        self.phase = Phase.READY
+        return True
+
+    def end(self) -> None:
+        self.phase = Phase.ENDING
+
+    @property
+    def open(self) -> bool:
+        """Are clients to come, and may they keep their connections?"""
+        return self.phase is Phase.READY
--- a/lanemux/core/membership.py
+++ b/lanemux/core/membership.py
@@ -31,6 +31,7 @@
 
     upstream: api.Upstream
     address: Address
+    host: str = ""  # its name, the same at every balancer
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +84,7 @@
             address = NOWHERE if state is api.State.GONE else read_address(str(row.get("dial")))
             upstream = api.Upstream(self.number(host), state, str(row.get("site") or ""), cell,
                                     float(weight), started, str(row.get("class") or ""))
-            self._last[host] = Entry(upstream, address)
+            self._last[host] = Entry(upstream, address, host)
             return self._last[host]
         except (KeyError, ValueError, OverflowError) as error:  # one bad row must not hide the others
             log.warning("list: entry %.80s can't be read: %r", host, error)
@@ -93,7 +94,7 @@
         """A host that is gone: the entry that says so, or None if it was not known."""
         last = self._last.get(host)
         self._forget([host])
-        return Entry(last.upstream._replace(state=api.State.GONE), NOWHERE) if last is not None else None
+        return Entry(last.upstream._replace(state=api.State.GONE), NOWHERE, host) if last is not None else None
 
     def number(self, host: str) -> int:
         """A number below 2^32, the same in every process; the next free one where two hosts collide."""
--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
+import os
 import socket
 import time
 from dataclasses import dataclass
@@ -40,20 +43,31 @@
     def listen(self, address: Address, backlog: int) -> Listener:
         """Listen there; port 0 takes a free one. OSError if that can't be done."""
 
+    def inherit(self, descriptor: int) -> Listener:
+        """The listening socket that the platform holds, and other processes may have too. OSError if it is none."""
+
     def read(self, path: str, most: int) -> bytes:
         """The first bytes of a file, so many at most. OSError if it can't be read."""
 
+    def replace(self, path: str, data: bytes) -> None:
+        """The whole file anew: who reads it sees the old or the new one. OSError, and the old one, if that fails."""
+
+    def make_folder(self, path: str) -> None:
+        """The folder, unless it is there. OSError if it can't be had."""
+
+    def names(self, folder: str) -> list[str]:
+        """The files of a folder. OSError if it can't be read."""
+
+    def changed_ns(self, folder: str) -> int:
+        """Another number whenever a file of the folder has been replaced. OSError if it can't be read."""
+
 
 class MachineListener:
     """A `Listener` of the kernel's."""
 
-    def __init__(self, address: Address, backlog: int) -> None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind(address)
-        self._socket.listen(backlog)
+    def __init__(self, listening: socket.socket) -> None:
+        listening.setblocking(False)
+        self._socket = listening
 
     @property
     def port(self) -> int:
@@ -82,8 +96,40 @@
         return time.process_time()
 
     def listen(self, address: Address, backlog: int) -> Listener:
-        return MachineListener(address, backlog)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        listening = socket.socket(family, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(address)
+        listening.listen(backlog)
+        return MachineListener(listening)
+
+    def inherit(self, descriptor: int) -> Listener:
+        inherited = socket.socket(fileno=descriptor)
+        if not inherited.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            inherited.detach()
+            raise OSError(errno.EINVAL, f"descriptor {descriptor} does not listen")
+        return MachineListener(inherited)
 
     def read(self, path: str, most: int) -> bytes:
         with open(path, "rb") as file:
             return file.read(most)
+
+    def replace(self, path: str, data: bytes) -> None:
+        fresh = f"{path}.{os.getpid()}"
+        try:
+            with open(fresh, "wb") as file:
+                file.write(data)
+            os.replace(fresh, path)
+        except OSError:
+            with contextlib.suppress(OSError):
+                os.unlink(fresh)
+            raise
+
+    def make_folder(self, path: str) -> None:
+        os.makedirs(path, exist_ok=True)
+
+    def names(self, folder: str) -> list[str]:
+        return os.listdir(folder)
+
+    def changed_ns(self, folder: str) -> int:
+        return os.stat(folder).st_mtime_ns
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -7,8 +7,9 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any, Protocol
 
 from lanemux.core.address import read_address
 from lanemux.core.clock import now_ns
@@ -29,9 +30,22 @@
 STOP_LATE_S = 0.15  # a stop may come so long after the time was spent
 
 
+ADMIN_VARIABLE, LISTEN_FD_VARIABLE = "RELAY_ADMIN_ADDR", "RELAY_LISTEN_FD"
 MakeModule = Callable[[Settings, int, int], Module]  # of settings, a seed and the clock
 
 
+class Beside(Protocol):
+    """What stands beside the node where the platform asks for it: the operators' address, what a new version takes."""
+
+    def start(self) -> None:
+        """Before the node starts. OSError if it can't be had."""
+
+    def close(self) -> None: ...
+
+
+MakeBeside = Callable[[Node, System], Beside]  # where an operators' address or an inherited listener is told
+
+
 class BadConfig(Exception):
     """The configuration is missing or can't be used."""
 
@@ -67,7 +81,7 @@
 
 
 def _config(raw: Any) -> Config:
-    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    peer_listen, peers_all, admin = raw.get("peer_listen"), raw.get("peers_all"), raw.get("admin_addr")
     limits = raw.get("limits") or {}
     return Config(
         name=str(raw["name"]), listen=read_address(raw["listen"]), discovery=read_address(raw["discovery"]),
@@ -77,7 +91,20 @@
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=[read_address(a) for a in raw.get("peers") or ()],
         peers_all=read_address(peers_all) if peers_all else None,
-        cores=float(limits.get("cores") or 0.0))
+        cores=float(limits.get("cores") or 0.0), admin=read_address(admin) if admin else None)
+
+
+def from_environment(config: Config, told: Mapping[str, str]) -> Config:
+    """What the platform tells a process beside the file: two processes of a balancer read the same one."""
+    admin, descriptor = told.get(ADMIN_VARIABLE), told.get(LISTEN_FD_VARIABLE)
+    try:
+        if admin:
+            config = replace(config, admin=read_address(admin))
+        if descriptor:
+            config = replace(config, listen_fd=int(descriptor))
+    except ValueError as error:
+        raise BadConfig(f"{ADMIN_VARIABLE} or {LISTEN_FD_VARIABLE}: {error}") from None
+    return config
 
 
 class Lists:
@@ -110,7 +137,9 @@
         new = read_config(path, system)
     except BadConfig as error:
         log.warning("%s: reload: %s; the old configuration stays", old.name, error)
+        node.tally.reloads_refused += 1
         return
+    node.tally.reloads += 1
     log.info("%s: reload: discovery at %s:%d", old.name, *new.discovery)
     for name in ("name", "listen", "sockets", "cores", "settings", "peer_listen", "peers", "peers_all"):
         if getattr(new, name) != getattr(old, name):
@@ -129,7 +158,7 @@
 
 async def serve(config: Config, path: str, lists: Lists | None = None, system: System | None = None,
                 module: MakeModule = Balancer, made: Callable[[Node], None] = lambda node: None,
-                doors: MakeDoors | None = None) -> None:
+                doors: MakeDoors | None = None, beside: MakeBeside | None = None) -> None:
     """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node."""
     system = system or Machine()
     stop = asyncio.Event()
@@ -140,14 +169,23 @@
     node = Node(config, module(config.settings, config.seed, now_ns()), source, system, doors)
     made(node)
     loop.add_signal_handler(signal.SIGHUP, reload, path, config, node, lists, system)
-    port = await node.start(rest_s(config.cores, system.spent_s()))
-    log.info("%s: ready on port %d", config.name, port)
-    await stop.wait()
-    log.info("%s: stopping", config.name)
-    await node.drain()
-
-
-def main(lists: Lists | None = None, module: MakeModule = Balancer, doors: MakeDoors | None = None) -> int:
+    asked = config.admin is not None or config.listen_fd is not None
+    aside = beside(node, system) if beside is not None and asked else None
+    try:
+        if aside is not None:
+            aside.start()
+        port = await node.start(rest_s(config.cores, system.spent_s()))
+        log.info("%s: ready on port %d", config.name, port)
+        await stop.wait()
+        log.info("%s: stopping", config.name)
+        await node.drain()
+    finally:
+        if aside is not None:
+            aside.close()
+
+
+def main(lists: Lists | None = None, module: MakeModule = Balancer, doors: MakeDoors | None = None,
+         beside: MakeBeside | None = None) -> int:
     """One balancer until a signal ends it; its list is platform discovery's unless the operators say otherwise."""
     handler = logging.StreamHandler()
     handler.addFilter(RateLimit())
@@ -158,12 +196,12 @@
     try:
         if not path:
             raise BadConfig("RELAY_CONFIG is not set")
-        config = read_config(path)
+        config = from_environment(read_config(path), os.environ)
     except BadConfig as error:
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, path, lists, module=module, doors=doors))
+        asyncio.run(serve(config, path, lists, module=module, doors=doors, beside=beside))
     except BadList as error:
         print(f"lanemux: {path}: known: {error}", file=sys.stderr)
         return 2
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -13,9 +13,12 @@
 from lanemux.core.address import Address
 from lanemux.core.addresses import Addresses
 from lanemux.core.clock import now_ns
+from lanemux.core.cordons import Cordons, Word
+from lanemux.core.front import AWAY_S, EASE_S, Front, Phase
 from lanemux.core.membership import Entry, Listing, Membership
 from lanemux.core.source import Heard, ListSource, MakeSource
 from lanemux.core.system import Machine, System
+from lanemux.core.tally import Tally
 from lanemux.net.discovery import Discovery, read_listing
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
@@ -42,6 +45,8 @@
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
 LAST_READ_S = 0.05  # for what those have sent already
 FLUSH_LOOK_S = 0.01
+EASE_LOOK_S = 0.05  # how often it is looked for connections that have become idle, where clients are sent away
+HASTE_S = 1.0  # before that, who owes a request is waited for no longer
 LEAVE_S = 3.4  # after SIGTERM, whatever is still open
 
 
@@ -60,6 +65,8 @@
     peers: list[Address] = field(default_factory=list)
     peers_all: Address | None = None
     cores: float = 0.0  # share of a processor; 0: not told
+    admin: Address | None = None  # the operators' second address
+    listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
 
 
 @dataclass(slots=True, eq=False)
@@ -70,6 +77,7 @@
     client: ClientConnection
     request: Message
     deadline_ns: int
+    class_name: str
     timer: asyncio.TimerHandle | None = None
     sends: int = 0
     out: Exchange | None = None
@@ -81,6 +89,9 @@
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]: ...
 
+    def avoided(self, now: int) -> int:
+        """Listed upstreams that it leaves alone now."""
+
 
 MakeDoors = Callable[[int], Doors]  # of the number of places for connections
 
@@ -116,6 +127,12 @@
         self.server = Server(self, room, system, doors(room) if doors is not None else None)
         self._membership = Membership(system.wall_ns() - now_ns())
         self._addresses = Addresses()
+        self.tally = Tally(config.settings.classes)
+        self.front = Front()
+        self._easing: asyncio.Task[None] | None = None  # sends clients away
+        self._wall_ns = system.wall_ns
+        self._cordons = Cordons(system.wall_ns() - now_ns(), config.settings.rules.cold_ns)
+        self.keep_word: Callable[[Word], bool] = lambda word: True  # for a process beside this one; could it be kept?
         self._source = (source or self._platform)(self._membership, random.Random(config.seed + 1), self._listed)
         self._successor: ListSource | None = None  # is to replace it, and has not told a whole list yet
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
@@ -131,11 +148,16 @@
         """Take up the known list, then open to clients, though ready only after a rest; gives the port."""
         self._rested_s = self._loop.time() + rest_s
         self._take_known()
-        if self.config.peer_listen is not None:
+        if self.config.peer_listen is not None and self.config.listen_fd is not None:
+            # Another process of this balancer may have it too: the kernel deals the words out between them.
+            await self._loop.create_datagram_endpoint(lambda: self._peers, self.config.peer_listen, reuse_port=True)
+        elif self.config.peer_listen is not None:
             await self._loop.create_datagram_endpoint(lambda: self._peers, self.config.peer_listen)
         if self.config.settings.discovery_push:
             self._source.watch()
         self._sweep_idle()
+        if self.config.listen_fd is not None:
+            return self.server.inherit(self.config.listen_fd, rest_s)
         return self.server.listen(*self.config.listen)
 
     def _take_known(self) -> None:
@@ -148,21 +170,95 @@
 
     def _sweep_idle(self) -> None:
         self._hub.expire()
+        self._cordons.forget(now_ns())
         self._sweep = self._loop.call_later(SWEEP_S, self._sweep_idle)
 
     @property
     def ready(self) -> bool:
-        return not self._stopping and self._loop.time() >= self._rested_s
+        return self.front.open and self._loop.time() >= self._rested_s
+
+    # -- what operators ask --
+
+    @property
+    def outstanding(self) -> int:
+        """Requests taken and not ended."""
+        return len(self._calls)
+
+    @property
+    def discovered(self) -> int:
+        """Upstreams in the list."""
+        return len(self._membership.hosts)
+
+    @property
+    def ejected(self) -> int:
+        """Listed upstreams that are avoided now: by hand, or by the decisions."""
+        return sum(h in self._membership.hosts for h in self._cordons.hosts) + self._module.avoided(now_ns())
+
+    def knows(self, host: str) -> bool:
+        """Is this upstream in the list, or out by hand?"""
+        return host in self._membership.hosts or self._cordons.out(host)
+
+    def cordon(self, host: str, out: bool) -> bool:
+        """Leave an upstream out, or use it again, from now on; False where that can't be kept."""
+        if self._cordons.out(host) is out:
+            return True
+        word = self._cordons.said(host, out, self._wall_ns())
+        if not self._cordons.room(host):
+            return False
+        self.hear_word(word)
+        return self.keep_word(word)
+
+    def hear_word(self, word: Word) -> None:
+        """An operator's word, said here or to a process beside this one."""
+        if self._cordons.hear(word):
+            log.info("by hand: %.80s is %s", word.host, "left out" if word.out else "used again")
+            entries = self._connect([e for e in self._addresses.listed() if e.host == word.host])
+            if entries:
+                self.feed(api.ListUpdate(api.ListKind.DELTA, [e.upstream for e in entries]))
+
+    def quiesce(self) -> None:
+        """Send clients away: answers end their connections, idle ones are closed, and nobody new is to come."""
+        if self.front.quiesce():
+            log.info("%s: sending clients away", self.config.name)
+            self.server.draining = True
+            self._easing = self._loop.create_task(self._send_away())
+
+    async def _send_away(self) -> None:
+        begun = self._loop.time()
+        await asyncio.sleep(EASE_S)
+        while True:
+            await self.server.ease()
+            if self._loop.time() >= begun + AWAY_S:
+                self.front.away()
+            await asyncio.sleep(EASE_LOOK_S)
+
+    def resume(self) -> bool:
+        """Back to work; False for a process that ends."""
+        if self.front.resume():
+            log.info("%s: back to work", self.config.name)
+            self.server.draining = False
+            self._stop_easing()
+        return self.front.open
+
+    def _stop_easing(self) -> None:
+        if self._easing is not None:
+            self._easing.cancel()
+            self._easing = None
 
     async def drain(self) -> None:
         """A planned end: go on with what still comes, answer all of it, then close everything."""
         end = self._loop.time() + LEAVE_S
         self._stopping = self.server.draining = True
-        await asyncio.sleep(LATE_ARRIVALS_S)
-        self.server.accept_last()  # after a standstill more may wait than one turn accepts
-        self.server.stop_listening()
-        await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
-        self.server.close_idle()
+        self.front.end()
+        self._stop_easing()
+        if self.config.listen_fd is not None:
+            await self._hand_over(end)
+        else:
+            await asyncio.sleep(LATE_ARRIVALS_S)
+            self.server.accept_last()  # after a standstill more may wait than one turn accepts
+            self.server.stop_listening()
+            await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
+            self.server.close_idle()
         if self._calls:
             self._quiet.clear()  # it may have been quiet before the last ones came
             try:
@@ -176,6 +272,16 @@
         await self._hub.stopped()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
+    async def _hand_over(self, end: float) -> None:
+        """Another process serves the same listener: what waits there is its own. Who is here is let go without haste,
+        since a request that crosses the closing of its connection has to be asked again."""
+        self.server.stop_listening()
+        await asyncio.sleep(LAST_READ_S)
+        while self.server.waited_for and self._loop.time() < end - HASTE_S:
+            await self.server.ease()
+            await asyncio.sleep(EASE_LOOK_S)
+        self.server.close_idle()
+
     def move_discovery(self, address: Address) -> None:
         """The configuration names another address for discovery; without effect where the list comes from elsewhere."""
         if isinstance(self._source, Discovery):
@@ -215,6 +321,7 @@
         self._closed = True
         for call in list(self._calls.values()):
             self._finish(call, 504)
+        self._stop_easing()
         self._source.stop()
         if self._successor is not None:
             self._successor.stop()
@@ -271,7 +378,7 @@
             log.exception("the module failed on %.200r (%d times untold)", batch, self._failures_untold)
         self._failures_untold = 0 if failed else self._failures_untold + 1
         calls = {c.id: api.Held(c.sends, c.out is not None) for c in self._calls.values()}
-        listed = [entry.upstream for entry in self._addresses.listed()]
+        listed = [e.upstream for e in self._cordons.handed_on(self._addresses.listed(), self._decided_ns)]
         try:
             return self._module.handle(self._decided_ns, [api.Truth(calls), api.ListUpdate(api.ListKind.FULL, listed)])
         except Exception:
@@ -328,7 +435,8 @@
             client.answer(400)  # an upstream reads no body there and would take it for the next request
         elif ids[0] in self._ids:
             client.answer(409)  # whose answer would it be?
-        elif self._limits.max_open and len(self._calls) >= self._limits.max_open:
+        elif self.front.phase is Phase.AWAY or self._limits.max_open and len(self._calls) >= self._limits.max_open:
+            self.tally.ended(name, 503)
             client.answer(503, [(b"Retry-After", FULL_RETRY_S)])
         else:
             deadline = received_ns + min(wait_ms, LONGEST_DEADLINE_MS) * MS
@@ -337,7 +445,7 @@
     def _open(self, client: ClientConnection, request: Message, name: str, deadline_ns: int) -> None:
         self._count += 1
         self._ids.add(request.header(b"req-id"))
-        call = Call(str(self._count), client, request, deadline_ns)
+        call = Call(str(self._count), client, request, deadline_ns, name)
         self._calls[call.id] = self._by_client[client] = call
         call.timer = self._loop.call_at((deadline_ns - NODE_EARLY_NS) / SECOND, self._out_of_time, call)
         cookies = (c.strip() for c in request.header(b"cookie").decode("latin-1").split(";"))
@@ -373,6 +481,7 @@
         """The one final answer."""
         if not call.over:
             self._drop(call)
+            self.tally.ended(call.class_name, status)
             call.client.answer(status, headers, body)
 
     def _drop(self, call: Call) -> None:
@@ -406,9 +515,12 @@
             self.feed(api.Outcome(action.request, number, action.upstream, api.Result.MOOT, 0, call is None))
             return
         call.out = Exchange(pool, self._attempt(call.request, end - now),
-                            self._when_ended(call, number, action.upstream, now))
+                            self._when_ended(call, number, action.upstream, now), wrote=self._forwarded)
         call.out.start(end / SECOND)
 
+    def _forwarded(self) -> None:
+        self.tally.forwards += 1
+
     def _attempt(self, request: Message, timeout_ns: int) -> bytes:
         headers = [(k, v) for k, v in request.end_to_end() if k != b"req-deadline-ms"]
         headers.append((b"Req-Deadline-Ms", b"%d" % max(1, timeout_ns // MS)))
@@ -469,8 +581,12 @@
 
     def _take_entries(self, listing: Listing) -> list[Entry]:
         """Connections follow the list; the entries that the module is to know."""
-        pools, entries = self._hub.pools, self._addresses.settle(listing.entries, listing.whole)
-        left_out = set(pools) - {e.upstream.id for e in entries} if listing.whole else set()
+        return self._connect(self._addresses.settle(listing.entries, listing.whole), listing.whole)
+
+    def _connect(self, told: list[Entry], whole: bool = False) -> list[Entry]:
+        """Connections follow these entries, as operators want them to be known."""
+        pools, entries = self._hub.pools, self._cordons.handed_on(told, now_ns())
+        left_out = set(pools) - {e.upstream.id for e in entries} if whole else set()
         for entry in entries:
             if entry.upstream.state is api.State.GONE:
                 left_out.add(entry.upstream.id)
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -26,6 +26,8 @@
 IDLE_S = 2.0  # between requests, the least that is promised: some keep theirs for good
 ROOMY = 0.6  # of the places; while more are taken, answers end their connections
 FRESH_S = 0.05  # so young a connection makes no place for others: its request may be on the way
+EASED = 4  # connections closed in a turn of the loop, where clients are sent away
+SILENT_S = 0.3  # so old a connection without a first request is not one on which it is on the way
 TICK_S = 0.1  # how often the times above are looked at
 
 
@@ -206,6 +208,9 @@
     def discard(self, client: ClientConnection) -> None:
         self._members.pop(client, None)
 
+    def members(self) -> list[ClientConnection]:
+        return list(self._members)
+
     def oldest(self, age_s: float = 0.0) -> ClientConnection | None:
         """The first that came, if it has been here for so long."""
         client = next(iter(self._members), None)
@@ -232,6 +237,7 @@
         self._listener: Listener | None = None
         self._entered = 0  # connections so far
         self._accepting = False
+        self._opening: asyncio.TimerHandle | None = None  # an inherited listener is not accepted from yet
         self._ticking: asyncio.TimerHandle | None = None
         self._tick_due = 0.0  # by the loop's clock
         self._awake_from = -FRESH_S  # it woke from a standstill then
@@ -245,6 +251,13 @@
         self._tick_again(TICK_S)
         return self._listener.port
 
+    def inherit(self, descriptor: int, after_s: float) -> int:
+        """Accept, after a while, from the socket that the platform holds: until then another process may serve it."""
+        self._listener = self._system.inherit(descriptor)
+        self._opening = asyncio.get_running_loop().call_later(after_s, self._resume)
+        self._tick_again(TICK_S)
+        return self._listener.port
+
     def _stood_still(self) -> bool:
         """The loop has not run for a while, or only for a moment since: what was sent to it may not have been read yet.
 
@@ -437,12 +450,34 @@
             while (client := table.oldest()) is not None:
                 client.close()
 
+    async def ease(self) -> None:
+        """Close all on which no request is open or comes, a few in a turn of the loop.
+
+        Between two turns all sockets are looked at: a request that has come by then is read, and its connection is
+        left alone. Closing all at once meets those that come meanwhile."""
+        closed = 0
+        for table, age_s in ((self._idle, 0.0), (self._awaited, SILENT_S)):
+            for client in table.members():
+                old = asyncio.get_running_loop().time() - client.since >= age_s
+                if old and client in table and not client.speaking:
+                    client.close()
+                    closed += 1
+                    if closed % EASED == 0:
+                        await asyncio.sleep(0)
+
+    @property
+    def waited_for(self) -> int:
+        """Connections on which a request may still come."""
+        return len(self._idle) + len(self._awaited) + len(self._adopting)
+
     def accept_last(self) -> None:
         """Accept whoever has come up before the listener closes: closing would reset them, requests and all."""
         if self._listener is not None and self._accepting:
             self._accept(BACKLOG)
 
     def stop_listening(self) -> None:
+        if self._opening is not None:
+            self._opening.cancel()
         self._pause()
         if self._listener is not None:
             self._listener.close()
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -25,8 +25,11 @@
     `done` is called once: with RESULT OK and the response, whatever its status, or with what went wrong.
     """
 
-    def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0) -> None:
+    def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0,
+                 wrote: Callable[[], None] = lambda: None) -> None:
+        """`wrote` is told, once, when the last byte is written."""
         self.pool = pool
+        self.wrote = wrote
         self.spare = spare  # places that it must leave to others
         self.data = data
         self.over = False
@@ -127,10 +130,17 @@
             asyncio.get_running_loop().call_soon(self.lose)  # not at once: its sender still sets it up
             return
         self._transport.write(exchange.data)
-        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+            self._wrote()
 
     def resume_writing(self) -> None:
-        self._written = True
+        self._wrote()
+
+    def _wrote(self) -> None:
+        if not self._written:
+            self._written = True
+            if self._exchange is not None:
+                self._exchange.wrote()
 
     def data_received(self, data: bytes) -> None:
         responses = self._reader.feed(data)
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -727,6 +727,11 @@
             self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
         return self.actions
 
+    def avoided(self, now: int) -> int:
+        """Listed upstreams left alone now since they failed here or at a peer; pacing a cold one is no avoiding."""
+        return sum(s.entry.state is api.State.READY and s.strikes > 0 and s.free_ns() > now
+                   for s in self.fleet.barred.values())
+
     def _mend(self, calls: Mapping[str, api.Held], now: int) -> None:
         """A batch was lost half way: go on from what the proxy really holds.
 
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -35,6 +35,9 @@
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]: ...
 
+    def avoided(self, now: int) -> int:
+        """Listed upstreams that it leaves alone now."""
+
 
 class Storm:
     """One balancer's storm module. Its tables hold what is open or listed, and no more."""
@@ -68,6 +71,10 @@
                 self._lost(action.request)
         return actions + notes if notes else actions
 
+    def avoided(self, now: int) -> int:
+        """As the module's."""
+        return self.inner.avoided(now)
+
     @property
     def open(self) -> int:
         """Requests without an end."""
--- a/lanemux/virtual/disk.py
+++ b/lanemux/virtual/disk.py
@@ -15,6 +15,7 @@
 
     def __init__(self, size: int = 1 << 30) -> None:
         self.files: dict[str, bytes] = {}
+        self.changes = 0  # files replaced so far
         self.size = size  # bytes that all files may have
         self.unreadable = False  # reading fails
         self.torn: int | None = None  # the next write stops after so many bytes, as at a loss of power
@@ -37,3 +38,21 @@
         self.files[path] = data[:max(0, room)]
         if len(data) > room:
             raise failure(errno.ENOSPC, path)
+
+    def replace(self, path: str, data: bytes) -> None:
+        """The whole file anew, or the old one where that fails."""
+        old = self.files.get(path)
+        try:
+            self.write(path, data)
+        except OSError:
+            self.files.pop(path, None)
+            if old is not None:
+                self.files[path] = old
+            raise
+        self.changes += 1
+
+    def names(self, folder: str) -> list[str]:
+        """The files of a folder; OSError where reading fails."""
+        if self.unreadable:
+            raise failure(errno.EIO, folder)
+        return [path[len(folder) + 1:] for path in self.files if path.startswith(folder + "/")]
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -118,9 +118,24 @@
     def listen(self, address: Address, backlog: int) -> VirtualListener:
         return VirtualListener(self, address, backlog)
 
+    def inherit(self, descriptor: int) -> VirtualListener:
+        raise failure(errno.EBADF)  # no virtual platform holds a listener
+
     def read(self, path: str, most: int) -> bytes:
         return self.disk.read(path, most)
 
+    def replace(self, path: str, data: bytes) -> None:
+        self.disk.replace(path, data)
+
+    def make_folder(self, path: str) -> None:
+        """A virtual disk needs no folders."""
+
+    def names(self, folder: str) -> list[str]:
+        return self.disk.names(folder)
+
+    def changed_ns(self, folder: str) -> int:
+        return self.disk.changes
+
     # -- life --
 
     def run(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -105,6 +105,10 @@
         self._accuse, self._excused, self._listed, self._sending = accuse, excused, listed, sending
         self._now = now
 
+    def avoided(self, now: int) -> int:
+        """As the decisions tell it."""
+        return self.inner.avoided(now)
+
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         events = list(events)
         if now < self._now:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -174,6 +174,9 @@
         self.entered -= 1
         return actions
 
+    def avoided(self, now: int) -> int:
+        return 0
+
     def of(self, kind: type) -> list[Any]:
         return [e for e in self.events if isinstance(e, kind)]
 
--- a/tests/storm/test_module.py
+++ b/tests/storm/test_module.py
@@ -21,6 +21,9 @@
         self.events: list[api.Event] = []
         self.decide = decide
 
+    def avoided(self, now: int) -> int:
+        return 0
+
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         fresh = list(events)
         self.events += fresh
