--- /dev/null
+++ b/tests/takeover/test_takeover.py
@@ -0,0 +1,189 @@
+"""A new version beside the running one: the listener that both have, and operators' words between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from asyncio.subprocess import PIPE, Process
+from pathlib import Path
+
+import pytest
+
+from lanemux.core.cordons import Word
+from lanemux.core.system import Machine
+from lanemux.takeover import words
+from lanemux.takeover.shared import Shared
+from tests.sockets import HOST, PATIENCE_S, Got, Upstream, Writer, answers, read, request, run, until, written
+from tests.test_process import config
+
+
+def test_a_word_is_read_as_it_was_written() -> None:
+    word = Word("s-\u00e9\ud800", True, 12)
+    assert words.read(words.written(word)) == word
+
+
+@pytest.mark.parametrize("text", [
+    b"", b"{", b"[]", b"null", b"\xff", b'{"version": 2, "host": "a", "out": true, "at_ns": 1}',
+    b'{"version": 1, "host": "", "out": true, "at_ns": 1}', b'{"version": 1, "host": "a", "out": 1, "at_ns": 1}',
+    b'{"version": 1, "host": "a", "out": true, "at_ns": true}', b'{"version": 1, "host": "a", "out": true}',
+    b"[" * 8000])
+def test_what_is_no_word_is_refused(text: bytes) -> None:
+    with pytest.raises(ValueError):
+        words.read(text)
+
+
+def test_every_cut_of_a_word_is_refused() -> None:
+    text = words.written(Word("s-5be2a07c", True, 1_700_000_000_000_000_000))
+    for size in range(len(text)):
+        with pytest.raises(ValueError):
+            words.read(text[:size])
+
+
+def test_words_go_both_ways_and_a_spoilt_file_costs_only_itself(tmp_path: Path) -> None:
+    async def test() -> None:
+        heard: tuple[list[Word], list[Word]] = ([], [])
+        old, new = (Shared(Machine(), f"{tmp_path}/words", h.append) for h in heard)
+        old.open()
+        assert old.tell(Word("a", True, 1))
+        (tmp_path / "words" / ("0" * 32 + words.ENDING)).write_bytes(b'{"version": 1, "ho')
+        new.open()  # what was said before it began is known at once
+        assert heard[1] == [Word("a", True, 1)]
+        assert new.tell(Word("a", False, 2)) and old.tell(Word("b", True, 3))
+        await until(lambda: heard == ([Word("a", False, 2)], [Word("a", True, 1), Word("b", True, 3)]))
+        old.close()
+        new.close()
+    run(test())
+
+
+def test_a_word_that_cannot_be_kept_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        (tmp_path / "file").write_bytes(b"")
+        shared = Shared(Machine(), f"{tmp_path}/file/words", lambda word: None)
+        shared.open()
+        assert not shared.tell(Word("a", True, 1))
+        shared.close()
+    run(test())
+
+
+class Pair:
+    """Processes on one inherited listener, as the platform starts them."""
+
+    def __init__(self, folder: Path, *upstreams: int) -> None:
+        self.folder, self.upstreams = folder, upstreams
+        self.listening = socket.create_server((HOST, 0), backlog=128)
+        self.port = self.listening.getsockname()[1]
+        self.running: list[Process] = []
+
+    async def start(self, name: str) -> tuple[Process, int]:
+        """A process, and its operators' port."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(config(*self.upstreams, limits={"sockets": 256, "cores": 1.0})))
+        env = {**os.environ, "RELAY_CONFIG": str(path), "RELAY_ADMIN_ADDR": f"{HOST}:0", "TMPDIR": str(self.folder),
+               "RELAY_LISTEN_FD": str(self.listening.fileno())}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanemux", stderr=PIPE, env=env, pass_fds=[self.listening.fileno()])
+        self.running.append(process)
+        assert process.stderr is not None
+        line = b""
+        while b"operators' port" not in line:
+            line = await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)
+            assert line, "it ended before it was ready"
+        port = int(line.split()[-1])
+        await until_yes(port)
+        return process, port
+
+    async def stop(self) -> None:
+        for process in self.running:
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
+        self.listening.close()
+
+
+async def call(port: int, line: str) -> Got:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(f"{line} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    got = await asyncio.wait_for(read(reader), PATIENCE_S)
+    writer.close()
+    return got
+
+
+async def until_yes(port: int) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        while (await call(port, "GET /admin/health")).status != 200:
+            await asyncio.sleep(0.01)
+
+
+def test_no_request_is_lost_and_a_cordon_goes_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        async def slowly(got: Got, writer: Writer) -> None:
+            await asyncio.sleep(0.01)
+            writer.write(written(200, b"x"))
+
+        one, two = await Upstream(slowly).start(), await Upstream(answers(200, b"x")).start()
+        pair = Pair(tmp_path, one.port, two.port)
+        over = False
+        ends: list[int] = []
+
+        async def client() -> None:
+            """Asks without pause, on a connection for as long as that is kept."""
+            while not over:
+                reader, writer = await asyncio.open_connection(HOST, pair.port)
+                kept = True
+                while kept and not over:
+                    writer.write(request())
+                    got = await asyncio.wait_for(read(reader), PATIENCE_S)
+                    ends.append(got.status)
+                    kept = got.headers.get("connection") != "close"
+                writer.close()
+
+        try:
+            old, port = await pair.start("old")
+            assert (await call(port, "PUT /admin/cordon/s1")).status == 200
+            clients = [asyncio.create_task(client()) for _ in range(8)]
+            for _ in range(2):
+                new, port = await pair.start("new")
+                seen = len(ends)
+                old.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(old.wait(), PATIENCE_S) == 0
+                await until(lambda seen=seen: len(ends) > seen + 50)  # type: ignore[misc]
+                old = new
+            assert json.loads((await call(port, "GET /admin/stats")).body)["ejected"] == 1
+            over = True
+            await asyncio.gather(*clients)
+            assert set(ends) == {200}
+            assert two.got == []
+            assert (await call(port, "PUT /admin/uncordon/s1")).status == 200
+        finally:
+            over = True
+            await pair.stop()
+    run(test())
+
+
+def test_what_is_no_listener_is_refused(tmp_path: Path) -> None:
+    plain = socket.socket()
+    with pytest.raises(OSError):
+        Machine().inherit(plain.fileno())
+    plain.close()
+
+
+def test_nothing_of_it_is_imported_where_nothing_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config(1)))
+        code = ("import sys, asyncio, lanemux.net.daemon as d\n"
+                "async def stopped(self, rest_s=0.0):\n"
+                "    print(sorted(m for m in sys.modules if 'admin' in m or 'takeover' in m)); raise OSError('seen')\n"
+                "d.Node.start = stopped\n"
+                "from lanemux.cli import main; sys.exit(main([]))")
+        env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
+        for told, imported in (({}, False), ({"RELAY_ADMIN_ADDR": f"{HOST}:0"}, True)):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", code, stdout=PIPE, stderr=PIPE, env=env | told)
+            out, _ = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+            assert (b"lanemux.admin" in out) is imported
+    run(test())
