A new version starts at a quarter of the processor; take-over closes only unused connections

A line a second in a debug build showed the old process at 102 served and 300 refused in the second in which the new one started: its imports took the share of the core that both have.

takeover/pace.py sleeps 30 ms behind each 10 ms of imports, 2 s at the most, only where a listener is inherited. Idle connections are closed after 0.7 s without use, the others with their next answer.

--- a/lanemux/__main__.py
+++ b/lanemux/__main__.py
@@ -1,12 +1,17 @@
 """`python -m lanemux`: the command line, which starts one balancer unless told otherwise."""
 
+import os
 import sys
 
-from lanemux.cli import main
-
 
 def run() -> None:
     """The `lanemux` command of an installed package."""
+    if os.environ.get("RELAY_LISTEN_FD"):  # another version may be serving: its clients come first
+        from lanemux.takeover.pace import begin
+
+        begin()
+    from lanemux.cli import main
+
     sys.exit(main(sys.argv[1:]))
 
 
--- a/lanemux/admin/beside.py
+++ b/lanemux/admin/beside.py
@@ -7,6 +7,7 @@
 from lanemux.admin.door import Door
 from lanemux.core.system import System
 from lanemux.net.node import Node
+from lanemux.takeover.pace import end
 from lanemux.takeover.shared import Shared
 
 log = logging.getLogger(__name__)
@@ -41,4 +42,5 @@
 
 def make(node: Node, system: System, folder: str | None) -> Beside:
     """What this node's configuration asks for. Words go over only where a second process may come."""
+    end()
     return Beside(node, system, folder if node.config.listen_fd is not None else None)
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -46,6 +46,7 @@
 LAST_READ_S = 0.05  # for what those have sent already
 FLUSH_LOOK_S = 0.01
 PASSING_IDLE_NS = 15 * SECOND  # an answer on which nothing has moved for so long has no reader or no writer any more
+UNUSED_S = 0.7  # a connection idle for so long is seldom used: a request hardly crosses its closing
 EASE_LOOK_S = 0.05  # how often it is looked for connections that have become idle, where clients are sent away
 HASTE_S = 1.0  # before that, who owes a request is waited for no longer
 LEAVE_S = 3.4  # after SIGTERM, whatever is still open
@@ -234,8 +235,9 @@
         begun = self._loop.time()
         await asyncio.sleep(EASE_S)
         while True:
-            await self.server.ease()
-            if self._loop.time() >= begun + AWAY_S:
+            gone_s = self._loop.time() - begun
+            await self.server.ease(UNUSED_S if gone_s < AWAY_S - UNUSED_S else 0.0)
+            if gone_s >= AWAY_S:
                 self.front.away()
             await asyncio.sleep(EASE_LOOK_S)
 
@@ -285,7 +287,7 @@
         self.server.stop_listening()
         await asyncio.sleep(LAST_READ_S)
         while self.server.waited_for and self._loop.time() < end - HASTE_S:
-            await self.server.ease()
+            await self.server.ease(UNUSED_S)
             await asyncio.sleep(EASE_LOOK_S)
         self.server.close_idle()
 
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -495,13 +495,14 @@
             while (client := table.oldest()) is not None:
                 client.close()
 
-    async def ease(self) -> None:
-        """Close all on which no request is open or comes, a few in a turn of the loop.
+    async def ease(self, idle_s: float) -> None:
+        """Close all on which no request is open or comes, and none has been for so long, a few in a turn of the loop.
 
+        Whoever is in use meets the end with its next answer, which crosses nothing: waiting for that spares most.
         Between two turns all sockets are looked at: a request that has come by then is read, and its connection is
         left alone. Closing all at once meets those that come meanwhile."""
         closed = 0
-        for table, age_s in ((self._idle, 0.0), (self._awaited, SILENT_S)):
+        for table, age_s in ((self._idle, idle_s), (self._awaited, SILENT_S)):
             for client in table.members():
                 old = asyncio.get_running_loop().time() - client.since >= age_s
                 if old and client in table and not client.speaking:
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -16,6 +16,7 @@
 from lanemux.core.cordons import Word
 from lanemux.core.system import Machine
 from lanemux.takeover import words
+from lanemux.takeover.pace import SLEEP_S, SLEEPS_S, Pace, begin, end
 from lanemux.takeover.shared import Shared
 from tests.sockets import HOST, PATIENCE_S, Got, Upstream, Writer, answers, read, request, run, until, written
 from tests.test_process import config
@@ -69,6 +70,32 @@
     run(test())
 
 
+def test_a_paced_start_works_a_quarter_of_the_time_and_sleeps_no_longer_than_allowed() -> None:
+    spent, slept = 0.0, 0.0
+
+    def sleep(for_s: float) -> None:
+        nonlocal slept
+        slept += for_s
+
+    pace = Pace(lambda: spent, sleep)
+    for _ in range(100):
+        spent += 0.002
+        assert pace.find_spec("x", None) is None
+    assert slept == pytest.approx(3 * spent, rel=0.1)
+    spent = 100.0
+    for _ in range(1000):
+        spent += 1.0
+        pace.find_spec("x", None)
+    assert slept <= SLEEPS_S + SLEEP_S
+
+
+def test_nothing_is_paced_once_it_has_ended() -> None:
+    begin()
+    assert any(isinstance(f, Pace) for f in sys.meta_path)
+    end()
+    assert not any(isinstance(f, Pace) for f in sys.meta_path)
+
+
 class Pair:
     """Processes on one inherited listener, as the platform starts them."""
 
