--- a/lanemux/takeover/pace.py
+++ b/lanemux/takeover/pace.py
@@ -14,9 +14,9 @@
 from importlib.machinery import ModuleSpec
 from types import ModuleType
 
-WORK_S = 0.01  # processor time between two sleeps: hardly longer than a request takes
-SLEEP_S = 0.03  # a quarter of the time is worked
-SLEEPS_S = 2.0  # all sleeps together at the most
+WORK_S = 0.005  # processor time between two sleeps: hardly longer than a request takes
+SLEEP_S = 0.04  # a ninth of the time is worked
+SLEEPS_S = 2.5  # all sleeps together at the most
 
 
 class Pace(MetaPathFinder):
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -70,7 +70,7 @@
     run(test())
 
 
-def test_a_paced_start_works_a_quarter_of_the_time_and_sleeps_no_longer_than_allowed() -> None:
+def test_a_paced_start_works_a_ninth_of_the_time_and_sleeps_no_longer_than_allowed() -> None:
     spent, slept = 0.0, 0.0
 
     def sleep(for_s: float) -> None:
@@ -79,9 +79,9 @@
 
     pace = Pace(lambda: spent, sleep)
     for _ in range(100):
-        spent += 0.002
+        spent += 0.001
         assert pace.find_spec("x", None) is None
-    assert slept == pytest.approx(3 * spent, rel=0.1)
+    assert slept == pytest.approx(8 * spent, rel=0.1)
     spent = 100.0
     for _ in range(1000):
         spent += 1.0
