A word kept in the tick of the last look is heard by the other process

Found on reading again: file times are as coarse as the kernel's tick, and a word written behind a look in the same tick left the folder's time as it was: the other process never read it (takeover/shared.py, _look). The folder is looked at once more after each change. A test with a clock that never moves fails without it.

--- a/lanemux/takeover/shared.py
+++ b/lanemux/takeover/shared.py
@@ -24,6 +24,7 @@
         self._heard = heard
         self._seen: dict[str, bytes] = {}  # file -> its text as last read or written
         self._changed_ns = -1
+        self._settled = False  # it has been looked at once more since it changed
         self._looking: asyncio.TimerHandle | None = None
         self._failing = False  # the folder can't be read: said once
 
@@ -50,7 +51,9 @@
         self._looking = asyncio.get_running_loop().call_later(LOOK_S, self._look)
         try:
             changed_ns = self._system.changed_ns(self._folder)
-            if changed_ns == self._changed_ns:
+            # File times are as coarse as the kernel's tick: a word kept in the tick of the last look shows no change.
+            same = changed_ns == self._changed_ns
+            if same and self._settled:
                 return
             names = sorted(n for n in self._system.names(self._folder) if n.endswith(ENDING))[:MAX_CORDONS]
         except OSError as error:
@@ -59,7 +62,7 @@
             self._failing = True
             return
         self._failing = False
-        self._changed_ns = changed_ns
+        self._changed_ns, self._settled = changed_ns, same
         for name in names:
             self._take(name)
         for gone in self._seen.keys() - set(names):
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -60,6 +60,21 @@
     run(test())
 
 
+def test_a_word_kept_in_the_tick_of_the_last_look_is_heard(tmp_path: Path) -> None:
+    class Coarse(Machine):
+        def changed_ns(self, folder: str) -> int:
+            return 1  # all within one tick of the file system's clock
+
+    async def test() -> None:
+        heard: list[Word] = []
+        shared, other = Shared(Coarse(), f"{tmp_path}", heard.append), Shared(Machine(), f"{tmp_path}", lambda w: None)
+        shared.open()
+        assert other.tell(Word("a", True, 1))
+        await until(lambda: heard == [Word("a", True, 1)])
+        shared.close()
+    run(test())
+
+
 def test_a_word_that_cannot_be_kept_is_told(tmp_path: Path) -> None:
     async def test() -> None:
         (tmp_path / "file").write_bytes(b"")
