A ban that could not be kept is kept when it is told again

Found on reading again: Node.cordon answered yes to a repeated call without writing it, so that the 507 of a full disk became a yes and the ban was lost at the next upgrade, against what the on-call page says.

--- a/lanemux/core/cordons.py
+++ b/lanemux/core/cordons.py
@@ -38,6 +38,10 @@
         word = self._words.get(host)
         return word is not None and word.out
 
+    def word(self, host: str) -> Word | None:
+        """The last word on a host, while it counts."""
+        return self._words.get(host)
+
     @property
     def hosts(self) -> list[str]:
         """Those that are out."""
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -209,7 +209,8 @@
     def cordon(self, host: str, out: bool) -> bool:
         """Leave an upstream out, or use it again, from now on; False where that can't be kept."""
         if self._cordons.out(host) is out:
-            return True
+            known = self._cordons.word(host)
+            return known is None or self.keep_word(known)  # it may not have been kept the first time
         word = self._cordons.said(host, out, self._wall_ns())
         if not self._cordons.room(host):
             return False
