Why the decisions refuse is told: once a second at the debug level, and in the figures

Need: one process refused half of what it got for ten seconds, and nothing told why. Each refusal now has a reason (rate, second try, line, late, busy, tried, waited), counted; R, what it was learned from, tenants' rates, the line and the learned times are told with it in /admin/stats and, with [log] level = "debug" in the operators' file, in the log.

--- a/bench/storms.py
+++ b/bench/storms.py
@@ -162,6 +162,9 @@
         def avoided(self, now: int) -> int:
             return 0
 
+        def standing(self, now: int) -> dict[str, object]:
+            return {}
+
         def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
             return [api.Refuse(e.request, int(self.rng.uniform(0.25, 1.0) * SECOND)) for e in events
                     if isinstance(e, api.Arrival) and self.refusing]
--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 from urllib.parse import unquote_to_bytes
@@ -34,6 +35,9 @@
     def ejected(self) -> int:
         """Listed upstreams that are avoided now, by hand or by choice."""
 
+    def standing(self) -> Mapping[str, object]:
+        """Why the decisions do what they do, in figures."""
+
     def knows(self, host: str) -> bool:
         """Is this upstream in the list, or has it a ban?"""
 
@@ -63,7 +67,7 @@
                       "aborted": tally.aborted[name]} for name in tally.succeeded}
     return {"results": results, "forwards": tally.forwards, "outstanding": balancer.outstanding,
             "discovered": balancer.discovered, "ejected": balancer.ejected,
-            "sighup_applied": tally.reloads, "sighup_rejected": tally.reloads_refused}
+            "sighup_applied": tally.reloads, "sighup_rejected": tally.reloads_refused, "standing": balancer.standing()}
 
 
 def _said(status: int, text: str) -> Reply:
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -109,7 +109,7 @@
         lists = Lists(read)
     except Faulty as error:
         return _faults(error.faults)
-    return main(lists, *_storm(first), _beside)
+    return main(lists, *_storm(first), _beside, first.log.level)
 
 
 def _check(rest: Sequence[str]) -> int:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import os
 import signal
@@ -27,6 +28,7 @@
 LINES_A_SECOND = 20
 MAX_CONFIG = 16 * 1024 * 1024  # bytes; a known list of 10,000 upstreams takes some 2 MiB
 REST_MAX_S = 1.0  # with little of a processor, serving slowly beats not serving
+STANDING_S = 1.0
 STOP_LATE_S = 0.15  # a stop may come so long after the time was spent
 
 
@@ -169,6 +171,7 @@
     node = Node(config, module(config.settings, config.seed, now_ns()), source, system, doors)
     made(node)
     loop.add_signal_handler(signal.SIGHUP, reload, path, config, node, lists, system)
+    telling: asyncio.Task[None] | None = None
     asked = config.admin is not None or config.listen_fd is not None
     aside = beside(node, system) if beside is not None and asked else None
     try:
@@ -176,20 +179,31 @@
             aside.start()
         port = await node.start(rest_s(config.cores, system.spent_s()))
         log.info("%s: ready on port %d", config.name, port)
+        if log.isEnabledFor(logging.DEBUG):
+            telling = loop.create_task(_tell_standing(config.name, node))
         await stop.wait()
         log.info("%s: stopping", config.name)
         await node.drain()
     finally:
+        if telling is not None:
+            telling.cancel()
         if aside is not None:
             aside.close()
 
 
+async def _tell_standing(name: str, node: Node) -> None:
+    """Once a second, why the decisions do what they do."""
+    while True:
+        await asyncio.sleep(STANDING_S)
+        log.debug("%s: standing %s", name, json.dumps(node.standing(), separators=(",", ":")))
+
+
 def main(lists: Lists | None = None, module: MakeModule = Balancer, doors: MakeDoors | None = None,
-         beside: MakeBeside | None = None) -> int:
+         beside: MakeBeside | None = None, level: str = "info") -> int:
     """One balancer until a signal ends it; its list is platform discovery's unless the operators say otherwise."""
     handler = logging.StreamHandler()
     handler.addFilter(RateLimit())
-    logging.basicConfig(level=logging.INFO, handlers=[handler],
+    logging.basicConfig(level=level.upper(), handlers=[handler],
                         format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG")
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # so that it ends nothing before there is a node to reload
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol, assert_never
 
@@ -95,6 +95,9 @@
     def avoided(self, now: int) -> int:
         """Listed upstreams that it leaves alone now."""
 
+    def standing(self, now: int) -> Mapping[str, object]:
+        """Why it does what it does, in figures."""
+
 
 MakeDoors = Callable[[int], Doors]  # of the number of places for connections
 
@@ -202,6 +205,10 @@
         """Listed upstreams that are avoided now: by hand, or by the decisions."""
         return sum(h in self._membership.hosts for h in self._cordons.hosts) + self._module.avoided(now_ns())
 
+    def standing(self) -> Mapping[str, object]:
+        """Why the decisions do what they do, in figures."""
+        return self._module.standing(now_ns())
+
     def knows(self, host: str) -> bool:
         """Is this upstream in the list, or out by hand?"""
         return host in self._membership.hosts or self._cordons.out(host)
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -59,6 +59,20 @@
     source_part: float = bounded(0.01, 1, 0.5)  # of the places for connections, that one source may hold
 
 
+LEVELS = ("debug", "info", "warning")
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """[log]: what the log holds. At "debug" also, once a second, why the decisions do what they do."""
+
+    level: str = "info"
+
+    def faults(self) -> list[str]:
+        """What is wrong beyond the kinds of values: key and reason."""
+        return [] if self.level in LEVELS else [f"level: {self.level[:80]!r} is none of {', '.join(LEVELS)}"]
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The whole file; an absent section is off."""
@@ -66,6 +80,7 @@
     etcd: Etcd | None = None
     storm: Storm | None = None
     rehearsal: Rehearsal = field(default_factory=Rehearsal)
+    log: Log = field(default_factory=Log)
 
 
 def load(path: str | None) -> Operators:
@@ -75,8 +90,11 @@
     if not path:
         return Operators()
     made = build(Operators, parse(read_text(Path(path)), path), path)
-    if made.etcd is not None and (faults := made.etcd.faults()):
-        raise Faulty([f"{path}: etcd.{fault}" for fault in faults])
+    found = [f"{path}: log.{fault}" for fault in made.log.faults()]
+    if made.etcd is not None:
+        found += [f"{path}: etcd.{fault}" for fault in made.etcd.faults()]
+    if found:
+        raise Faulty(found)
     return made
 
 
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -538,13 +538,13 @@
             self.ended += s.ended
             self.broke += s.broke
 
-    def crowded(self, now: int) -> bool:
-        """Do upstreams have more than they can work on, by what they last reported? Unknown counts as yes."""
+    def load(self, now: int) -> float | None:
+        """Requests that an upstream holds on average, by what they last reported; None: nothing is known."""
         if self.tells:  # of those that it draws from and that work
             told = [s.crowd(now) for s in self.any.reach[:SCAN] if now >= s.free_ns()]
         else:
             told = [s.load for s in self.servers.values() if s.entry.state is api.State.READY and s.told(now)]
-        return not told or sum(told) >= CROWDED * len(told)
+        return sum(told) / len(told) if told else None
 
     def draw(self, pool: Pool, count: int, now: int) -> list[Server]:
         """So many random draws from the fit ones within reach, and the previous winner."""
@@ -682,6 +682,7 @@
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
         self.failures = 0
         self.actions: list[api.Action] = []
+        self.refused: Counter[str] = Counter()  # requests given up, by reason
         self.changed: dict[int, Server] = {}  # where what this proxy holds has changed, untold
         self.checked_ns = now
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
@@ -732,6 +733,16 @@
         return sum(s.entry.state is api.State.READY and s.strikes > 0 and s.free_ns() > now
                    for s in self.fleet.barred.values())
 
+    def standing(self, now: int) -> dict[str, object]:
+        """Why it does what it does: R, what it was learned from, what waits, what rests, refusals by reason."""
+        rate, fleet = self.rate, self.fleet
+        return {"rate": rate.value, "failed": rate.failed, "sent": rate.sent, "served": rate.served,
+                "open": len(self.requests), "line": sum(len(p.line) for p in fleet.pools.values()),
+                "limit": self.crowding.limit, "base_ns": self.crowding.base, "each_ns": self.crowding.each,
+                "load": fleet.load(now), "resting": sum(s.free_ns() > now for s in fleet.barred.values()),
+                "refused": dict(self.refused),
+                "tenants": {n: [t.rate, t.u - t.hold, t.demand] for n, t in self.throttles.items()}}
+
     def _mend(self, calls: Mapping[str, api.Held], now: int) -> None:
         """A batch was lost half way: go on from what the proxy really holds.
 
@@ -811,7 +822,7 @@
         # Marked retries take spare tokens only: they must not starve fresh work.
         answer = throttle.spare(now) if e.retry else throttle.offer(r, now)
         if answer is False:
-            self._refuse(r, now)
+            self._refuse(r, now, "second try" if e.retry else "rate")
         elif answer is None:
             r.place = "held"
             self._release(throttle, now)
@@ -825,7 +836,7 @@
         spare = min(r.give_up_ns - now, self.patience_ns)
         if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * LINE_PART:
             self.rate.unplaced += not r.hurried  # the line is too long already: better said at once
-            self._refuse(r, now)
+            self._refuse(r, now, "line")
             return
         r.pool.line.append(r)
         self._look_around(r, now)
@@ -969,7 +980,7 @@
             r.giving_up = self._later(r.give_up_ns, "give up", r)
             self._look_around(r, now)
         else:
-            self._refuse(r, now)
+            self._refuse(r, now, "tried")
 
     def _choices(self, r: Request) -> list[Server] | None:
         """Where a request that may have run may go again; None: anywhere."""
@@ -978,8 +989,9 @@
             return None
         return [s for s in r.pool.all() if r._same_group(s, first.server)]
 
-    def _refuse(self, r: Request, now: int) -> None:
+    def _refuse(self, r: Request, now: int, why: str) -> None:
         """The final answer of a request that is not served: refused if that is true, else failed."""
+        self.refused[why] += 1
         if r.may_refuse():
             back = self.rng.uniform(0.25, 1.0) * min(self.settings.limits.max_retry_after_ns, SECOND)
             self.actions.append(api.Refuse(r.id, int(back) if self.settings.limits.retry_after else 0))
@@ -1017,7 +1029,7 @@
         if isinstance(about, Request):
             if what == "give up" and about.place and now >= about.give_up_ns:
                 self.rate.unplaced += about.place == "line" and not about.hurried
-                self._refuse(about, now)
+                self._refuse(about, now, "waited")
             elif what == "overdue":
                 self._overdue(about, extra, now)
         elif what == "subscribe" and not self.subscribed:
@@ -1065,7 +1077,7 @@
             if full or (server is None and choices is not None):
                 # All that it may go to are busy, or would answer late: it must not stop the line.
                 self.rate.unplaced += not r.hurried and not fleet.tells
-                self._refuse(r, now)
+                self._refuse(r, now, "late" if full else "busy")
             elif server is not None:
                 pool.line.popleft()
                 r.place = ""
@@ -1073,7 +1085,7 @@
                 if r.may_send(server, now, limits):
                     self._send(r, server, now)
                 else:
-                    self._refuse(r, now)
+                    self._refuse(r, now, "tried")
             else:
                 pool.blocked_ns = pool.blocked_ns or now
                 if not self.crowding.lift(now):
@@ -1115,6 +1127,7 @@
         fleet.settle()
         for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
             pool.width = min(len(pool.reach), pool.home + bool(pool.blocked_ns))
-        self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
+        load = fleet.load(now)
+        self.rate.adjust(now, fleet.any.width, load is None or load >= CROWDED)
         for t in self.throttles.values():
             self._release(t, now)
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -38,6 +38,9 @@
     def avoided(self, now: int) -> int:
         """Listed upstreams that it leaves alone now."""
 
+    def standing(self, now: int) -> Mapping[str, object]:
+        """Why it does what it does, in figures."""
+
 
 class Storm:
     """One balancer's storm module. Its tables hold what is open or listed, and no more."""
@@ -75,6 +78,10 @@
         """As the module's."""
         return self.inner.avoided(now)
 
+    def standing(self, now: int) -> Mapping[str, object]:
+        """As the module's."""
+        return self.inner.standing(now)
+
     @property
     def open(self) -> int:
         """Requests without an end."""
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -10,7 +10,7 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -109,6 +109,10 @@
         """As the decisions tell it."""
         return self.inner.avoided(now)
 
+    def standing(self, now: int) -> Mapping[str, object]:
+        """As the decisions tell it."""
+        return self.inner.standing(now)
+
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         events = list(events)
         if now < self._now:
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -83,6 +83,7 @@
             assert told["results"]["pay"] == {"succeeded": 0, "declined": 0, "aborted": 0}
             assert told["forwards"] == len(upstream.got) == 3
             assert (told["outstanding"], told["discovered"], told["ejected"]) == (0, 1, 0)
+            assert told["standing"] == {"rate": 1.0}
             await client.send(request("/pay", method="POST"))
             await until(lambda: len(upstream.got) == 4)
             assert (await call(port, "PUT /admin/cordon/s0")).status == 200
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -177,6 +177,9 @@
     def avoided(self, now: int) -> int:
         return 0
 
+    def standing(self, now: int) -> dict[str, object]:
+        return {"rate": 1.0}
+
     def of(self, kind: type) -> list[Any]:
         return [e for e in self.events if isinstance(e, kind)]
 
--- a/tests/storm/test_module.py
+++ b/tests/storm/test_module.py
@@ -24,6 +24,9 @@
     def avoided(self, now: int) -> int:
         return 0
 
+    def standing(self, now: int) -> dict[str, object]:
+        return {}
+
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         fresh = list(events)
         self.events += fresh
--- a/tests/test_mending.py
+++ b/tests/test_mending.py
@@ -252,7 +252,7 @@
 
 
 @pytest.mark.parametrize(("owner", "name", "wrong"), [
-    (policy.Balancer, "_refuse", lambda self, r, now: self._end(r, now)),
+    (policy.Balancer, "_refuse", lambda self, r, now, why: self._end(r, now)),
     (policy.Fleet, "_forget", lambda self: None),
     (policy.Balancer, "_changed", lambda self, server: setattr(server, "inflight", max(1, server.inflight))),
 ])
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,6 +13,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -44,7 +45,8 @@
 
 @asynccontextmanager
 async def program(folder: Path, *upstreams: int,
-                  descriptors: int = 1024, **limits: float) -> AsyncIterator[tuple[Process, int]]:
+                  descriptors: int = 1024, operators: Path | None = None,
+                  **limits: float) -> AsyncIterator[tuple[Process, int]]:
     """The running program and its port."""
     path = folder / "config.json"
     path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits})))
@@ -53,8 +55,8 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lanemux", stderr=PIPE, env={**os.environ, "RELAY_CONFIG": str(path)},
-        preexec_fn=limit)
+        sys.executable, "-m", "lanemux", stderr=PIPE, preexec_fn=limit,
+        env={**os.environ, "RELAY_CONFIG": str(path), "LANEMUX_OPERATORS": str(operators or "")})
     assert process.stderr is not None
     try:
         line = b""
@@ -76,6 +78,21 @@
     return got
 
 
+def test_why_it_refuses_is_told_once_a_second_at_the_level_for_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        (tmp_path / "operators.toml").write_text('[log]\nlevel = "debug"\n')
+        async with program(tmp_path, operators=tmp_path / "operators.toml") as (process, port):
+            refused = await ask(port, request("/read/1", deadline_ms=100))  # there is no upstream
+            assert refused.status == 503 and process.stderr is not None
+            told: dict[str, Any] = {}
+            while not told.get("refused"):
+                line = await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)
+                if b" standing " in line:
+                    told = json.loads(line.partition(b" standing ")[2])
+            assert told["refused"] == {"waited": 1} and told["rate"] > 0
+    run(test())
+
+
 def test_sigterm_answers_what_was_taken_and_what_still_comes(tmp_path: Path) -> None:
     async def test() -> None:
         release = asyncio.Event()
