R is counted from the first request after a pause, and let go where upstreams have room

Ruled out: processor (32 ms of 100), lag (1 ms), bars, the line, the other version's words. At fault: Rate.adjust's elapsed, which held the pause; its rise, which asks what failed last and not whether there is room. Now an interval begins with the first request after a pause; an interval with good outcomes in which more was asked than R, while a request more would be answered in half its time, sets R to 1.3 times what is asked.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -32,6 +32,8 @@
 DEEPEST_CUT = 0.3  # of R in one feedback interval
 CLIMB, RETURN = 1.1, 1.5  # R's rise in an interval, and while it is well under what failed last
 WELL_UNDER = 0.8
+ROOM_PART = 0.5  # of its time to spare in which a request more would be answered where there is room
+AMPLE = 1.3  # R over what is asked for where upstreams have room: second tries find tokens too
 CROWDED = 1.0  # requests that upstreams hold on average; with fewer, less traffic would help nobody
 SICK_PART = 0.5  # the worse half of the upstreams may fail without R being judged
 LIMIT_MAX, LOAD_MAX = 64, 1e6
@@ -206,28 +208,43 @@
         self.unplaced = 0  # requests that no upstream had room for in time
         self.bad: Counter[int] = Counter()  # by upstream
 
-    def adjust(self, now: int, width: int, crowded: bool = True) -> None:
+    def woke(self, now: int) -> None:
+        """Nobody was served, and somebody asks: what is counted from here on is counted over the time from here on.
+
+        Guards against a process that has just started, or was left alone, taking the first requests after a pause
+        for all of the pause's: R came down to a thirtieth of what it could serve, and to climb from there took ten
+        seconds. Harm: none known."""
+        if not (self.good or self.bad or self.unplaced):
+            self.since = now
+
+    def adjust(self, now: int, width: int, crowded: bool = True, room: bool = False) -> None:
         elapsed = now - self.since
         bad = sorted(self.bad.values(), reverse=True)
         total = self.good + sum(bad) + self.unplaced
-        # A proxy with little traffic waits for enough outcomes, but not for ever.
-        if elapsed < FEEDBACK_NS or (total < EVIDENCE and elapsed < 4 * FEEDBACK_NS):
-            return
         # The worse half of the upstreams does not count: one sick server is not an overloaded fleet. All but
         # one of a small home is more than that: a crowded fleet went unseen (incident i430663).
         sick = int(width * SICK_PART)
-        self.served = self.good * SECOND / elapsed
         share = (sum(bad[sick:]) + self.unplaced) / total if total else 0.0
+        # Where upstreams have room, R is not to hold anybody back.
+        asked, short = sum(t.asked for t in self.throttles), any(t.short for t in self.throttles)
+        held = room and share <= TOLERATED and (short or self.value * elapsed < asked * SECOND)
+        # A proxy with little traffic waits for enough outcomes, but not for ever, nor where R itself makes it little.
+        if elapsed < FEEDBACK_NS or (total < EVIDENCE and elapsed < 4 * FEEDBACK_NS and not held):
+            return
+        self.served = self.good * SECOND / elapsed
         self.sent = (self.good + sum(bad)) * SECOND / elapsed
         if share > TOLERATED and crowded:
             # After a shrink R stands far above what is served: come down to that first.
             rate = min(self.value, 1.2 * self.sent + 1)
             self.failed = max(0.9 * self.failed, rate)
             self.value = max(1.0, 0.9 * self.served, rate * (1 - min(DEEPEST_CUT, share - TOLERATED)))
-        elif total and any(t.short for t in self.throttles):
-            # A short trouble cuts R several times: what it served before must not take ten seconds to reach.
-            rise = RETURN if self.value < WELL_UNDER * self.failed else CLIMB
-            self.value = min(START_RATE, self.value * rise + 0.5)
+        else:
+            if total and short:
+                # A short trouble cuts R several times: what it served before must not take ten seconds to reach.
+                rise = RETURN if self.value < WELL_UNDER * self.failed else CLIMB
+                self.value = min(START_RATE, self.value * rise + 0.5)
+            if held:  # to more than is asked for, and enough to judge it by
+                self.value = max(self.value, AMPLE * (EVIDENCE + asked) * SECOND / elapsed)
         for t in self.throttles:
             t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
             t.asked, t.short = 0, False
@@ -815,6 +832,8 @@
         aim = min(now + cls.aim_ns, e.deadline_ns)
         gone = (1 - RETRY_LEFT) * cls.aim_ns if e.retry and not cls.late_worth else 0.0
         r = Request(e.request, cls, self.fleet.pool(cls), throttle, e.deadline_ns, aim, e.cost_hint_ns, gone)
+        if not self.requests:
+            self.rate.woke(now)
         self.requests[r.id] = r
         need = self.crowding.expected(r) * (1 + self.crowding.spread)
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
@@ -1128,6 +1147,7 @@
         for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
             pool.width = min(len(pool.reach), pool.home + bool(pool.blocked_ns))
         load = fleet.load(now)
-        self.rate.adjust(now, fleet.any.width, load is None or load >= CROWDED)
+        took = self.crowding.mean if load is None else self.crowding.time(load + 1)
+        self.rate.adjust(now, fleet.any.width, load is None or load >= CROWDED, took <= ROOM_PART * self.patience_ns)
         for t in self.throttles.values():
             self._release(t, now)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,7 +10,7 @@
 import random
 import struct
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
 from lanemux import interface as api
@@ -20,6 +20,7 @@
 AIM_NS = 150 * MS
 WORK_NS = 55 * MS
 QUOTE = api.RequestClass("quote", api.Effect.SAFE, aim_ns=AIM_NS, limit_ns=400 * MS)
+LOOK_NS = 2 * MS  # a look takes so long
 REFUSED_NS = MS // 5  # how soon a dead upstream's machine refuses a connection
 
 
@@ -39,8 +40,10 @@
 
     speed: float = 1.0
     dead: bool = False
+    silent: bool = False  # the way there is cut: nothing comes back
     started_ns: int = 0
     free_ns: int = 0  # when it has worked off all that it holds
+    held: int = 0  # requests that it has not answered yet
     sent: list[tuple[int, float]] = field(default_factory=list)  # (when, seconds of work)
 
     def take(self, now: int, work_ns: float) -> int:
@@ -48,6 +51,9 @@
         self.free_ns = max(self.free_ns, now) + int(work_ns / self.speed)
         return self.free_ns
 
+    def done(self) -> None:
+        self.held -= 1
+
 
 @dataclass(frozen=True, slots=True)
 class Clients:
@@ -76,12 +82,12 @@
 
     def __init__(self, proxies: int, boxes: int, seed: int, tell: bool = True, lose: float = 0.02,
                  known: Callable[[int], Box] = lambda number: Box(), clients: Clients | None = None,
-                 work_ns: int = WORK_NS) -> None:
+                 work_ns: int = WORK_NS, told: Mapping[str, object] | None = None) -> None:
         self.rng = random.Random(seed)
         self.tell, self.lose = tell, lose
         self.boxes = {n: known(n) for n in range(1, boxes + 1)}
         self.clients, self.work_ns = clients, work_ns
-        changes: dict[str, object] = {}
+        changes = dict(told or {})  # of the settings
         if clients is not None:
             changes["classes"] = {"quote": replace(QUOTE, aim_ns=clients.aim_ns, limit_ns=clients.limit_ns)}
         self.balancers = [Balancer(settings(i, proxies, **changes), seed * 1000 + i, START) for i in range(proxies)]
@@ -89,6 +95,9 @@
         self.ended: Counter[str] = Counter()
         self.asked_of, self.served_by, self.refused_by = Counter[int](), Counter[int](), Counter[int]()
         self.by_box: Counter[tuple[int, api.Result]] = Counter()  # attempts
+        self.fates: dict[tuple[int, str], tuple[int, bool]] = {}  # of each request: asked when, and served?
+        self.away: set[int] = set()  # balancers to whom the front sends nobody
+        self._stalled: dict[int, int] = {}  # balancer -> it stands still until then
         self.told = 0
         self._echoes, self._misplaced = set[int](), set[int]()
         self.now = START
@@ -110,7 +119,7 @@
 
         def arrive() -> None:
             if self.now < end:
-                self._arrive(self.rng.randrange(len(self.balancers)))
+                self._arrive(self.rng.choice([i for i in range(len(self.balancers)) if i not in self.away]))
                 self.at(self.now + int(self.rng.expovariate(rate) * SECOND), arrive)
 
         self.at(self.now, arrive)
@@ -149,7 +158,20 @@
         """One balancer was given `peers` in another order: what it tells one comes to another."""
         self._misplaced.add(i)
 
+    def restart(self, i: int, seed: int) -> None:
+        """A blank process in its place: what was out for the old one ends unheard."""
+        self.balancers[i] = Balancer(self.balancers[i].settings, seed, self.now)
+        entries = [api.Upstream(n, started_ns=b.started_ns) for n, b in self.boxes.items()]
+        self.hand(i, api.ListUpdate(api.ListKind.FULL, entries))
+
+    def stall(self, i: int, for_ns: int) -> None:
+        """The process stands still: what comes meanwhile, its timers too, it hears after that."""
+        self._stalled[i] = self.now + for_ns
+
     def hand(self, i: int, event: api.Event) -> None:
+        if self.now < self._stalled.get(i, 0):
+            self.at(self._stalled[i], lambda: self.hand(i, event))
+            return
         for action in self.balancers[i].handle(self.now, [event]):
             if isinstance(action, api.SetTimer):
                 name = action.name
@@ -162,19 +184,33 @@
                 self._turned_away(i, action.request, getattr(action, "retry_after_ns", 0))
             elif isinstance(action, api.Tell):
                 self._tell(i, action)
+            elif isinstance(action, api.Probe):
+                self.at(self.now + LOOK_NS, lambda upstream=action.upstream: self._look(i, upstream))  # type: ignore[misc]
+
+    def _look(self, i: int, upstream: int) -> None:
+        box = self.boxes[upstream]
+        if not (box.dead or box.silent):
+            self.hand(i, api.ProbeResult(upstream, api.Result.OK, LOOK_NS, {"inflight": float(box.held)}))
 
     def _arrive(self, i: int) -> None:
         self.ended["asked"] += 1
         self.asked_of[i] += 1
         if self.clients is None:
             self._names[i] += 1
-            self.hand(i, api.Arrival(f"q{self._names[i]}", "quote", "ash", self.now + 400 * MS))
+            name = f"q{self._names[i]}"
+            self.fates[i, name] = self.now, False
+            self.hand(i, api.Arrival(name, "quote", self.tenant(), self.now + 400 * MS))
         else:
             self._try(Asking(self.now, self.rng.random() < self.clients.honour), self.clients)
 
+    def tenant(self) -> str:
+        """Each asks about as much as is its share."""
+        tenants = list(self.balancers[0].settings.tenants.values())
+        return tenants[0].name if len(tenants) == 1 else self.rng.choices(tenants, [t.share for t in tenants])[0].name
+
     def _try(self, asking: Asking, clients: Clients) -> None:
         """The next try of a request, at whichever balancer the front gives it."""
-        i = self.rng.randrange(len(self.balancers))
+        i = self.rng.choice([i for i in range(len(self.balancers)) if i not in self.away])
         self._names[i] += 1
         asking.tries += 1
         self.ended["tries"] += 1
@@ -188,7 +224,8 @@
                 self._turned_away(i, trying[1], 0)
 
         self.at(deadline, give_up)
-        self.hand(i, api.Arrival(trying[1], "quote", "ash", deadline, retry=asking.tries > 1))
+        self.fates[trying] = self.now, False
+        self.hand(i, api.Arrival(trying[1], "quote", self.tenant(), deadline, retry=asking.tries > 1))
 
     def _turned_away(self, i: int, name: str, told_ns: int) -> None:
         asking, clients = self._asking.pop((i, name), None), self.clients
@@ -220,20 +257,28 @@
                 self.at(self.now + late * MS + self.rng.randrange(MS, 33 * MS), lambda: self.hand(peer, event))
 
     def _send(self, i: int, action: api.Send) -> None:
-        box, key = self.boxes[action.upstream], (i, action.request)
+        box, key, balancer = self.boxes[action.upstream], (i, action.request), self.balancers[i]
         number = self._out[key] = self._out.get(key, -1) + 1
         sent = self.now
         if box.dead:
             done, result = sent + REFUSED_NS, api.Result.CONNECT_FAILED
+        elif box.silent:
+            done, result = sent + (action.timeout_ns or SECOND), api.Result.TIMEOUT
         else:
             done, result = box.take(sent, self.work_ns * self.rng.lognormvariate(-0.12, 0.5)), api.Result.OK
+            box.held += 1
+            self.at(done, box.done)
             if action.timeout_ns and done > sent + action.timeout_ns:
                 done, result = sent + action.timeout_ns, api.Result.TIMEOUT
 
         def end() -> None:
+            if self.balancers[i] is not balancer:
+                return
             self.by_box[action.upstream, result] += 1
             served = result is api.Result.OK and self._answered(i, action.request)
             self.ended["served"] += served
+            if key in self.fates:
+                self.fates[key] = self.fates[key][0], served
             self.served_by[i] += served
             self.hand(i, api.Outcome(action.request, number, action.upstream, result, self.now - sent,
                                      result is api.Result.OK))
--- /dev/null
+++ b/tests/test_back.py
@@ -0,0 +1,68 @@
+"""A balancer whose upstreams have room is back within two seconds, whatever it has come to believe of them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from bench import back
+from lanemux import interface as api
+from lanemux.policy import EVIDENCE, FEEDBACK_NS, START_RATE, Balancer
+from tests.bench import MS, SECOND, START
+from tests.fleet import Fleet
+
+BACK_S = 2.0  # the operators' bound, from the last bad outcome on
+
+
+def believe(balancer: Balancer, rate: float, failed: float, share: float, empty: bool, now: int) -> None:
+    """Put R and what it was learned from into a state, as if troubles had led there."""
+    balancer.rate.value, balancer.rate.failed = rate, failed
+    for i, t in enumerate(balancer.throttles.values()):
+        t.set_rate(max(0.05, rate * (share if i else 1 - share)), now)
+        t.u = 0 if empty else t.u
+
+
+KINDS = {  # what tells it of room: looks, what upstreams say in answers, nothing but its own outcomes
+    "looks": back.LOOKS,
+    "outcomes": {"tenants": back.TENANTS, "prices": api.Prices(probe=0.12),
+                 "limits": api.Limits(max_attempts=5, may_cancel=True, retry_after=True)},
+}
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.sampled_from(sorted(KINDS)), st.floats(0.0, 4.0), st.floats(0.0, 4.0), st.floats(0.01, 0.99), st.booleans(),
+       st.sampled_from([2.0, 20.0, 100.0, 320.0]), st.integers(0, 499), st.integers(0, 10**6))
+@example("looks", 1.1, 1.25, 0.5, True, 320.0, 0, 1)  # as a blank process came to: R 12.6 of 400, failed 17.8
+@example("looks", 0.0, 0.0, 0.5, True, 320.0, 0, 2)
+@example("outcomes", 0.0, 4.0, 0.5, True, 320.0, 250, 3)
+def test_from_any_state_of_its_rate_it_is_back(kind: str, rate: float, failed: float, share: float, empty: bool,
+                                               asked: float, phase_ms: int, seed: int) -> None:
+    played = Fleet(1, back.BOXES, seed, work_ns=back.WORK_NS, told=KINDS[kind])
+    played.run(2.5 + phase_ms / 1000, asked)
+    believe(played.balancers[0], 10**rate, 10**failed, share, empty, played.now)
+    since = played.now
+    played.run(BACK_S + 6.0, asked)
+    fates = [ok for asked_ns, ok in played.fates.values() if since + BACK_S * SECOND <= asked_ns < played.now - SECOND]
+    assert sum(fates) >= 0.9 * len(fates)
+
+
+@pytest.mark.parametrize("case", sorted(back.CASES))
+def test_it_is_back_in_two_seconds_after(case: str) -> None:
+    assert max(back.CASES[case](seed) for seed in range(1, 9)) <= BACK_S
+
+
+def test_the_first_requests_after_a_pause_are_not_taken_for_all_of_the_pause() -> None:
+    """Some requests come just before the end of an interval in which nobody asked, most of them badly."""
+    balancer = Balancer(back.fleet(1).balancers[0].settings, 1, START)
+    balancer.handle(START, [api.ListUpdate(api.ListKind.FULL, [api.Upstream(n) for n in range(1, back.BOXES + 1)])])
+    begun = START + FEEDBACK_NS - 20 * MS
+    for i in range(2 * EVIDENCE):
+        name, now = f"q{i}", begun + i * MS
+        balancer.handle(now, [api.Arrival(name, "quote", "ash", now + 400 * MS)])
+        balancer.rate.unplaced += 1
+    balancer.handle(START + FEEDBACK_NS + MS, [])
+    assert balancer.rate.value == START_RATE  # nothing is judged yet
+    balancer.handle(begun + FEEDBACK_NS + MS, [])
+    balancer.handle(begun + 2 * FEEDBACK_NS + MS, [])
+    assert balancer.rate.value < START_RATE  # and now it is, over the time in which they asked
