The list and the front have rooms of their own beside the node

Need: net/node.py had grown to 683 lines, with a balancer's life, its list, its front and each request's life in one class; what comes next (who is there, budgets, recovery) plugs into it. net/roster.py holds the source, its successor, addresses, cordons and the connections that follow; net/entrance.py whether clients are to come and how the last ones leave; net/config.py what a balancer is told. node.py keeps the request's life.

--- a/lanemux/admin/beside.py
+++ b/lanemux/admin/beside.py
@@ -22,13 +22,13 @@
         """`folder`: what two processes of this balancer share; None: nothing."""
         self._node = node
         self._door = Door(node, system) if node.config.admin is not None else None
-        self._shared = Shared(system, f"{folder}/{FOLDER}", node.hear_word) if folder is not None else None
+        self._shared = Shared(system, f"{folder}/{FOLDER}", node.roster.hear_word) if folder is not None else None
 
     def start(self) -> None:
         """Before the node takes up its list: whoever is out by hand is so from the first decision on."""
         if self._shared is not None:
             self._shared.open()
-            self._node.keep_word = self._shared.tell
+            self._node.roster.keep_word = self._shared.tell
         if self._door is not None and self._node.config.admin is not None:
             port = self._door.open(self._node.config.admin)
             log.info("%s: operators' port %d", self._node.config.name, port)
--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -14,14 +14,40 @@
 MAX_TARGET = 1024  # bytes of a call's target; no host has so long a name
 
 
+class Roster(Protocol):
+    """The balancer's list."""
+
+    def knows(self, host: str) -> bool:
+        """Is this upstream in the list, or has it a ban?"""
+
+    def cordon(self, host: str, out: bool) -> bool:
+        """Leave the upstream out or use it again, from now on; False where no further ban can be kept."""
+
+
+class Entrance(Protocol):
+    """The balancer's front."""
+
+    @property
+    def ready(self) -> bool:
+        """Is this process ready to serve?"""
+
+    def quiesce(self) -> None:
+        """Send clients away. Without effect where that is so already."""
+
+    def resume(self) -> bool:
+        """Back to work; False for a process that ends."""
+
+
 class Balancer(Protocol):
     """What the calls act on."""
 
     tally: Tally
 
     @property
-    def ready(self) -> bool:
-        """Is this process ready to serve?"""
+    def roster(self) -> Roster: ...
+
+    @property
+    def entrance(self) -> Entrance: ...
 
     @property
     def outstanding(self) -> int:
@@ -33,23 +59,11 @@
 
     @property
     def ejected(self) -> int:
-        """Listed upstreams that are avoided now, by hand or by choice."""
+        """Listed upstreams that the balancer avoids now, by hand or by choice."""
 
     def standing(self) -> Mapping[str, object]:
         """Why the decisions do what they do, in figures."""
 
-    def knows(self, host: str) -> bool:
-        """Is this upstream in the list, or has it a ban?"""
-
-    def cordon(self, host: str, out: bool) -> bool:
-        """Leave the upstream out or use it again, from now on; False where no further ban can be kept."""
-
-    def quiesce(self) -> None:
-        """Send clients away. Without effect where that is so already."""
-
-    def resume(self) -> bool:
-        """Back to work; False for a process that ends."""
-
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -75,7 +89,7 @@
 
 
 def _health(balancer: Balancer) -> Reply:
-    return _said(200, "ready") if balancer.ready else _said(503, "not ready")
+    return _said(200, "ready") if balancer.entrance.ready else _said(503, "not ready")
 
 
 def _stats(balancer: Balancer) -> Reply:
@@ -83,12 +97,12 @@
 
 
 def _quiesce(balancer: Balancer) -> Reply:
-    balancer.quiesce()
+    balancer.entrance.quiesce()
     return _said(200, "sending clients away")
 
 
 def _resume(balancer: Balancer) -> Reply:
-    return _said(200, "back to work") if balancer.resume() else _said(409, "this process ends")
+    return _said(200, "back to work") if balancer.entrance.resume() else _said(409, "this process ends")
 
 
 PLAIN = {"health": (b"GET", _health), "stats": (b"GET", _stats), "quiesce": (b"PUT", _quiesce),
@@ -113,8 +127,8 @@
         host = unquote_to_bytes(rest).decode()
     except UnicodeDecodeError:
         host = ""
-    if not host or not balancer.knows(host):
+    if not host or not balancer.roster.knows(host):
         return _said(404, "no upstream of that id")
-    if not balancer.cordon(host, OF_ONE[name]):
+    if not balancer.roster.cordon(host, OF_ONE[name]):
         return _said(507, "too many upstreams are out by hand, or it can't be kept for a new version")
     return _said(200, "left out" if OF_ONE[name] else "used again")
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -19,8 +19,9 @@
 from lanemux.core.system import Machine, System
 from lanemux.drill import read_settings
 from lanemux.interface import Settings
+from lanemux.net.config import Config
 from lanemux.net.http import read_json
-from lanemux.net.node import Config, MakeDoors, Module, Node
+from lanemux.net.node import MakeDoors, Module, Node
 from lanemux.policy import Balancer
 
 log = logging.getLogger(__name__)
@@ -128,7 +129,7 @@
         if new != self.now:
             log.info("reload: the list is to come from another source")
             self.now = new
-            node.replace_source(new)
+            node.roster.replace_source(new)
 
 
 def reload(path: str, old: Config, node: Node, lists: Lists | None = None, system: System | None = None) -> None:
@@ -146,7 +147,7 @@
     for name in ("name", "listen", "sockets", "cores", "settings", "peer_listen", "peers", "peers_all"):
         if getattr(new, name) != getattr(old, name):
             log.warning("%s: reload: another %s needs a restart", old.name, name)
-    node.move_discovery(new.discovery)
+    node.roster.move_discovery(new.discovery)
 
 
 def rest_s(cores: float, spent_s: float) -> float:
--- /dev/null
+++ b/lanemux/net/entrance.py
@@ -0,0 +1,110 @@
+"""The front: whether clients are to come, how they are sent away, and how the last ones leave."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from lanemux.core.front import AWAY_S, EASE_S, Front, Phase
+from lanemux.net.config import Config
+from lanemux.net.server import Server
+
+log = logging.getLogger(__name__)
+
+LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
+LAST_READ_S = 0.05  # for what those have sent already
+FLUSH_LOOK_S = 0.01
+UNUSED_S = 0.7  # a connection idle for so long is seldom used: a request hardly crosses its closing
+EASE_LOOK_S = 0.05  # how often it is looked for connections that have become idle, where clients are sent away
+HASTE_S = 1.0  # before that, who owes a request is waited for no longer
+
+
+class Entrance:
+    """The clients' side of a balancer's life; `server` holds their connections."""
+
+    def __init__(self, config: Config, server: Server) -> None:
+        self._config, self.server = config, server
+        self.front = Front()
+        self._loop = asyncio.get_running_loop()
+        self._rested_s = 0.0  # not ready before, by the loop's clock
+        self._easing: asyncio.Task[None] | None = None  # sends clients away
+
+    @property
+    def ready(self) -> bool:
+        """Are clients to come?"""
+        return self.front.open and self._loop.time() >= self._rested_s
+
+    @property
+    def away(self) -> bool:
+        """Is whoever still comes refused at once?"""
+        return self.front.phase is Phase.AWAY
+
+    def rest(self, for_s: float) -> None:
+        """Not ready for so long from now on, whatever else."""
+        self._rested_s = self._loop.time() + for_s
+
+    def open(self, rest_s: float) -> int:
+        """Let clients in; gives the port."""
+        if self._config.listen_fd is not None:
+            return self.server.inherit(self._config.listen_fd, rest_s)
+        return self.server.listen(*self._config.listen)
+
+    def quiesce(self) -> None:
+        """Send clients away: answers end their connections, idle ones are closed, and nobody new is to come."""
+        if self.front.quiesce():
+            log.info("%s: sending clients away", self._config.name)
+            self.server.draining = True
+            self._easing = self._loop.create_task(self._send_away())
+
+    async def _send_away(self) -> None:
+        begun = self._loop.time()
+        await asyncio.sleep(EASE_S)
+        while True:
+            gone_s = self._loop.time() - begun
+            await self.server.ease(UNUSED_S if gone_s < AWAY_S - UNUSED_S else 0.0)
+            if gone_s >= AWAY_S:
+                self.front.away()
+            await asyncio.sleep(EASE_LOOK_S)
+
+    def resume(self) -> bool:
+        """Back to work; False for a process that ends."""
+        if self.front.resume():
+            log.info("%s: back to work", self._config.name)
+            self.server.draining = False
+            self.stop()
+        return self.front.open
+
+    def stop(self) -> None:
+        """Clients are sent away no longer."""
+        if self._easing is not None:
+            self._easing.cancel()
+            self._easing = None
+
+    async def close_in_order(self, end_s: float) -> None:
+        """The process leaves, by `end_s` of the loop's clock: take what still comes, then nobody any more."""
+        self.server.draining = True
+        self.front.end()
+        self.stop()
+        if self._config.listen_fd is not None:
+            await self._hand_over(end_s)
+            return
+        await asyncio.sleep(LATE_ARRIVALS_S)
+        self.server.accept_last()  # after a standstill more may wait than one turn accepts
+        self.server.stop_listening()
+        await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
+        self.server.close_idle()
+
+    async def _hand_over(self, end_s: float) -> None:
+        """Another process serves the same listener: what waits there is its own. Who is here is let go without haste,
+        since a request that crosses the closing of its connection has to be asked again."""
+        self.server.stop_listening()
+        await asyncio.sleep(LAST_READ_S)
+        while self.server.waited_for and self._loop.time() < end_s - HASTE_S:
+            await self.server.ease(UNUSED_S)
+            await asyncio.sleep(EASE_LOOK_S)
+        self.server.close_idle()
+
+    async def flush(self, end_s: float) -> None:
+        """A large answer is whole only when its last byte is out."""
+        while self.server.flushing and self._loop.time() < end_s:
+            await asyncio.sleep(FLUSH_LOOK_S)
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -4,26 +4,22 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol, assert_never
 
 from lanemux import interface as api
-from lanemux.core.address import Address
-from lanemux.core.addresses import Addresses
 from lanemux.core.clock import now_ns
-from lanemux.core.cordons import Cordons, Word
-from lanemux.core.front import AWAY_S, EASE_S, Front, Phase
-from lanemux.core.membership import Entry, Listing, Membership
-from lanemux.core.source import Heard, ListSource, MakeSource
+from lanemux.core.source import MakeSource
 from lanemux.core.system import Machine, System
 from lanemux.core.tally import Tally
-from lanemux.net.discovery import Discovery, read_listing
+from lanemux.net.config import Config
+from lanemux.net.entrance import Entrance
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
+from lanemux.net.roster import Roster
 from lanemux.net.server import ClientConnection, Doors, Server
-from lanemux.net.upstream import Begin, Exchange, Hub, PassOn, Pool
+from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
 
 log = logging.getLogger(__name__)
 
@@ -42,35 +38,10 @@
 WORDS_KEPT_S = 0.02  # a peer's message, which takes up to 33 ms on its way, waits so long to be read with others
 MAX_WORDS_KEPT = 64  # and with so many at most: what the loop holds up meanwhile is bounded
 FAILURES_LOGGED_NS = 10 * SECOND  # one failure of the module in so long is told with its trace
-LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
-LAST_READ_S = 0.05  # for what those have sent already
-FLUSH_LOOK_S = 0.01
 PASSING_IDLE_NS = 15 * SECOND  # an answer on which nothing has moved for so long has no reader or no writer any more
-UNUSED_S = 0.7  # a connection idle for so long is seldom used: a request hardly crosses its closing
-EASE_LOOK_S = 0.05  # how often it is looked for connections that have become idle, where clients are sent away
-HASTE_S = 1.0  # before that, who owes a request is waited for no longer
 LEAVE_S = 3.4  # after SIGTERM, whatever is still open
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
-    """What a balancer is told at its start."""
-
-    name: str
-    listen: Address
-    discovery: Address
-    seed: int
-    sockets: int
-    settings: api.Settings
-    known: object = None  # the last known list, in discovery's form
-    peer_listen: Address | None = None
-    peers: list[Address] = field(default_factory=list)
-    peers_all: Address | None = None
-    cores: float = 0.0  # share of a processor; 0: not told
-    admin: Address | None = None  # the operators' second address
-    listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
-
-
 @dataclass(slots=True, eq=False)
 class Call:
     """A request that was taken and is not answered yet."""
@@ -125,59 +96,38 @@
         self._failed_ns, self._failures_untold = -FAILURES_LOGGED_NS, 0  # the module's last failure in the log
         self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
-        self._rested_s = 0.0  # not ready before, by the loop's clock
         self._quiet = asyncio.Event()
         self._sweep: asyncio.TimerHandle | None = None
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True)
         self._passing: dict[str, Call] = {}  # whose answers pass in pieces
         self.server = Server(self, room, system, doors(room) if doors is not None else None)
-        self._membership = Membership(system.wall_ns() - now_ns())
-        self._addresses = Addresses()
+        self.entrance = Entrance(config, self.server)
+        self.roster = Roster(config, self._hub, system, source, self.feed, self._call_off_waiting)
         self.tally = Tally(config.settings.classes)
-        self.front = Front()
-        self._easing: asyncio.Task[None] | None = None  # sends clients away
-        self._wall_ns = system.wall_ns
-        self._cordons = Cordons(system.wall_ns() - now_ns(), config.settings.rules.cold_ns)
-        self.keep_word: Callable[[Word], bool] = lambda word: True  # for a process beside this one; could it be kept?
-        self._source = (source or self._platform)(self._membership, random.Random(config.seed + 1), self._listed)
-        self._successor: ListSource | None = None  # is to replace it, and has not told a whole list yet
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
         self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
 
-    def _platform(self, membership: Membership, rng: random.Random, heard: Heard) -> ListSource:
-        return Discovery(self.config.discovery, membership, self.config.settings.discovery_push, rng, heard)
-
     # -- start and end --
 
     async def start(self, rest_s: float = 0.0) -> int:
         """Take up the known list, then open to clients, though ready only after a rest; gives the port."""
-        self._rested_s = self._loop.time() + rest_s
-        self._take_known()
+        self.entrance.rest(rest_s)
+        self.roster.start()
         if self.config.peer_listen is not None and self.config.listen_fd is not None:
             # Another process of this balancer may have it too: the kernel deals the words out between them.
             await self._loop.create_datagram_endpoint(lambda: self._peers, self.config.peer_listen, reuse_port=True)
         elif self.config.peer_listen is not None:
             await self._loop.create_datagram_endpoint(lambda: self._peers, self.config.peer_listen)
         if self.config.settings.discovery_push:
-            self._source.watch()
+            self.roster.source.watch()
         self._sweep_idle()
-        if self.config.listen_fd is not None:
-            return self.server.inherit(self.config.listen_fd, rest_s)
-        return self.server.listen(*self.config.listen)
-
-    def _take_known(self) -> None:
-        entries = []
-        if self.config.known is not None:
-            listing = read_listing(self.config.known, self._membership, now_ns())
-            self._source.take_known(listing)
-            entries = [e.upstream for e in self._take_entries(listing)]
-        self.feed(api.ListUpdate(api.ListKind.CACHED, entries))
+        return self.entrance.open(rest_s)
 
     def _sweep_idle(self) -> None:
         self._hub.expire()
-        self._cordons.forget(now_ns())
+        self.roster.sweep()
         stale = now_ns() - PASSING_IDLE_NS
         for call in [c for c in self._passing.values() if c.moved_ns < stale]:
             log.info("an answer is cut: nothing of it has moved for %d s", PASSING_IDLE_NS // SECOND)
@@ -186,7 +136,7 @@
 
     @property
     def ready(self) -> bool:
-        return self.front.open and self._loop.time() >= self._rested_s
+        return self.entrance.ready
 
     # -- what operators ask --
 
@@ -198,135 +148,34 @@
     @property
     def discovered(self) -> int:
         """Upstreams in the list."""
-        return len(self._membership.hosts)
+        return len(self.roster.membership.hosts)
 
     @property
     def ejected(self) -> int:
         """Listed upstreams that are avoided now: by hand, or by the decisions."""
-        return sum(h in self._membership.hosts for h in self._cordons.hosts) + self._module.avoided(now_ns())
+        return self.roster.cordoned + self._module.avoided(now_ns())
 
     def standing(self) -> Mapping[str, object]:
         """Why the decisions do what they do, in figures."""
         return self._module.standing(now_ns())
 
-    def knows(self, host: str) -> bool:
-        """Is this upstream in the list, or out by hand?"""
-        return host in self._membership.hosts or self._cordons.out(host)
-
-    def cordon(self, host: str, out: bool) -> bool:
-        """Leave an upstream out, or use it again, from now on; False where that can't be kept."""
-        if self._cordons.out(host) is out:
-            known = self._cordons.word(host)
-            return known is None or self.keep_word(known)  # it may not have been kept the first time
-        word = self._cordons.said(host, out, self._wall_ns())
-        if not self._cordons.room(host):
-            return False
-        self.hear_word(word)
-        return self.keep_word(word)
-
-    def hear_word(self, word: Word) -> None:
-        """An operator's word, said here or to a process beside this one."""
-        if self._cordons.hear(word):
-            log.info("by hand: %.80s is %s", word.host, "left out" if word.out else "used again")
-            entries = self._connect([e for e in self._addresses.listed() if e.host == word.host])
-            if entries:
-                self.feed(api.ListUpdate(api.ListKind.DELTA, [e.upstream for e in entries]))
-
-    def quiesce(self) -> None:
-        """Send clients away: answers end their connections, idle ones are closed, and nobody new is to come."""
-        if self.front.quiesce():
-            log.info("%s: sending clients away", self.config.name)
-            self.server.draining = True
-            self._easing = self._loop.create_task(self._send_away())
-
-    async def _send_away(self) -> None:
-        begun = self._loop.time()
-        await asyncio.sleep(EASE_S)
-        while True:
-            gone_s = self._loop.time() - begun
-            await self.server.ease(UNUSED_S if gone_s < AWAY_S - UNUSED_S else 0.0)
-            if gone_s >= AWAY_S:
-                self.front.away()
-            await asyncio.sleep(EASE_LOOK_S)
-
-    def resume(self) -> bool:
-        """Back to work; False for a process that ends."""
-        if self.front.resume():
-            log.info("%s: back to work", self.config.name)
-            self.server.draining = False
-            self._stop_easing()
-        return self.front.open
-
-    def _stop_easing(self) -> None:
-        if self._easing is not None:
-            self._easing.cancel()
-            self._easing = None
-
     async def drain(self) -> None:
         """A planned end: go on with what still comes, answer all of it, then close everything."""
         end = self._loop.time() + LEAVE_S
-        self._stopping = self.server.draining = True
-        self.front.end()
-        self._stop_easing()
-        if self.config.listen_fd is not None:
-            await self._hand_over(end)
-        else:
-            await asyncio.sleep(LATE_ARRIVALS_S)
-            self.server.accept_last()  # after a standstill more may wait than one turn accepts
-            self.server.stop_listening()
-            await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
-            self.server.close_idle()
+        self._stopping = True
+        await self.entrance.close_in_order(end)
         if self._calls:
             self._quiet.clear()  # it may have been quiet before the last ones came
             try:
                 await asyncio.wait_for(self._quiet.wait(), end - self._loop.time())
             except TimeoutError:
                 log.warning("left with %d requests open", len(self._calls))
-        while self.server.flushing and self._loop.time() < end:
-            await asyncio.sleep(FLUSH_LOOK_S)  # a large answer is whole only when its last byte is out
+        await self.entrance.flush(end)
         self.close()
-        await self._source.stopped()
+        await self.roster.source.stopped()
         await self._hub.stopped()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
-    async def _hand_over(self, end: float) -> None:
-        """Another process serves the same listener: what waits there is its own. Who is here is let go without haste,
-        since a request that crosses the closing of its connection has to be asked again."""
-        self.server.stop_listening()
-        await asyncio.sleep(LAST_READ_S)
-        while self.server.waited_for and self._loop.time() < end - HASTE_S:
-            await self.server.ease(UNUSED_S)
-            await asyncio.sleep(EASE_LOOK_S)
-        self.server.close_idle()
-
-    def move_discovery(self, address: Address) -> None:
-        """The configuration names another address for discovery; without effect where the list comes from elsewhere."""
-        if isinstance(self._source, Discovery):
-            self._source.move(address)
-
-    def replace_source(self, make: MakeSource | None) -> None:
-        """Take the list from another source (None: platform discovery) from its first whole list on.
-
-        Until then the old one counts: what it tells is acted on, and a new one that never answers costs nothing."""
-        if self._successor is not None:
-            self._successor.stop()  # of several in a row the last one counts
-
-        def heard(listing: Listing | None) -> None:
-            if listing is not None and successor is self._successor:
-                self._source.stop()
-                self._source, self._successor = successor, None
-            if successor is self._source:
-                self._listed(listing)
-
-        successor = (make or self._platform)(self._membership, random.Random(self.config.seed + 2), heard)
-        self._successor = successor
-        successor.watch()
-
-    @property
-    def membership(self) -> Membership:
-        """The upstreams as last told."""
-        return self._membership
-
     def held(self) -> dict[str, int]:
         """What is held for requests and clients, by kind: at rest, without clients, all is zero."""
         return {"calls": len(self._calls), "clients' calls": len(self._by_client), "ids": len(self._ids),
@@ -338,10 +187,8 @@
         self._closed = True
         for call in list(self._calls.values()):
             self._finish(call, 504)
-        self._stop_easing()
-        self._source.stop()
-        if self._successor is not None:
-            self._successor.stop()
+        self.entrance.stop()
+        self.roster.stop()
         for timer in (*self._timers.values(), self._sweep, self._reading):
             if timer is not None:
                 timer.cancel()
@@ -395,9 +242,8 @@
             log.exception("the module failed on %.200r (%d times untold)", batch, self._failures_untold)
         self._failures_untold = 0 if failed else self._failures_untold + 1
         calls = {c.id: api.Held(c.sends, c.out is not None) for c in self._calls.values()}
-        listed = [e.upstream for e in self._cordons.handed_on(self._addresses.listed(), self._decided_ns)]
         try:
-            return self._module.handle(self._decided_ns, [api.Truth(calls), api.ListUpdate(api.ListKind.FULL, listed)])
+            return self._module.handle(self._decided_ns, [api.Truth(calls), self.roster.whole(self._decided_ns)])
         except Exception:
             log.exception("the module failed on what is true")
             return []
@@ -421,11 +267,11 @@
                     pool.close_idle()
             case api.Subscribe():
                 if action.on:
-                    self._source.watch()
+                    self.roster.source.watch()
                 else:
-                    self._source.unwatch()
+                    self.roster.source.unwatch()
             case api.FetchList():
-                self._source.fetch()
+                self.roster.source.fetch()
             case api.SetTimer():
                 due = (self._decided_ns + action.delay_ns) / SECOND
                 self._timers[action.name] = self._loop.call_at(due, self._wake, action.name)
@@ -452,7 +298,7 @@
             client.answer(400)  # an upstream reads no body there and would take it for the next request
         elif ids[0] in self._ids:
             client.answer(409)  # whose answer would it be?
-        elif self.front.phase is Phase.AWAY or self._limits.max_open and len(self._calls) >= self._limits.max_open:
+        elif self.entrance.away or self._limits.max_open and len(self._calls) >= self._limits.max_open:
             self.tally.ended(name, 503)
             client.answer(503, [(b"Retry-After", FULL_RETRY_S)])
         else:
@@ -620,39 +466,6 @@
         self._looks[look] = None
         look.start(self._loop.time() + PROBE_TIMEOUT_S)
 
-    def _listed(self, listing: Listing | None) -> None:
-        if listing is None:
-            self.feed(api.ListUpdate(api.ListKind.FAILED))
-            return
-        entries = self._take_entries(listing)
-        if listing.whole or entries:
-            kind = api.ListKind.FULL if listing.whole else api.ListKind.DELTA
-            self.feed(api.ListUpdate(kind, [e.upstream for e in entries]))
-
-    def _take_entries(self, listing: Listing) -> list[Entry]:
-        """Connections follow the list; the entries that the module is to know."""
-        return self._connect(self._addresses.settle(listing.entries, listing.whole), listing.whole)
-
-    def _connect(self, told: list[Entry], whole: bool = False) -> list[Entry]:
-        """Connections follow these entries, as operators want them to be known."""
-        pools, entries = self._hub.pools, self._cordons.handed_on(told, now_ns())
-        left_out = set(pools) - {e.upstream.id for e in entries} if whole else set()
-        for entry in entries:
-            if entry.upstream.state is api.State.GONE:
-                left_out.add(entry.upstream.id)
-                continue
-            pool = pools.setdefault(entry.upstream.id, Pool(self._hub, entry.address))
-            pool.move(entry.address)
-            pool.ready = entry.upstream.state is api.State.READY
-            if not pool.ready:
-                pool.close_idle()
-        for number in left_out & set(pools):
-            pool = pools.pop(number)
-            pool.ready = False
-            pool.close_idle()
-        self._call_off_waiting()
-        return entries
-
     def _call_off_waiting(self) -> None:
         """No first byte may go to an upstream that drains, is gone or has moved, also not when its connection is up."""
         for call in list(self._calls.values()):
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -479,8 +479,8 @@
         told = {host: health for host, (health, _) in zip(hosts, self._said.values(), strict=True)
                 if health != "removed"}
         words = {api.State.READY: "up", api.State.DRAINING: "draining"}
-        believed = {host: words.get(last.upstream.state, "?") for host in sorted(node.membership.hosts)
-                    if (last := node.membership.last(host)) is not None}
+        believed = {host: words.get(last.upstream.state, "?") for host in sorted(node.roster.membership.hosts)
+                    if (last := node.roster.membership.last(host)) is not None}
         if told != believed:
             self._blame("list", f"balancer {seat.number} believes {believed}, told was {told}")
 
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -103,7 +103,7 @@
             def react(event: api.Event) -> Iterable[api.Action]:
                 actions = was(event)
                 if isinstance(event, api.Arrival):
-                    asyncio.get_running_loop().call_soon(balancer.cordon, "s0", True)
+                    asyncio.get_running_loop().call_soon(balancer.roster.cordon, "s0", True)
                 return actions
 
             script.react = react
@@ -196,7 +196,7 @@
                 told.append(word)
                 return kept[len(told) - 1]
 
-            client.node.keep_word = keep
+            client.node.roster.keep_word = keep
             assert (await call(port, "PUT /admin/cordon/s0")).status == 507
             assert (await call(port, "PUT /admin/cordon/s0")).status == 200
             assert told[0] == told[1] and told[0].out
--- a/tests/etcd/test_drains.py
+++ b/tests/etcd/test_drains.py
@@ -16,7 +16,8 @@
 from lanemux.core.membership import Membership
 from lanemux.etcd.member import Target
 from lanemux.etcd.source import Make
-from lanemux.net.node import Config, Node
+from lanemux.net.config import Config
+from lanemux.net.node import Node
 from lanemux.rehearsal.etcd.server import StandIn
 from lanemux.rehearsal.etcd.store import Change, Store
 from tests.etcd.test_source import PREFIX, key, row
@@ -130,7 +131,7 @@
         rolling = Rolling()
         node = await rolling.start(monkeypatch)
         if not called_off:
-            monkeypatch.setattr(Node, "_call_off_waiting", lambda self: None)
+            monkeypatch.setattr(node.roster, "_strayed", lambda: None)
         port = await node.start()
         try:
             await until(lambda: len(node._hub.pools) == BOXES)
--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -19,8 +19,9 @@
 from lanemux.etcd import follower, member, source
 from lanemux.etcd.member import Target
 from lanemux.etcd.source import EtcdSource, Make
+from lanemux.net.config import Config
 from lanemux.net.daemon import Lists
-from lanemux.net.node import Config, Node
+from lanemux.net.node import Node
 from lanemux.operators import load
 from lanemux.rehearsal.etcd.mangler import Mangler
 from lanemux.rehearsal.etcd.server import StandIn
@@ -422,7 +423,7 @@
         async with balancer(registry, None) as node:
             pools = node._hub.pools
             await until(lambda: len(pools) == 2)
-            node.replace_source(Make(Target((standin.address,), PREFIX)))
+            node.roster.replace_source(Make(Target((standin.address,), PREFIX)))
             await until(lambda: standin.lists >= 2)
             registry.change("d")  # the old one still counts
             await until(lambda: numbers.number("d") in pools)
@@ -432,7 +433,7 @@
             standin.store.write([(key("e"), row(5))])
             standin.changed()
             await until(lambda: numbers.number("e") in pools)
-            node.replace_source(None)  # and back
+            node.roster.replace_source(None)  # and back
             await until(lambda: len(registry.calls) > calls and numbers.number("a") in pools)
             assert set(pools) == {numbers.number(h) for h in "abd"}
             await until(lambda: not standin._handlers)
@@ -447,9 +448,9 @@
         standin.store.write([(key("a"), json.dumps({k: v for k, v in entry("a", 1).items() if k != "host"}).encode())])
         async with balancer(registry, None) as node:
             await until(lambda: len(node._hub.pools) == 1)
-            old = node._source
-            node.replace_source(Make(Target((standin.address,), PREFIX)))
-            await until(lambda: node._source is not old and node._successor is None)
+            old = node.roster.source
+            node.roster.replace_source(Make(Target((standin.address,), PREFIX)))
+            await until(lambda: node.roster.source is not old and node.roster.successor is None)
         await standin.stop()
     run(test())
 
@@ -459,7 +460,7 @@
     path.write_text('[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/a/"\n')
     lists = Lists(lambda: _source(load(str(path))))
     replaced: list[Make | None] = []
-    node = cast(Node, SimpleNamespace(replace_source=replaced.append))
+    node = cast(Node, SimpleNamespace(roster=SimpleNamespace(replace_source=replaced.append)))
     lists.reload(node)
     path.write_text("[etcd]\n")
     lists.reload(node)
--- a/tests/rehearsal/broken/late_drain.py
+++ b/tests/rehearsal/broken/late_drain.py
@@ -1,23 +1,24 @@
 """Acts on drains and removals a second and a half after it was told."""
 
+import asyncio
 import sys
 from typing import Any
 
 from lanemux import interface as api
 from lanemux.net import daemon
-from lanemux.net.node import Node
+from lanemux.net.roster import Roster
 
 LATE_S = 1.5
-listed = Node._listed
+listed = Roster.listed
 
 
 def later(self: Any, listing: Any) -> None:
     ends = listing is not None and any(e.upstream.state is not api.State.READY for e in listing.entries)
     if ends:
-        self._loop.call_later(LATE_S, listed, self, listing)
+        asyncio.get_running_loop().call_later(LATE_S, listed, self, listing)
     else:
         listed(self, listing)
 
 
-Node._listed = later  # type: ignore[method-assign]
+Roster.listed = later  # type: ignore[method-assign]
 sys.exit(daemon.main())
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 from lanemux import interface as api
-from lanemux.net.node import Config, MakeDoors, Module, Node
+from lanemux.net.config import Config
+from lanemux.net.node import MakeDoors, Module, Node
 
 HOST = "127.0.0.1"
 PATIENCE_S = 10.0  # a test that waits longer has failed
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -8,6 +8,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 NODE, UPSTREAM, DISCOVERY = "net/node.py", "net/upstream.py", "net/discovery.py"
+ROSTER, ENTRANCE = "net/roster.py", "net/entrance.py"
 FOLLOWER, BOARD = "etcd/follower.py", "etcd/board.py"
 
 
@@ -27,7 +28,7 @@
 
 PLANTED = (
     _one("no-call-off", "past mend: a request that waits for a connection is called off when its box drains or moves",
-         NODE, "            pool.close_idle()\n        self._call_off_waiting()\n", "            pool.close_idle()\n"),
+         ROSTER, "            pool.close_idle()\n        self._strayed()\n", "            pool.close_idle()\n"),
     Planted("late-answer", "past mend: one final answer; what comes late finds nobody", (
         (NODE, "        if not call.over:\n            self._drop(call)\n", "        if True:\n            self._drop(call)\n"),
         (NODE, "        del self._calls[call.id]\n", "        self._calls.pop(call.id, None)\n"),
@@ -39,7 +40,7 @@
     _one("timeout-from-send", "past mend: the time-out counts from the decision",
          NODE, "end = min(end, self._decided_ns + action.timeout_ns)", "end = now + action.timeout_ns"),
     _one("reset-at-drain", "this issue's mend: who waits to be accepted when a drain ends is answered",
-         NODE, "        self.server.accept_last()", "        pass"),
+         ENTRANCE, "        self.server.accept_last()", "        pass"),
     _one("timers-left", "this issue's mend: the module's timers end with the node",
          NODE, "for timer in (*self._timers.values(), self._sweep, ", "for timer in (self._sweep, "),
     _one("moot-untold", "past mend: a Send that can't be carried out has its Outcome",
