Who is there: balancers look at one another over the peers' datagrams ([fleet], off)

Need: budgets that hold for the fleet, its recovery and work on machines rest on who is there; a balancer knows only the number it was told at its start. GET /admin/fleet, lanemux fleet show. A peer's message that is neither words nor of anything plugged in is left unread; it went to the decisions, which read nothing in it.

--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -38,6 +38,13 @@
         """Back to work; False for a process that ends."""
 
 
+class Plugs(Protocol):
+    """What is plugged into the balancer."""
+
+    def section(self, name: str) -> Mapping[str, object] | None:
+        """What one of that name tells; None: there is none."""
+
+
 class Balancer(Protocol):
     """What the calls act on."""
 
@@ -49,6 +56,9 @@
     @property
     def entrance(self) -> Entrance: ...
 
+    @property
+    def plugs(self) -> Plugs: ...
+
     @property
     def outstanding(self) -> int:
         """Requests taken and not ended."""
@@ -120,7 +130,12 @@
         wanted, act = PLAIN[name]
         return act(balancer) if method == wanted else Reply(405, b"another method\n", wanted)
     if name not in OF_ONE:
-        return _said(404, "no such call")
+        section = balancer.plugs.section(name) if not rest else None
+        if section is None:
+            return _said(404, "no such call")
+        if method != b"GET":
+            return Reply(405, b"another method\n", b"GET")
+        return Reply(200, json.dumps(section, separators=(",", ":")).encode())
     if method != b"PUT":
         return Reply(405, b"another method\n", b"PUT")
     try:
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -2,6 +2,7 @@
 
     python -m lanemux [serve] [--operators FILE]          one balancer, from RELAY_CONFIG
     python -m lanemux check [--operators FILE] [CONFIG]   read the files as the daemon would; open nothing
+    python -m lanemux fleet show ADDRESS [--json]         who is there, as the balancer of that second address sees it
     python -m lanemux rehearse ...                        a day of service on this machine's loopback
     python -m lanemux simulate ...                        the real code on a virtual clock, faults from seeds
 
@@ -12,7 +13,7 @@
 
 import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -26,7 +27,7 @@
 
 USAGE_STATUS = 2
 OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
-COMMANDS = ("serve", "check", "rehearse", "simulate")
+COMMANDS = ("serve", "check", "fleet", "rehearse", "simulate")
 
 
 def main(argv: Sequence[str]) -> int:
@@ -41,6 +42,10 @@
         return _serve(rest)
     if command == "check":
         return _check(rest)
+    if command == "fleet":
+        from lanemux.fleet.command import main as fleet
+
+        return fleet(rest)
     if command == "rehearse":
         from lanemux.rehearsal.command import main as rehearse
 
@@ -89,6 +94,15 @@
     return make(operators.storm)
 
 
+def _fleet(operators: Operators) -> Callable[[Node], None]:
+    """What is plugged into the node, with [fleet] or without."""
+    if operators.fleet is None:
+        return lambda node: None
+    from lanemux.fleet.setup import plug
+
+    return plug
+
+
 def _serve(rest: Sequence[str]) -> int:
     import logging
 
@@ -100,8 +114,9 @@
 
     def read() -> MakeSource | None:
         told = load(options.operators)
-        if told.storm != first.storm:
-            logging.getLogger(__name__).warning("reload: another [storm] needs a restart")
+        for name in ("storm", "fleet", "log"):
+            if getattr(told, name) != getattr(first, name):
+                logging.getLogger(__name__).warning("reload: another [%s] needs a restart", name)
         return _source(told)
 
     try:
@@ -109,7 +124,7 @@
         lists = Lists(read)
     except Faulty as error:
         return _faults(error.faults)
-    return main(lists, *_storm(first), _beside, first.log.level)
+    return main(lists, *_storm(first), _beside, first.log.level, _fleet(first))
 
 
 def _check(rest: Sequence[str]) -> int:
--- /dev/null
+++ b/lanemux/fleet/setup.py
@@ -0,0 +1,22 @@
+"""Plugs who is there into a running balancer, where the operators' file has [fleet]."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+from lanemux.core.clock import now_ns
+from lanemux.fleet.view import View
+from lanemux.net.node import Node
+
+log = logging.getLogger(__name__)
+
+
+def plug(node: Node) -> None:
+    """Before the node starts. Without peers there is nobody to look at: that is logged, and nothing is plugged in."""
+    config = node.config
+    if config.peer_listen is None or len(config.peers) < 2:
+        log.warning("%s: [fleet] is without effect: the configuration names no peers", config.name)
+        return
+    rng = random.Random(f"{config.seed} {now_ns()}")  # each process is another one, also of the same balancer
+    node.plugs.add(View(config.settings.me, len(config.peers), rng, now_ns()))
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -162,7 +162,8 @@
 async def serve(config: Config, path: str, lists: Lists | None = None, system: System | None = None,
                 module: MakeModule = Balancer, made: Callable[[Node], None] = lambda node: None,
                 doors: MakeDoors | None = None, beside: MakeBeside | None = None) -> None:
-    """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node."""
+    """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node before it
+    starts."""
     system = system or Machine()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -200,7 +201,8 @@
 
 
 def main(lists: Lists | None = None, module: MakeModule = Balancer, doors: MakeDoors | None = None,
-         beside: MakeBeside | None = None, level: str = "info") -> int:
+         beside: MakeBeside | None = None, level: str = "info",
+         made: Callable[[Node], None] = lambda node: None) -> int:
     """One balancer until a signal ends it; its list is platform discovery's unless the operators say otherwise."""
     handler = logging.StreamHandler()
     handler.addFilter(RateLimit())
@@ -216,7 +218,7 @@
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, path, lists, module=module, doors=doors, beside=beside))
+        asyncio.run(serve(config, path, lists, module=module, made=made, doors=doors, beside=beside))
     except BadList as error:
         print(f"lanemux: {path}: known: {error}", file=sys.stderr)
         return 2
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -17,6 +17,7 @@
 from lanemux.net.entrance import Entrance
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
+from lanemux.net.plugs import Plugs
 from lanemux.net.roster import Roster
 from lanemux.net.server import ClientConnection, Doors, Server
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
@@ -106,6 +107,7 @@
         self.roster = Roster(config, self._hub, system, source, self.feed, self._call_off_waiting)
         self.tally = Tally(config.settings.classes)
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
+        self.plugs = Plugs(self._peers.tell)
         self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
 
@@ -163,6 +165,7 @@
         """A planned end: go on with what still comes, answer all of it, then close everything."""
         end = self._loop.time() + LEAVE_S
         self._stopping = True
+        self.plugs.leave()
         await self.entrance.close_in_order(end)
         if self._calls:
             self._quiet.clear()  # it may have been quiet before the last ones came
@@ -197,6 +200,7 @@
         self._looks.clear()
         for pool in self._hub.pools.values():
             pool.close_idle()
+        self.plugs.close()
         self._peers.close()
         self.server.abort()
 
@@ -476,7 +480,7 @@
         """A peer's message is read with whatever is decided next, or by itself a little later.
 
         Nothing is decided on it alone but who of those that wait goes next, and most are followed at once."""
-        if self._closed:
+        if self._closed or self.plugs.heard(sender, data):
             return
         self._events.append(api.PeerMessage(sender, data))
         if len(self._events) >= MAX_WORDS_KEPT:
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -59,6 +59,11 @@
     source_part: float = bounded(0.01, 1, 0.5)  # of the places for connections, that one source may hold
 
 
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """[fleet]: balancers tell one another who is there, in the peers' datagrams. Its presence switches it on."""
+
+
 LEVELS = ("debug", "info", "warning")
 
 
@@ -79,6 +84,7 @@
 
     etcd: Etcd | None = None
     storm: Storm | None = None
+    fleet: Fleet | None = None
     rehearsal: Rehearsal = field(default_factory=Rehearsal)
     log: Log = field(default_factory=Log)
 
--- /dev/null
+++ b/tests/cluster/test_who_is_there.py
@@ -0,0 +1,88 @@
+"""Who is there, by several processes of the program, with faults between them and in them."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.cluster.rig import cluster
+from tests.sockets import HOST
+
+LIMIT_S = 60.0
+KNOWN_S = 12.0  # a death is known to all by then: at most 6.6 s of suspicion, and a look in each period before
+
+
+def all_say(state: str, of: int) -> object:
+    return lambda views: all(v[of][0] == state for i, v in views.items() if i != of)
+
+
+def test_a_death_is_known_to_all_and_who_returns_blank_is_another_incarnation(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 5, seed=1) as fleet:
+            for way in fleet.links.ways.values():
+                way.lose, way.twice, way.late_s = 0.05, 0.1, (0.0, 0.05)
+            others = [0, 1, 3, 4]
+            await fleet.until(lambda views: all(s == "up" for v in views.values() for s, _ in v.values()),
+                              list(range(5)), 5.0)
+            await fleet.kill(2)
+            await fleet.until(all_say("gone", 2), others, KNOWN_S)  # type: ignore[arg-type]
+            views = [await fleet.view(i) for i in others]
+            assert all(v is not None and v[i][0] == "up" for v in views for i in others)
+            was = max(v[2][1] for v in views if v is not None)
+            await fleet.start(2)
+            await fleet.until(all_say("up", 2), others, KNOWN_S)  # type: ignore[arg-type]
+            back = await fleet.view(2)
+            assert back is not None and back[2][1] > was
+            shown = await asyncio.to_thread(
+                subprocess.run, [sys.executable, "-m", "lanemux", "fleet", "show", f"{HOST}:{fleet.admin[2]}"],
+                capture_output=True, text=True, check=True)
+            assert len(shown.stdout.splitlines()) == 6 and "(asked)" in shown.stdout.splitlines()[3]
+    asyncio.run(asyncio.wait_for(test(), LIMIT_S))
+
+
+def test_one_frozen_for_a_second_is_called_gone_by_nobody_and_one_that_leaves_is_known_at_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 5, seed=2) as fleet:
+            fleet.signal(3, signal.SIGSTOP)
+            await asyncio.sleep(1.0)  # how long it is frozen: no waiting for something
+            fleet.signal(3, signal.SIGCONT)
+            await fleet.until(lambda views: all(v[3][0] == "up" for v in views.values()), list(range(5)), KNOWN_S)
+            assert not any("balancer 3 is gone" in (tmp_path / f"{i}.log").read_text() for i in range(5))
+            fleet.signal(4, signal.SIGTERM)
+            took = await fleet.until(all_say("leaving", 4), [0, 1, 2, 3], KNOWN_S)  # type: ignore[arg-type]
+            assert took < 4.0
+    asyncio.run(asyncio.wait_for(test(), LIMIT_S))
+
+
+def test_a_side_cut_off_finds_back_and_stalled_words_of_before_count_for_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 5, seed=3) as fleet:
+            for (a, b), way in fleet.links.ways.items():
+                if (a < 2) != (b < 2):
+                    way.stalled = True
+            await fleet.until(lambda views: all((v[j][0] == "gone") is ((i < 2) != (j < 2))
+                                                for i, v in views.items() for j in range(5)), list(range(5)), 20.0)
+            fleet.links.let_go()
+            await fleet.until(lambda views: all(s == "up" for v in views.values() for s, _ in v.values()),
+                              list(range(5)), 20.0)
+    asyncio.run(asyncio.wait_for(test(), LIMIT_S))
+
+
+def test_a_balancer_without_fleet_among_others_harms_nobody(tmp_path: Path) -> None:
+    """As one of the last version: it reads none of it."""
+    async def test() -> None:
+        async with cluster(tmp_path, 3, seed=4) as fleet:
+            await fleet.kill(1)
+            (tmp_path / "operators.toml").write_text("")
+            start = asyncio.create_task(fleet.start(1))
+            await fleet.until(all_say("gone", 1), [0, 2], KNOWN_S)  # type: ignore[arg-type]
+            assert fleet.processes[1].returncode is None
+            assert await fleet.call(1, "/admin/fleet") is None and await fleet.call(1, "/admin/stats") is not None
+            views = [await fleet.view(i) for i in (0, 2)]
+            assert all(v is not None and v[0][0] == v[2][0] == "up" for v in views)
+            start.cancel()
+            assert "Traceback" not in (tmp_path / "1.log").read_text()
+    asyncio.run(asyncio.wait_for(test(), LIMIT_S))
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -40,7 +40,7 @@
     table = tomllib.loads("\n".join(shown))
     assert {section: set(keys) for section, keys in table.items()} == {
         "rehearsal": {"scenarios_directory"}, "etcd": {"endpoints", "prefix", "user", "password_file"},
-        "storm": {"longest_wait_ms", "whole_seconds", "source_part"}, "log": {"level"}}
+        "storm": {"longest_wait_ms", "whole_seconds", "source_part"}, "log": {"level"}, "fleet": set()}
     assert build(Operators, {"storm": table["storm"]}, "example").storm == Storm()  # the defaults are as shown
 
 
@@ -51,7 +51,7 @@
     text = "\n".join(lines)
     assert "rehearsal.scenarios_directory: '4' is not text" in text
     assert "rehearsal.speed: unknown key; allowed: scenarios_directory" in text
-    assert "warp: unknown key; allowed: etcd, storm, rehearsal, log" in text
+    assert "warp: unknown key; allowed: etcd, storm, fleet, rehearsal, log" in text
 
 
 def test_a_level_that_is_none_is_told_beside_other_faults(tmp_path: Path) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -724,11 +724,13 @@
                             peer_listen=addresses[i], peers=addresses, peers_all=addresses[1])
             nodes.append(Node(config, script))
             await nodes[-1].start()
-        scripts[0].react = lambda e: [api.Tell(b"one", 1), api.Tell(b"all"), api.Tell(b"x", 9),
-                                      api.Tell(b"x" * 257)] if isinstance(e, api.Wake) else ()
+        more = [api.Tell(b"of nobody's kind", 1)]  # what only a later version reads
+        scripts[0].react = lambda e: [api.Tell(b"for one", 1), api.Tell(b"for all"), api.Tell(b"no word", 9),
+                                      api.Tell(b"x" * 259), *more] if isinstance(e, api.Wake) else ()
         nodes[0].feed(api.Wake("now"))
         await until(lambda: len(scripts[1].of(api.PeerMessage)) == 2)
-        assert set(scripts[1].of(api.PeerMessage)) == {api.PeerMessage(0, b"one"), api.PeerMessage(0, b"all")}
+        assert set(scripts[1].of(api.PeerMessage)) == {api.PeerMessage(0, b"for one"),
+                                                          api.PeerMessage(0, b"for all")}
         for n in nodes:
             n.close()
     run(test())
