Who leads: a council's lease, without a disk, over the peers' datagrams ([fleet] council)

Need: shares of budgets and steps of work are to be handed out by one balancer at a time, through frozen, killed and blank ones. GET /admin/fleet tells council and leader; a number that is not in peers is one line, in check and serve.

--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -98,9 +98,11 @@
     """What is plugged into the node, with [fleet] or without."""
     if operators.fleet is None:
         return lambda node: None
+    from functools import partial
+
     from lanemux.fleet.setup import plug
 
-    return plug
+    return partial(plug, told=operators.fleet)
 
 
 def _serve(rest: Sequence[str]) -> int:
@@ -124,9 +126,24 @@
         lists = Lists(read)
     except Faulty as error:
         return _faults(error.faults)
+    if misfits := _misfits(first, options.operators, os.environ.get("RELAY_CONFIG")):
+        return _faults(misfits)
     return main(lists, *_storm(first), _beside, first.log.level, _fleet(first))
 
 
+def _misfits(operators: Operators, file: str | None, path: str | None) -> list[str]:
+    """What of the operators' file does not fit the configuration, a line each."""
+    if operators.fleet is None or not path:
+        return []
+    from lanemux.fleet.setup import faults
+    from lanemux.net.daemon import BadConfig, read_config
+
+    try:
+        return [f"{file}: {fault}" for fault in faults(operators.fleet, read_config(path))]
+    except BadConfig:
+        return []
+
+
 def _check(rest: Sequence[str]) -> int:
     from lanemux.checked import Faulty
     from lanemux.net.daemon import BadConfig, read_config
@@ -136,7 +153,7 @@
     faults: list[str] = []
     path = options.config or os.environ.get("RELAY_CONFIG")
     try:
-        load(options.operators)
+        faults += _misfits(load(options.operators), options.operators, path)
     except Faulty as error:
         faults += error.faults
     try:
--- a/lanemux/fleet/view.py
+++ b/lanemux/fleet/view.py
@@ -1,13 +1,15 @@
-"""Who is there, as a plug of a running balancer: what changes is logged and shown. No I/O and no clock."""
+"""Who is there and who leads, as a plug of a running balancer: logged and shown. No I/O and no clock."""
 
 from __future__ import annotations
 
 import logging
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
+from lanemux.fleet.ballots import is_ballot, read, written
+from lanemux.fleet.election import Seat
 from lanemux.fleet.members import Members
-from lanemux.fleet.wire import MAGIC, Standing
+from lanemux.fleet.wire import MAGIC, BadMessage, Standing
 
 log = logging.getLogger(__name__)
 
@@ -20,28 +22,53 @@
 
     name, first = "fleet", MAGIC
 
-    def __init__(self, me: int, count: int, rng: random.Random, now: int) -> None:
-        """As `Members`; ValueError as there."""
+    def __init__(self, me: int, count: int, rng: random.Random, now: int, council: Sequence[int] = (),
+                 term_ns: int = 3 * SECOND) -> None:
+        """As `Members`, and with the council's seats, if there is one; ValueError as there, and for no council."""
         self.members = Members(me, count, rng, now)
+        self.council = tuple(council)
+        self.seat = Seat(me, council, term_ns, rng, now) if me in council else None
+        self._led = False
+        self._bad = 0  # words between seats that could not be read
         self._second, self._told, self._untold = 0, 0, 0
 
     @property
     def due_ns(self) -> int:
-        return self.members.due_ns
+        return self.members.due_ns if self.seat is None else min(self.members.due_ns, self.seat.due_ns)
 
     def heard(self, sender: int, data: bytes, now: int) -> None:
-        self.members.heard(sender, data, now)
+        if is_ballot(data):
+            self._voted(sender, data, now)
+        else:
+            self.members.heard(sender, data, now)
         self._tell(now)
 
+    def _voted(self, sender: int, data: bytes, now: int) -> None:
+        try:
+            word = read(data)
+        except BadMessage:
+            self._bad += 1
+            return
+        if self.seat is not None:
+            self.seat.heard(sender, word, now)
+
     def tick(self, now: int) -> None:
-        self.members.tick(now)
+        if now >= self.members.due_ns:
+            self.members.tick(now)
+        if self.seat is not None and now >= self.seat.due_ns:
+            self.seat.tick(now)
         self._tell(now)
 
     def leave(self, now: int) -> None:
         self.members.leave()
+        if self.seat is not None:
+            self.seat.leave(now)
 
     def take_out(self) -> list[tuple[int, bytes]]:
         out, self.members.out = self.members.out, []
+        if self.seat is not None:
+            out += [(to, written(word)) for to, word in self.seat.out]
+            self.seat.out = []
         return out
 
     def section(self, now: int) -> Mapping[str, object]:
@@ -50,13 +77,18 @@
         known[self.members.me] = (Standing.LEAVING if self.members.leaving else Standing.UP, self.members.incarnation)
         members = [{"number": number, "state": standing.name.lower(), "incarnation": incarnation}
                    for number, (standing, incarnation) in sorted(known.items())]
-        return {"me": self.members.me, "members": members, "slow": self.members.ill, "unread": self.members.bad}
+        leader = self.seat.leader(now) if self.seat is not None else None
+        return {"me": self.members.me, "members": members, "council": self.council, "leader": leader,
+                "slow": self.members.ill, "unread": self.members.bad + self._bad}
 
     def _tell(self, now: int) -> None:
         if now // SECOND != self._second:
             if self._untold:
                 log.info("fleet: %d further changes of the view in that second", self._untold)
             self._second, self._told, self._untold = now // SECOND, 0, 0
+        if self.seat is not None and self.seat.leads(now) is not self._led:
+            self._led = not self._led
+            log.info("fleet: this balancer %s", "leads" if self._led else "leads no longer")
         for change in self.members.changes:
             if self._told < LOGGED:
                 log.info("fleet: balancer %d is %s (incarnation %d)", change.number, change.standing.name.lower(),
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -59,10 +59,23 @@
     source_part: float = bounded(0.01, 1, 0.5)  # of the places for connections, that one source may hold
 
 
+COUNCILS = (0, 1, 3, 5, 7)  # an even one more adds a vote that is needed and none that can be missed
+
+
 @dataclass(frozen=True, slots=True)
 class Fleet:
     """[fleet]: balancers tell one another who is there, in the peers' datagrams. Its presence switches it on."""
 
+    council: tuple[int, ...] = ()  # numbers in `peers` of those who settle who leads; (): nobody leads
+    lease_ms: int = bounded(500, 60_000, 3000)  # for so long one leads without asking again
+
+    def faults(self) -> list[str]:
+        """What is wrong beyond the kinds of values: key and reason."""
+        seats = set(self.council)
+        if len(self.council) in COUNCILS and len(seats) == len(self.council) and min(seats, default=0) >= 0:
+            return []
+        return [f"council: {list(self.council)[:8]} is not a list of 1, 3, 5 or 7 different numbers in `peers`"]
+
 
 LEVELS = ("debug", "info", "warning")
 
@@ -97,6 +110,8 @@
         return Operators()
     made = build(Operators, parse(read_text(Path(path)), path), path)
     found = [f"{path}: log.{fault}" for fault in made.log.faults()]
+    if made.fleet is not None:
+        found += [f"{path}: fleet.{fault}" for fault in made.fleet.faults()]
     if made.etcd is not None:
         found += [f"{path}: etcd.{fault}" for fault in made.etcd.faults()]
     if found:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -40,7 +40,8 @@
     table = tomllib.loads("\n".join(shown))
     assert {section: set(keys) for section, keys in table.items()} == {
         "rehearsal": {"scenarios_directory"}, "etcd": {"endpoints", "prefix", "user", "password_file"},
-        "storm": {"longest_wait_ms", "whole_seconds", "source_part"}, "log": {"level"}, "fleet": set()}
+        "storm": {"longest_wait_ms", "whole_seconds", "source_part"}, "log": {"level"},
+        "fleet": {"council", "lease_ms"}}
     assert build(Operators, {"storm": table["storm"]}, "example").storm == Storm()  # the defaults are as shown
 
 
@@ -54,6 +55,21 @@
     assert "warp: unknown key; allowed: etcd, storm, fleet, rehearsal, log" in text
 
 
+def test_a_council_that_cannot_be_is_one_line_each(tmp_path: Path) -> None:
+    for council in ("[0, 1]", "[0, 1, 1]", "[-1]", '"all"'):
+        assert len(faults(tmp_path, f"[fleet]\ncouncil = {council}\n")) == 1
+
+
+def test_a_seat_that_no_peer_has_is_told_by_check_and_by_the_daemon(tmp_path: Path) -> None:
+    path, told = tmp_path / "config.json", tmp_path / "operators.toml"
+    path.write_text(json.dumps(config(peers=["127.0.0.1:9", "127.0.0.1:10"], peer_listen="127.0.0.1:9")))
+    told.write_text("[fleet]\ncouncil = [0, 1, 2]\n")
+    for command in (["check", str(path)], ["serve"]):
+        ended = lanemux(*command, RELAY_CONFIG=str(path), LANEMUX_OPERATORS=str(told))
+        assert ended.returncode == 2
+        assert ended.stderr == f"lanemux: {told}: fleet.council: 2 is no number in peers; allowed are 0 to 1\n"
+
+
 def test_a_level_that_is_none_is_told_beside_other_faults(tmp_path: Path) -> None:
     lines = faults(tmp_path, '[log]\nlevel = "loud"\n[etcd]\nendpoints = []\nprefix = "/"\n')
     assert len(lines) == 2 and "log.level: 'loud' is none of debug, info, warning" in lines[0]
