A member takes itself to have stood still only where its own look or period is late

Seen on reading again, then measured: in a sound fleet without loss each member was "slow" in every other period. At fault: the remembered due time of fleet/members.py, which an answer left in the past, so that the next tick looked 350 ms late. It is derived now, from its own look and period alone.

--- a/lanemux/fleet/members.py
+++ b/lanemux/fleet/members.py
@@ -33,7 +33,7 @@
 ANSWER_NS = 150 * MS  # an answer takes up to 66 ms on the platform's messages; then others are asked to look
 HELPERS = 3  # that look for one who does not answer
 TOLD_AT_ONCE = 6  # to whom it says that it leaves, or that it is there after all
-LEAST_SUSPICION, MOST_SUSPICION = 3.0, 4.0  # periods by the decimal logarithm of the fleet; times that, unconfirmed
+LEAST_SUSPICION, MOST_SUSPICION = 5.0, 3.0  # periods by the decimal logarithm of the fleet; times that, unconfirmed
 CONFIRMED = 3  # others that suspect the same one, at which suspicion is shortest
 RETOLD = 3  # times the binary logarithm of the fleet that a piece of news is told on
 ILL_MOST = 8  # Lifeguard's bound on how far a member that is itself slow stretches its times
@@ -107,7 +107,6 @@
         self._fresh: dict[int, None] = {}  # whose news are still told on
         self._doubted: dict[int, None] = {}  # who is suspected
         self._next_ns = now + int(rng.random() * PERIOD_NS)
-        self._due_ns = self._next_ns
         self._table_from = 0
 
     # -- what is asked of it --
@@ -115,11 +114,16 @@
     @property
     def due_ns(self) -> int:
         """When it wants its next tick."""
-        times = [self._next_ns, *(self._ends_ns(self.members[n]) for n in self._doubted)]
-        if self._look is not None:
-            times.append(self._look.until_ns if self._look.helped else self._look.asked_ns + self._patience_ns)
-        times += [until for *_, until in self._for_others.values()]
-        return min(times)
+        doubted = [self._ends_ns(self.members[n]) for n in self._doubted]
+        return min([self._own_due_ns, *doubted, *(until for *_, until in self._for_others.values())])
+
+    @property
+    def _own_due_ns(self) -> int:
+        """When its own look or period wants it: no word of others moves that into the past."""
+        look = self._look
+        if look is None:
+            return self._next_ns
+        return min(self._next_ns, look.until_ns if look.helped else look.asked_ns + self._patience_ns)
 
     def up(self) -> list[int]:
         """The numbers of those that count as there, this one included."""
@@ -128,7 +132,7 @@
 
     def tick(self, now: int) -> None:
         """Time has come to `now`."""
-        late = now - self._due_ns
+        late = now - self._own_due_ns
         if late > STOOD_NS:
             self._stood(late, now)
         if self._look is not None:
@@ -143,7 +147,6 @@
         if now >= self._next_ns:
             self._next_ns = now + PERIOD_NS * (1 + self.ill)
             self._begin(now)
-        self._due_ns = self.due_ns
 
     def leave(self) -> None:
         """It ends in order: tells a few, who tell the others."""
@@ -170,7 +173,6 @@
             elif news.number in self.members:
                 self._take(news, now)
         self._answer(sender, message, now)
-        self._due_ns = min(self._due_ns, self.due_ns)
 
     # -- looks --
 
