Signals told during a start wait for the node: SIGHUP neither ends it nor is lost

Cause, seen by a signal sent while the program reads its configuration (a pipe in its place): SIGHUP was ignored from main() on (daemon.py, SIG_IGN) and so lost, though the file had been read: the old discovery was asked for good. Before main(), while the interpreter starts, it ended the process. SIGTERM ended it with status -15 up to the node's start.

--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -31,7 +31,7 @@
 REST_MAX_S = 1.0  # with little of a processor, serving slowly beats not serving
 STANDING_S = 1.0
 STOP_LATE_S = 0.15  # a stop may come so long after the time was spent
-
+HELD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # wait during a start until there is a node to tell
 
 ADMIN_VARIABLE, LISTEN_FD_VARIABLE = "RELAY_ADMIN_ADDR", "RELAY_LISTEN_FD"
 MakeModule = Callable[[Settings, int, int], Module]  # of settings, a seed and the clock
@@ -173,6 +173,7 @@
     node = Node(config, module(config.settings, config.seed, now_ns()), source, system, doors)
     made(node)
     loop.add_signal_handler(signal.SIGHUP, reload, path, config, node, lists, system)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # what has come since the start counts now
     telling: asyncio.Task[None] | None = None
     asked = config.admin is not None or config.listen_fd is not None
     aside = beside(node, system) if beside is not None and asked else None
@@ -209,7 +210,8 @@
     logging.basicConfig(level=level.upper(), handlers=[handler],
                         format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG")
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # so that it ends nothing before there is a node to reload
+    # Until there is a node. A SIGHUP must neither end the process nor be lost: the file may have been read before it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
     try:
         if not path:
             raise BadConfig("RELAY_CONFIG is not set")
