A known list that can't be read costs the list and not the start

Cause: Roster.start let BadList through and main() ended with status 2: a balancer whose `known` is an object without hosts, a number or empty never started, though discovery would have told it everything a moment later. Change: such a list is left out with one log line; the start goes on with none and asks for a whole one.

--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -14,7 +14,6 @@
 
 from lanemux.core.address import read_address
 from lanemux.core.clock import now_ns
-from lanemux.core.membership import BadList
 from lanemux.core.source import MakeSource
 from lanemux.core.system import Machine, System
 from lanemux.drill import read_settings
@@ -221,9 +220,6 @@
         return 2
     try:
         asyncio.run(serve(config, path, lists, module=module, made=made, doors=doors, beside=beside))
-    except BadList as error:
-        print(f"lanemux: {path}: known: {error}", file=sys.stderr)
-        return 2
     except OSError as error:
         print(f"lanemux: {config.name}: {error}", file=sys.stderr)
         return 1
--- a/lanemux/net/roster.py
+++ b/lanemux/net/roster.py
@@ -11,7 +11,7 @@
 from lanemux.core.addresses import Addresses
 from lanemux.core.clock import now_ns
 from lanemux.core.cordons import Cordons, Word
-from lanemux.core.membership import Entry, Listing, Membership
+from lanemux.core.membership import BadList, Entry, Listing, Membership
 from lanemux.core.source import Heard, ListSource, MakeSource
 from lanemux.core.system import System
 from lanemux.net.config import Config
@@ -46,9 +46,13 @@
         """Take up the list that was known before the start, and watch where changes are pushed."""
         entries = []
         if self._config.known is not None:
-            listing = read_listing(self._config.known, self.membership, now_ns())
-            self.source.take_known(listing)
-            entries = [e.upstream for e in self._settle(listing)]
+            try:
+                listing = read_listing(self._config.known, self.membership, now_ns())
+            except BadList as error:  # it may be old anyway: one that can't be read is as none
+                log.warning("list: the known one is left out: %.120s", error)
+            else:
+                self.source.take_known(listing)
+                entries = [e.upstream for e in self._settle(listing)]
         self._told(api.ListUpdate(api.ListKind.CACHED, entries))
 
     def sweep(self) -> None:
