Lists of 4,096 upstreams: bounds derived from rows, files read a piece at a time

Need: deployments of some hundreds of servers and 230 balancers; no bound on either under 1,024. MAX_LIST was 1 MiB: 2,000 rows, indented, with long names (1.7 MB) were "call failed", and the list stayed as it was for good. Now 4,096 rows of 1 KiB. A list in the operators' file: 4,096 items (1,000). A file is read in pieces of 64 KiB, so memory follows what is there: one read asked for room for 16 MiB. Test over loopback: 1,024 peers, 1,024 known upstreams, lists of 1,024, 2,000 and 4,096 rows, each used; beyond the bound a log line and the old state. It fails with the old bound.

--- a/lanemux/checked.py
+++ b/lanemux/checked.py
@@ -15,7 +15,7 @@
 from typing import Any, TypeVar, cast, get_args, get_origin, get_type_hints
 
 T = TypeVar("T")
-MAX_ITEMS = 1000  # of one list: a file by hand has fewer, and each is a fault at worst
+MAX_ITEMS = 4096  # of one list: four times the members of the largest fleet foreseen; each is a fault at worst
 
 
 class Faulty(ValueError):
--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -16,6 +16,8 @@
 
 from lanemux.core.address import Address
 
+READ_BYTES = 64 * 1024  # of a file at once: memory follows what is there, not what is allowed
+
 
 class Listener(Protocol):
     """A listening socket that never blocks."""
@@ -111,8 +113,11 @@
         return MachineListener(inherited)
 
     def read(self, path: str, most: int) -> bytes:
-        with open(path, "rb") as file:
-            return file.read(most)
+        data = bytearray()
+        with open(path, "rb") as file:  # a piece at a time: one read would ask for room for all that is allowed
+            while piece := file.read(min(READ_BYTES, most - len(data))):
+                data += piece
+        return bytes(data)
 
     def replace(self, path: str, data: bytes) -> None:
         fresh = f"{path}.{os.getpid()}"
--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -18,7 +18,8 @@
 log = logging.getLogger(__name__)
 
 LIST_PATH = "/registry/instances"
-MAX_LIST = 1024 * 1024  # bytes of a list
+# Of a list: 4,096 rows of 1 KiB, which no row takes, indented and with a long name; 20,000 as discovery writes them.
+MAX_LIST = 4096 * 1024  # bytes
 # How long a watch call may wait. Silence for longer shows that it is lost, on a connection that has died
 # unseen or at a discovery that is down. What a lost call would have told counts as told some seconds
 # later all the same, so it must be found out before. An agent on this machine answers at no cost, an
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,11 +14,13 @@
 
 import pytest
 
-from tests.sockets import HOST, PATIENCE_S, Registry, Upstream, answers, entry, request, run, until
-from tests.test_process import ask, config
+from lanemux.net.discovery import MAX_LIST
+from tests.sockets import HOST, PATIENCE_S, Registry, Upstream, answers, entry, known, request, run, until
+from tests.test_process import READY, ask, config
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+MANY = 1024
 
 
 async def told_while_it_reads(folder: Path, told: int, second: dict[str, object],
@@ -106,3 +108,38 @@
         registry.upstream.stop()
         upstream.stop()
     run(test())
+
+
+def test_a_thousand_peers_and_known_upstreams_and_lists_up_to_the_bound_and_beyond(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream, registry = await Upstream(answers(200)).start(), Registry()
+        others: list[Upstream] = []
+        await registry.upstream.start()
+        peers = [f"127.0.{4 + i // 250}.{1 + i % 250}:7946" for i in range(MANY)]
+        settings = {**config()["settings"], "replicas_of_me": MANY}  # type: ignore[dict-item]
+
+        async def then(process: Process, port: int) -> None:
+            assert process.stderr is not None
+            assert (await ask(port, READY)).status in (200, 503)
+            assert (await ask(port, request())).status == 200
+            for rows in (MANY, 2000, 4096):
+                told = len(others)
+                others.append(await Upstream(answers(200)).start())
+                hosts = [entry(f"s{i}-{'x' * 500}", others[told].port, site="y" * 100) for i in range(rows)]
+                text = json.dumps({"seq": rows, "whole": True, "hosts": hosts}, indent=4).encode()
+                assert len(text) < MAX_LIST
+                registry.broken = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text)
+                registry.change("any")
+                while not others[told].got:  # what it lists is used
+                    assert (await ask(port, request())).status in (200, 503)
+            registry.broken = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (MAX_LIST + 1) + b" " * (MAX_LIST + 1)
+            assert b"call failed" in await line_with(process, b"discovery")
+            asked = len(others[-1].got)
+            assert (await ask(port, request())).status == 200  # the old state stays
+            assert len(others[-1].got) == asked + 1
+        told = config(known=known(*[upstream.port] * MANY), peers=peers, peer_listen=f"{HOST}:0", settings=settings,
+                      discovery=f"{HOST}:{registry.upstream.port}")
+        await started(tmp_path, told, then)
+        for server in (registry.upstream, upstream, *others):
+            server.stop()
+    run(test())
