A start and an end tell what they cost: processor of each stage, fleet, memory

Need: of a balancer that was late, hung or gone the log told "ready" and "stopping" and nothing more. Change: `n0: started: imports 114, configuration 1, list and sockets 6 ms of processor; 22.7 MiB at most; 230 balancers, 200 upstreams` before "ready on port", and `n0: ended: 0.14 s of processor; 22.7 MiB at most; 0 requests open` at the end. The time of a stage is processor time: on a clock that moves with it, that is what a start waits for.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -9,6 +9,7 @@
 import contextlib
 import errno
 import os
+import resource
 import socket
 import time
 from dataclasses import dataclass
@@ -42,6 +43,9 @@
     def spent_s(self) -> float:
         """Processor time that this process has used so far."""
 
+    def most_kib(self) -> int:
+        """The most memory that this process has held so far, in KiB."""
+
     def listen(self, address: Address, backlog: int) -> Listener:
         """Listen there; port 0 takes a free one. OSError if that can't be done."""
 
@@ -97,6 +101,9 @@
     def spent_s(self) -> float:
         return time.process_time()
 
+    def most_kib(self) -> int:
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
     def listen(self, address: Address, backlog: int) -> Listener:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         listening = socket.socket(family, socket.SOCK_STREAM)
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -21,6 +21,7 @@
 from lanemux.net.config import Config
 from lanemux.net.http import read_json
 from lanemux.net.node import MakeDoors, Module, Node
+from lanemux.net.stages import Stages
 from lanemux.policy import Balancer
 
 log = logging.getLogger(__name__)
@@ -160,10 +161,11 @@
 
 async def serve(config: Config, path: str, lists: Lists | None = None, system: System | None = None,
                 module: MakeModule = Balancer, made: Callable[[Node], None] = lambda node: None,
-                doors: MakeDoors | None = None, beside: MakeBeside | None = None) -> None:
+                doors: MakeDoors | None = None, beside: MakeBeside | None = None, stages: Stages | None = None) -> None:
     """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node before it
-    starts."""
+    starts. `stages`: what the start has cost so far."""
     system = system or Machine()
+    stages = stages or Stages(system)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -180,6 +182,9 @@
         if aside is not None:
             aside.start()
         port = await node.start(rest_s(config.cores, system.spent_s()))
+        stages.passed("list and sockets")
+        log.info("%s: started: %s; %d balancers, %d upstreams", config.name, stages.told(), len(config.peers),
+                 node.discovered)
         log.info("%s: ready on port %d", config.name, port)
         if log.isEnabledFor(logging.DEBUG):
             telling = loop.create_task(_tell_standing(config.name, node))
@@ -191,6 +196,7 @@
             telling.cancel()
         if aside is not None:
             aside.close()
+        log.info("%s: ended: %s; %d requests open", config.name, stages.told_at_end(), node.outstanding)
 
 
 async def _tell_standing(name: str, node: Node) -> None:
@@ -211,15 +217,19 @@
     path = os.environ.get("RELAY_CONFIG")
     # Until there is a node. A SIGHUP must neither end the process nor be lost: the file may have been read before it.
     signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
+    stages = Stages(Machine())
+    stages.passed("imports")
     try:
         if not path:
             raise BadConfig("RELAY_CONFIG is not set")
         config = from_environment(read_config(path), os.environ)
+        stages.passed("configuration")
     except BadConfig as error:
         print(f"lanemux: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, path, lists, module=module, made=made, doors=doors, beside=beside))
+        asyncio.run(serve(config, path, lists, module=module, made=made, doors=doors, beside=beside,
+                          stages=stages))
     except OSError as error:
         print(f"lanemux: {config.name}: {error}", file=sys.stderr)
         return 1
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -115,6 +115,9 @@
     def spent_s(self) -> float:
         return 0.05
 
+    def most_kib(self) -> int:
+        return 16 * 1024
+
     def listen(self, address: Address, backlog: int) -> VirtualListener:
         return VirtualListener(self, address, backlog)
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -71,7 +71,7 @@
 def test_a_sigterm_during_the_start_ends_it_in_order(tmp_path: Path) -> None:
     async def test() -> None:
         async def then(process: Process) -> None:
-            await line_with(process, b"stopping")
+            assert b"of processor" in await line_with(process, b"ended: ")
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
         await told_while_it_reads(tmp_path, signal.SIGTERM, config(), then)
     run(test())
