A discovery that answers at once is given time between two calls, whatever it answers

Cause, seen by a stand-in that answers each watch at once with its whole list: `_answered` asked again without pause wherever the answer held entries, 12 calls in 20 ms, each read whole: with 4,096 rows the processor was never free. Only empty answers had one. Change: an answer without news (empty, or of the version that was asked behind) costs 20 ms, doubled up to 150 ms while they come at once; with news 16 in a row go on at once, as before, then the same. 200 ms would be a new watch.

--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -27,7 +27,10 @@
 AGENT_WAIT_MS = 2_000
 ASKED_WAIT_MS = 10_000
 OVERDUE_S = 1.0  # beyond that, and for an answer that waits for nothing
-EMPTY_S = 0.02  # an agent that answers at once with nothing must not be asked without pause
+# A discovery that answers at once must not be asked without pause, whatever it answers: the next call waits so long,
+# longer each time that comes at once again. 200 ms are a new watch.
+BREATH_S, LONGEST_BREATH_S = 0.02, 0.15
+AT_ONCE = 16  # answers in a row with news each, as a release brings them, before that
 FIRST_RETRY_S, LAST_RETRY_S = 0.05, 1.0
 
 
@@ -89,6 +92,8 @@
         self._handover_retry: asyncio.TimerHandle | None = None
         self._failures = 0
         self._handover_failures = 0
+        self._asked_s = 0.0  # when the watch was last asked, by the loop's clock
+        self._at_once = 0  # answers in a row that came at once
 
     def take_known(self, listing: Listing) -> None:
         self._version = listing.version
@@ -99,6 +104,7 @@
         if self._call is not None:
             return
         self._cancel_retry()
+        self._asked_s = asyncio.get_running_loop().time()
         wait_ms = AGENT_WAIT_MS if self._pushed else ASKED_WAIT_MS
         query = "" if self._version is None else f"?after={self._version}&wait_ms={wait_ms}"
         self._call = self._source.get(query, wait_ms / 1000, self._answered)
@@ -185,15 +191,23 @@
         self._call = None
         self._failures = 0 if listing is not None else self._failures + 1
         if listing is not None:
+            breath_s = self._breath_s(bool(listing.entries) and listing.version != self._version)
             self._version = listing.version
-            if listing.entries:
-                self.watch()  # first of all: a watch that pauses for 200 ms is a new one
+            if breath_s:
+                self._watch_later(breath_s)
             else:
-                self._watch_later(EMPTY_S)
+                self.watch()  # first of all: a watch that pauses for 200 ms is a new one
         elif self._pushed and self._successor is None:  # else the watch goes on there
             self._watch_later(self._pause_s(self._failures))
         self._tell(listing)
 
+    def _breath_s(self, news: bool) -> float:
+        """How long the next call of the watch waits behind an answer, with news in it or without."""
+        took_s = asyncio.get_running_loop().time() - self._asked_s
+        self._at_once = self._at_once + 1 if took_s < BREATH_S else 0
+        over = self._at_once - (AT_ONCE if news else 1)
+        return 0.0 if news and over <= 0 else min(LONGEST_BREATH_S, BREATH_S * 2.0 ** max(0, min(over, 10)))
+
     def _pause_s(self, failures: int) -> float:
         wait = min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** min(failures - 1, 10))
         return wait * self._rng.uniform(0.75, 1.25)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 import pytest
@@ -133,6 +134,26 @@
     run(test())
 
 
+@pytest.mark.parametrize(("step", "calls"), [(0, 12), (1, 30)])
+def test_a_discovery_that_answers_at_once_is_not_asked_without_pause(step: int, calls: int) -> None:
+    """With its whole list for ever, which is no news (step 0), or with a change each time."""
+    async def test() -> None:
+        registry, script = Registry(), Script()
+
+        async def at_once(got: Got, writer: Writer) -> None:
+            registry.calls.append((time.monotonic(), got.first))
+            body = {"seq": 1 + step * len(registry.calls), "whole": not step, "hosts": [entry("s0")]}
+            writer.write(written(200, json.dumps(body).encode()))
+
+        registry.upstream.answer = at_once
+        async with node(script, registry=registry, known_list=known(5)):
+            await until(lambda: len(registry.calls) >= calls)
+            assert registry.calls[calls - 1][0] - registry.calls[0][0] > 1.0
+            told = len(script.of(api.ListUpdate))
+            assert told >= calls - 1  # what it says is taken each time
+    run(test())
+
+
 def test_a_watch_that_is_lost_in_silence_is_asked_anew_before_its_news_count_as_told() -> None:
     # Guards against sending to an upstream whose drain was told on a connection that had died unseen.
     async def test() -> None:
