Balancers without a seat learn who leads: they ask, and reckon from the question

Need: shares of a budget are to be asked of who leads; of 200 balancers 197 have no seat and knew of nobody. Change: fleet/following.py, a state machine without I/O: one question at a time, the leader's own word alone counts, until R (1 - D) / (1 + D) after the question; a seat's hearsay only tells whom to ask next. Wired into the view, the log, /admin/fleet. Four real processes, words lost and late: the one without a seat names the leader, and its followers after a freeze and a kill.

--- a/lanemux/fleet/view.py
+++ b/lanemux/fleet/view.py
@@ -6,8 +6,9 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from lanemux.fleet.ballots import is_ballot, read, written
+from lanemux.fleet import ballots, following
 from lanemux.fleet.election import Seat
+from lanemux.fleet.following import Follower, is_following
 from lanemux.fleet.members import Members
 from lanemux.fleet.wire import MAGIC, BadMessage, Standing
 
@@ -28,16 +29,20 @@
         self.members = Members(me, count, rng, now)
         self.council = tuple(council)
         self.seat = Seat(me, council, term_ns, rng, now) if me in council else None
-        self._led = False
-        self._bad = 0  # words between seats that could not be read
+        self.follower = Follower(me, council, term_ns, rng, now) if council and self.seat is None else None
+        self._leader: int | None = None  # as last logged
+        self._bad = 0  # words between seats, or on who leads, that could not be read
+        self._said: list[tuple[int, bytes]] = []  # answers to those without a seat
         self._second, self._told, self._untold = 0, 0, 0
 
     @property
     def due_ns(self) -> int:
-        return self.members.due_ns if self.seat is None else min(self.members.due_ns, self.seat.due_ns)
+        return min(p.due_ns for p in (self.members, self.seat, self.follower) if p is not None)
 
     def heard(self, sender: int, data: bytes, now: int) -> None:
-        if is_ballot(data):
+        if is_following(data):
+            self._followed(sender, data, now)
+        elif ballots.is_ballot(data):
             self._voted(sender, data, now)
         else:
             self.members.heard(sender, data, now)
@@ -45,18 +50,36 @@
 
     def _voted(self, sender: int, data: bytes, now: int) -> None:
         try:
-            word = read(data)
+            word = ballots.read(data)
         except BadMessage:
             self._bad += 1
             return
         if self.seat is not None:
             self.seat.heard(sender, word, now)
 
+    def _followed(self, sender: int, data: bytes, now: int) -> None:
+        try:
+            word = following.read(data)
+        except BadMessage:
+            self._bad += 1
+            return
+        if self.follower is not None:
+            self.follower.heard(sender, word, now)
+        elif self.seat is not None and word.kind is following.Kind.WHO and sender not in self.council:
+            self._said.append((sender, following.written(following.answer(self.seat, word, now))))
+
+    def leader(self, now: int) -> int | None:
+        """Who leads in this instant, as far as this balancer knows; None: nobody, or it does not know."""
+        knows = self.seat or self.follower
+        return None if knows is None else knows.leader(now)
+
     def tick(self, now: int) -> None:
         if now >= self.members.due_ns:
             self.members.tick(now)
         if self.seat is not None and now >= self.seat.due_ns:
             self.seat.tick(now)
+        if self.follower is not None and now >= self.follower.due_ns:
+            self.follower.tick(now)
         self._tell(now)
 
     def leave(self, now: int) -> None:
@@ -67,8 +90,13 @@
     def take_out(self) -> list[tuple[int, bytes]]:
         out, self.members.out = self.members.out, []
         if self.seat is not None:
-            out += [(to, written(word)) for to, word in self.seat.out]
+            out += [(to, ballots.written(word)) for to, word in self.seat.out]
             self.seat.out = []
+        if self.follower is not None:
+            out += [(to, following.written(word)) for to, word in self.follower.out]
+            self.follower.out = []
+        out += self._said
+        self._said = []
         return out
 
     def section(self, now: int) -> Mapping[str, object]:
@@ -77,8 +105,7 @@
         known[self.members.me] = (Standing.LEAVING if self.members.leaving else Standing.UP, self.members.incarnation)
         members = [{"number": number, "state": standing.name.lower(), "incarnation": incarnation}
                    for number, (standing, incarnation) in sorted(known.items())]
-        leader = self.seat.leader(now) if self.seat is not None else None
-        return {"me": self.members.me, "members": members, "council": self.council, "leader": leader,
+        return {"me": self.members.me, "members": members, "council": self.council, "leader": self.leader(now),
                 "slow": self.members.ill, "unread": self.members.bad + self._bad}
 
     def _tell(self, now: int) -> None:
@@ -86,9 +113,11 @@
             if self._untold:
                 log.info("fleet: %d further changes of the view in that second", self._untold)
             self._second, self._told, self._untold = now // SECOND, 0, 0
-        if self.seat is not None and self.seat.leads(now) is not self._led:
-            self._led = not self._led
-            log.info("fleet: this balancer %s", "leads" if self._led else "leads no longer")
+        leader = self.leader(now)
+        if leader != self._leader:
+            self._leader = leader
+            log.info("fleet: %s", "nobody is known to lead" if leader is None else
+                     "this balancer leads" if leader == self.members.me else f"balancer {leader} leads")
         for change in self.members.changes:
             if self._told < LOGGED:
                 log.info("fleet: balancer %d is %s (incarnation %d)", change.number, change.standing.name.lower(),
--- a/tests/cluster/test_election.py
+++ b/tests/cluster/test_election.py
@@ -172,15 +172,14 @@
                             return int(told.pop())
                         await asyncio.sleep(0.02)
 
-            first = await leader([0, 1, 2])
-            assert (await fleet.call(3, "/admin/fleet"))["leader"] is None  # it has no seat
+            first = await leader([0, 1, 2, 3])  # the last one has no seat, and is told
             fleet.signal(first, signal.SIGSTOP)
-            second = await leader([i for i in (0, 1, 2) if i != first], but=first)
+            second = await leader([i for i in (0, 1, 2, 3) if i != first], but=first)
             fleet.signal(first, signal.SIGCONT)
             assert (await fleet.call(first, "/admin/fleet"))["leader"] != first
             assert await leader([0, 1, 2]) == second
             await fleet.kill(second)
-            third = await leader([i for i in (0, 1, 2) if i != second], but=second)
+            third = await leader([i for i in (0, 1, 2, 3) if i != second], but=second)
             await fleet.start(second)  # blank: it votes for nobody as long as its former word may count
             assert third != second and await leader([0, 1, 2]) != second
     asyncio.run(asyncio.wait_for(test(), 60))
