--- /dev/null
+++ b/tests/faults/test_start_and_stop.py
@@ -0,0 +1,152 @@
+"""A start that the machine fails for a while comes up later; signals in series end a process in order."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+
+from lanemux.rehearsal.injection import Plan, Window
+from tests.faults.program import balancer, free_port
+from tests.sockets import HOST, PATIENCE_S, Registry, Upstream, answers, request, run, until
+from tests.test_process import ask, config
+
+FOR_S = 0.8  # a start is at its sockets after some 0.2 s
+
+
+async def ends_in_order(folder: Path, plan: Plan, *upstreams: int) -> list[str]:
+    """It gets ready, serves and ends with status 0; its log."""
+    async with balancer(folder, plan, config(*upstreams)) as program:
+        port = await program.ready()
+        if upstreams:
+            assert (await ask(port, request())).status == 200
+        program.process.send_signal(signal.SIGTERM)
+        assert await program.ended() == 0
+        return program.lines
+
+
+@pytest.mark.parametrize(("call", "error"), [
+    ("socket", "ENOBUFS"), ("socket", "EMFILE"), ("socket", "ENFILE"), ("socket", "ENOMEM"),
+    ("bind", "EADDRINUSE"), ("bind", "EADDRNOTAVAIL"), ("listen", "EADDRINUSE")])
+def test_a_start_whose_sockets_cannot_be_had_for_a_while_comes_up(tmp_path: Path, call: str, error: str) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        lines = await ends_in_order(tmp_path, Plan(windows=[Window(call, error, FOR_S)]), upstream.port)
+        assert sum("is tried again" in line for line in lines) >= 1
+        assert len(lines) < 20  # each kind is told once, not at every try
+        upstream.stop()
+    run(test())
+
+
+def test_a_start_comes_up_when_another_socket_lets_go_of_its_address(tmp_path: Path) -> None:
+    async def test() -> None:
+        with socket.socket() as holder:
+            holder.bind((HOST, 0))
+            holder.listen()
+            port = holder.getsockname()[1]
+            async with balancer(tmp_path, Plan(), config(listen=f"{HOST}:{port}")) as program:
+                await program.until_said("is tried again")
+                holder.close()
+                assert await program.ready() == port
+    run(test())
+
+
+@pytest.mark.parametrize("told", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("call", ["socket", "bind"])
+def test_a_start_that_waits_for_its_sockets_can_be_ended(tmp_path: Path, told: signal.Signals, call: str) -> None:
+    async def test() -> None:
+        plan = Plan(windows=[Window(call, "ENOBUFS", 10 * PATIENCE_S)])
+        async with balancer(tmp_path, plan, config()) as program:
+            await program.until_said("is tried again")
+            program.process.send_signal(signal.SIGHUP)
+            program.process.send_signal(told)
+            assert await program.ended() == 0
+    run(test())
+
+
+@pytest.mark.parametrize("held", ["peer_listen", "admin_addr"])
+def test_an_optional_address_that_is_held_does_not_hold_up_service(tmp_path: Path, held: str) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        kind = socket.SOCK_DGRAM if held == "peer_listen" else socket.SOCK_STREAM
+        with socket.socket(type=kind) as holder:
+            holder.bind((HOST, 0))
+            if kind == socket.SOCK_STREAM:
+                holder.listen()
+            told = config(upstream.port, **{held: f"{HOST}:{holder.getsockname()[1]}"})
+            async with balancer(tmp_path, Plan(), told) as program:
+                port = await program.ready()
+                assert (await ask(port, request())).status == 200
+                await program.until_said("is tried again")
+                holder.close()
+                await program.until_said("is there now")
+                program.process.send_signal(signal.SIGTERM)
+                assert await program.ended() == 0
+        upstream.stop()
+    run(test())
+
+
+@pytest.mark.parametrize("waits_s", [0.0, 0.3, 0.56])
+def test_signals_in_series_end_a_process_in_order(tmp_path: Path, waits_s: float) -> None:
+    async def test() -> None:
+        async with balancer(tmp_path, Plan()) as program:
+            await program.ready()
+            program.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(waits_s)
+            while program.process.returncode is None:
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+                    try:
+                        program.process.send_signal(number)
+                    except ProcessLookupError:
+                        break
+                await asyncio.sleep(0.001)
+            assert await program.ended() == 0
+    run(test())
+
+
+@pytest.mark.parametrize("error", ["EIO", "EMFILE", "EINTR"])
+def test_a_configuration_that_cannot_be_read_for_a_while_is_read_later(tmp_path: Path, error: str) -> None:
+    run(ends_in_order_quietly(tmp_path, Plan(windows=[Window("read_file", error, FOR_S)])))
+
+
+async def ends_in_order_quietly(folder: Path, plan: Plan) -> None:
+    await ends_in_order(folder, plan)
+
+
+def test_a_configuration_that_is_half_written_is_read_when_it_is_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        text, path = json.dumps(config()), tmp_path / "config.json"
+        path.write_text(text[:len(text) // 2])
+        async with balancer(tmp_path, Plan()) as program:
+            await asyncio.sleep(FOR_S)
+            path.write_text(text)
+            await program.ready()
+    run(test())
+
+
+def test_a_reload_whose_file_cannot_be_read_for_a_while_is_done_later(tmp_path: Path) -> None:
+    async def test() -> None:
+        registry = Registry()
+        await registry.upstream.start()
+        plan = Plan(windows=[Window("read_file", "EIO", from_s=FOR_S, until_s=3 * FOR_S)])
+        async with balancer(tmp_path, plan) as program:
+            await program.ready()
+            await asyncio.sleep(FOR_S)
+            (tmp_path / "config.json").write_text(json.dumps(config(discovery=f"{HOST}:{registry.upstream.port}")))
+            program.process.send_signal(signal.SIGHUP)
+            await until(lambda: registry.calls)
+        registry.upstream.stop()
+    run(test())
+
+
+def test_an_address_without_the_privilege_for_it_ends_a_start_with_status_2(tmp_path: Path) -> None:
+    async def test() -> None:
+        plan = Plan(windows=[Window("bind", "EACCES", 10 * PATIENCE_S)])
+        async with balancer(tmp_path, plan, config(listen=f"{HOST}:{free_port()}")) as program:
+            assert await program.ended() == 2
+            assert len(program.lines) == 1
+    run(test())
