Signals after the first SIGTERM no longer kill a balancer that is ending

Cause: an event loop that closes removes its signal handlers, and the default action of the next signal ends the process before it has left. The signals are blocked before the loop closes and stay so to the end.

--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -164,10 +164,16 @@
     except (BadConfig, Unobtainable) as error:
         print(f"lanemux: {error}", file=sys.stderr)
         return UNUSABLE_STATUS
+    async def run() -> None:
+        try:
+            await serve(config, path or "", lists, module=module, made=made, doors=doors, beside=beside, stages=stages)
+        finally:
+            # The loop takes its handlers along when it closes: a signal that came then would end the process.
+            hold_signals()
+
     try:
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
-            runner.run(serve(config, path or "", lists, module=module, made=made, doors=doors, beside=beside,
-                             stages=stages))
+            runner.run(run())
     except Unobtainable as error:
         print(f"lanemux: {config.name}: {error}", file=sys.stderr)
         return UNUSABLE_STATUS
