A reload whose file cannot be read for a moment is done once it can be

Callers saw: after SIGHUP the old configuration stayed where reading the new one failed once (EIO, EMFILE) or met it half written; nobody told the process again. Cause: one try, its failure taken for a bad file. Reading is tried again with bounded pauses: a failed system call until it passes, a half-written file for a second. A later SIGHUP starts anew, and one that comes while the process ends does nothing. Test: the file fails with EIO for 1.6 s around the SIGHUP; discovery at the new address was never asked before ("never became true"), and is now.

--- a/lanemux/net/reload.py
+++ b/lanemux/net/reload.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable
 
-from lanemux.core.failures import Backoff
+from lanemux.core.failures import Backoff, MomentaryError
 from lanemux.core.source import MakeSource
 from lanemux.core.system import System
 from lanemux.net.config import BadConfig, Config, read_config
@@ -51,7 +51,9 @@
         self._retry: asyncio.TimerHandle | None = None
 
     def reload(self) -> None:
-        """Read the files now."""
+        """Read the files now; one that can't be read for a moment is read again later."""
+        if self._node.stopping:
+            return
         if self._lists is not None:
             self._lists.reload(self._node)
         self._try(Backoff())
@@ -67,6 +69,9 @@
         try:
             new = read_config(self._path, self._system)
         except BadConfig as error:
+            if isinstance(error, MomentaryError) and backoff.paused_s < error.patience_s:
+                self._retry = asyncio.get_running_loop().call_later(backoff.next_s(), self._try, backoff)
+                return
             log.warning("%s: reload: %s; the old configuration stays", self._old.name, error)
             self._node.tally.reloads_refused += 1
             return
