A failed accept no longer ends idle connections, nor keeps the processor busy

Callers saw, with accepts failing in a burst: connections between two requests closed, one for each failure, also with ENFILE, ENOBUFS and ENOMEM, which closing one of ours does not cure. Cause: `Server._let_in` took every OSError for a lack of descriptors of its own, and returned to the level-triggered loop at once for ECONNABORTED. Each is counted (`failed_calls`). The second address does the same.

--- a/lanemux/admin/door.py
+++ b/lanemux/admin/door.py
@@ -8,6 +8,7 @@
 
 from lanemux.admin.calls import Balancer, answer
 from lanemux.core.address import Address
+from lanemux.core.failures import is_out_of_descriptors, name_of
 from lanemux.core.system import Listener, System
 from lanemux.net.http import MessageReader, write_response
 
@@ -92,11 +93,13 @@
         for _ in range(MOST):
             try:
                 accepted = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 return
-            except OSError as error:  # the descriptors kept for this side are gone all the same
+            except OSError as error:
+                self.balancer.tally.call_failed("accept at the second address", name_of(error))
                 log.warning("second address: %s", error)
-                self._make_place()
+                if is_out_of_descriptors(error):
+                    self._make_place()
                 loop.remove_reader(self._listener)
                 self._paused = loop.call_later(PAUSE_S, self._listen)
                 return
--- a/lanemux/core/failures.py
+++ b/lanemux/core/failures.py
@@ -4,6 +4,7 @@
 
 import errno
 import math
+from typing import Protocol
 
 # The same call would fail the same way for ever: a privilege is missing, or what was named is no such thing.
 LASTING = frozenset({errno.EACCES, errno.EPERM, errno.EBADF, errno.ENOTSOCK, errno.EINVAL, errno.EAFNOSUPPORT,
@@ -23,6 +24,13 @@
 PAUSE_GROWTH = 2.0
 
 
+class FailureCounter(Protocol):
+    """Counts failed system calls."""
+
+    def call_failed(self, call: str, error: str) -> None:
+        """One more failure of this call, with an error number of that name."""
+
+
 class Unobtainable(Exception):
     """What the program needs can't be had, however often it is tried."""
 
@@ -38,6 +46,26 @@
     return error.errno in LASTING
 
 
+def is_local(error: OSError) -> bool:
+    """Did connecting fail on this machine, before the other side was asked?"""
+    return error.errno in LOCAL
+
+
+def may_pass_soon(error: OSError) -> bool:
+    """Connecting failed: may it work in a moment, whatever the other side does?"""
+    return error.errno in LOCAL or error.errno in UNREACHABLE
+
+
+def is_of_one_connection(error: OSError) -> bool:
+    """Accepting failed: was it for the sake of the one connection that waited first?"""
+    return error.errno in OF_ONE_CONNECTION
+
+
+def is_out_of_descriptors(error: OSError) -> bool:
+    """Has this process as many descriptors as it may have? (Not: the whole machine.)"""
+    return error.errno == errno.EMFILE
+
+
 def name_of(error: OSError) -> str:
     """The error number's name, as manual pages have it."""
     return errno.errorcode.get(error.errno or 0, type(error).__name__)
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -101,12 +101,12 @@
         self._quiet = asyncio.Event()
         self._sweep: asyncio.TimerHandle | None = None
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
+        self.tally = Tally(config.settings.classes)
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True)
         self._passing: dict[str, Call] = {}  # whose answers pass in pieces
-        self.server = Server(self, room, system, doors(room) if doors is not None else None)
+        self.server = Server(self, room, system, self.tally, doors(room) if doors is not None else None)
         self.entrance = Entrance(config, self.server)
         self.roster = Roster(config, self._hub, system, source, self.feed, self._call_off_waiting)
-        self.tally = Tally(config.settings.classes)
         self.background = BackgroundAcquisition(self.tally)
         self.port = 0  # where it listens for clients, once it does
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from lanemux.core.clock import now_ns
+from lanemux.core.failures import FailureCounter, is_of_one_connection, is_out_of_descriptors, name_of
 from lanemux.core.system import Listener, System
 from lanemux.net.http import Headers, Message, MessageReader, write_response, write_stream_head
 
@@ -267,8 +268,11 @@
 class Server:
     """Listens, bounds the connections and the times that clients may take for what they owe."""
 
-    def __init__(self, service: Service, capacity: int, system: System, doors: Doors | None = None) -> None:
+    def __init__(self, service: Service, capacity: int, system: System, counter: FailureCounter,
+                 doors: Doors | None = None) -> None:
+        """`counter` counts the connections that could not be accepted."""
         self._service = service
+        self._counter = counter
         self._doors = doors
         self._lobby: dict[ClientConnection, socket.socket] = {}  # behind doors: has said nothing, and costs little
         self._capacity = capacity
@@ -362,6 +366,7 @@
 
     def _let_in(self, most: int) -> None:
         assert self._listener is not None
+        failed = 0
         for _ in range(most):
             if len(self._connections) >= self._capacity and self._dispensable() is None:
                 # Where all are busy, the first to end lets the next one in.
@@ -369,17 +374,26 @@
                 return
             try:
                 accepted = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 return
-            except OSError as error:  # no descriptor left: asyncio's own server would stop for a second
-                log.warning("accept: %s", error)
-                self._evict()
-                self._pause(ACCEPT_PAUSE_S)
+            except OSError as error:
+                self._counter.call_failed("accept", name_of(error))
+                failed += 1
+                if is_of_one_connection(error) and failed < most:
+                    continue  # the next one may be sound
+                self._accept_later(error)
                 return
             if len(self._connections) >= self._capacity:
                 self._evict()  # not before one has come: it might be the last that came
             self._adopt(accepted)
 
+    def _accept_later(self, error: OSError) -> None:
+        """The machine gives no connection now (asyncio's own server would stop for a second)."""
+        log.warning("accept: %s", error)
+        if is_out_of_descriptors(error):
+            self._evict()
+        self._pause(ACCEPT_PAUSE_S)
+
     def _dispensable(self) -> ClientConnection | None:
         """Who makes place for a new one: first who is leaving, then who owes a request, then who is idle."""
         if self._stood_still():
--- a/lanemux/net/startup.py
+++ b/lanemux/net/startup.py
@@ -5,9 +5,9 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
-from lanemux.core.failures import Backoff, MomentaryError, Unobtainable, is_lasting, name_of
+from lanemux.core.failures import Backoff, FailureCounter, MomentaryError, Unobtainable, is_lasting, name_of
 from lanemux.core.system import System
 
 log = logging.getLogger(__name__)
@@ -15,13 +15,6 @@
 T = TypeVar("T")
 
 
-class FailureCounter(Protocol):
-    """Counts failed system calls."""
-
-    def call_failed(self, call: str, error: str) -> None:
-        """One more failure of this call, with an error number of that name."""
-
-
 class Interrupted(Exception):
     """A signal asks the process to end before what it waited for was there."""
 
--- /dev/null
+++ b/tests/faults/test_accept.py
@@ -0,0 +1,61 @@
+"""Accepts that fail say nothing of the connections that are there, and never keep the processor busy."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import time
+from typing import Any
+
+import pytest
+
+from tests.faults.modules import sends_once
+from tests.sockets import HOST, Script, Upstream, answers, node, request, run
+from tests.test_process import ask
+
+
+@pytest.mark.parametrize("error", ["ECONNABORTED", "EPROTO", "ENFILE", "ENOBUFS", "ENOMEM", "EHOSTUNREACH", "EPERM"])
+def test_accepts_that_fail_in_a_burst_end_no_other_connection(monkeypatch: pytest.MonkeyPatch, error: str) -> None:
+    async def test() -> None:
+        upstream, script = await Upstream(answers(200)).start(), sends_once()
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 200
+            idle = await asyncio.open_connection(HOST, client.port)
+            await asyncio.sleep(0.1)
+            plain, left = socket.socket.accept, [20]
+
+            def accept(self: socket.socket) -> tuple[socket.socket, Any]:
+                left[0] -= 1
+                if left[0] >= 0:
+                    raise OSError(getattr(errno, error), error)
+                return plain(self)
+
+            monkeypatch.setattr(socket.socket, "accept", accept)
+            assert (await ask(client.port, request())).status == 200  # on a new connection
+            assert left[0] < 0
+            assert (await client.ask(request())).status == 200  # the old one is still there
+            assert not idle[0].at_eof()
+            idle[1].close()
+    run(test())
+
+
+@pytest.mark.parametrize("error", ["EPERM", "ENFILE", "ECONNABORTED"])
+def test_accepts_that_fail_always_do_not_keep_the_processor_busy(monkeypatch: pytest.MonkeyPatch, error: str) -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            calls, plain = [0], socket.socket.accept
+
+            def accept(self: socket.socket) -> tuple[socket.socket, Any]:
+                if self.getsockname()[1] != client.port:  # the test's own servers
+                    return plain(self)
+                calls[0] += 1
+                raise OSError(getattr(errno, error), error)
+
+            monkeypatch.setattr(socket.socket, "accept", accept)
+            _, writer = await asyncio.open_connection(HOST, client.port)
+            spent = time.process_time()
+            await asyncio.sleep(0.5)
+            assert calls[0] < 400 and time.process_time() - spent < 0.1
+            writer.close()
+    run(test())
