A connect that fails on this machine is no failure of the upstream

Callers saw, with `socket` or `connect` failing for 0.3 s (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH): 503 although all upstreams were sound, each failure counted against the upstream's rate and its retries used up (11 tests: CONNECT_FAILED where the upstream was never asked). Cause: `Exchange._open` told every OSError as CONNECT_FAILED. Now such a connect is tried again in place, 2 to 20 ms apart: for as long as the request has time where the error is this machine's, for the connect time-out where there is no way there. If it never leaves, the attempt ends as MOOT, which says nothing of the upstream. Counted as `failed_calls`. The 11 tests failed before and pass; one more has all descriptors gone for 3 s in a real process, one plays short reads and writes, hold-ups of 0.15 s and failing accepts and connects together.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -102,7 +102,8 @@
         self._sweep: asyncio.TimerHandle | None = None
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self.tally = Tally(config.settings.classes)
-        self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True)
+        self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True,
+                        counter=self.tally)
         self._passing: dict[str, Call] = {}  # whose answers pass in pieces
         self.server = Server(self, room, system, self.tally, doors(room) if doors is not None else None)
         self.entrance = Entrance(config, self.server)
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from lanemux.core.address import Address
+from lanemux.core.failures import Backoff, FailureCounter, is_local, may_pass_soon, name_of
 from lanemux.interface import Result
 from lanemux.net.http import MAX_ANSWER, Message, MessageReader
 
@@ -23,6 +24,7 @@
 
 IDLE_DEFAULT_S = 10.0  # where the settings do not say how long an upstream keeps a connection
 IDLE_PART = 0.8  # of that time; later, closing and the next request may cross
+FIRST_CONNECT_PAUSE_S, LAST_CONNECT_PAUSE_S = 0.002, 0.02  # between tries that fail on this machine
 KEPT_IDLE = 2  # connections kept to one upstream: each takes a place in its table
 
 
@@ -48,6 +50,7 @@
         self._coming: Connection | None = None
         self._opening: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._never_asked = False  # this machine can't connect: its upstream does not know of it
 
     @property
     def waiting(self) -> bool:
@@ -63,7 +66,7 @@
     def start(self, end_s: float | None) -> None:
         """Send it as soon as there is a connection; it times out at that time of the loop's clock."""
         if end_s is not None:
-            self._timer = asyncio.get_running_loop().call_at(end_s, self.finish, Result.TIMEOUT)
+            self._timer = asyncio.get_running_loop().call_at(end_s, self._time_out)
         connection = self.pool.reuse()
         if connection is not None:
             self.carry(connection)
@@ -75,10 +78,12 @@
             self._opening = asyncio.get_running_loop().create_task(self._open(self._coming))
             self.pool.hub.own(self._opening)
 
+    def _time_out(self) -> None:
+        self.finish(Result.MOOT if self._never_asked and self.waiting else Result.TIMEOUT)
+
     async def _open(self, connection: Connection) -> None:
         try:
-            async with asyncio.timeout(self.pool.hub.connect_timeout_s):
-                await asyncio.get_running_loop().create_connection(lambda: connection, *connection.address)
+            await self._connect(connection)
         except (OSError, TimeoutError):
             self._opening = None
             self.finish(Result.CONNECT_FAILED)
@@ -86,6 +91,26 @@
             self._opening = self._coming = None
             self.carry(connection)
 
+    async def _connect(self, connection: Connection) -> None:
+        """Connect. What fails on this machine is tried again for as long as the exchange has time: it is no answer of
+        the upstream's. Where there is no way there, only for as long as connecting may take."""
+        hub, loop = self.pool.hub, asyncio.get_running_loop()
+        backoff = Backoff(FIRST_CONNECT_PAUSE_S, LAST_CONNECT_PAUSE_S)
+        latest_s = loop.time() + hub.connect_timeout_s
+        while True:
+            try:
+                async with asyncio.timeout(hub.connect_timeout_s):
+                    await loop.create_connection(lambda: connection, *connection.address)
+                return
+            except OSError as error:
+                if isinstance(error, TimeoutError) or not may_pass_soon(error):
+                    raise
+                hub.counter.call_failed("connection to an upstream", name_of(error))
+                self._never_asked = is_local(error)
+                if not self._never_asked and loop.time() >= latest_s:
+                    raise
+            await asyncio.sleep(backoff.next_s())
+
     def carry(self, connection: Connection) -> None:
         self._connection = connection
         connection.send(self)
@@ -312,12 +337,21 @@
             self.close_idle()
 
 
+class Uncounted:
+    """A `FailureCounter` that counts nothing."""
+
+    def call_failed(self, call: str, error: str) -> None:
+        """Nothing is noted."""
+
+
 class Hub:
     """What all pools share: the limits, and the count of connections."""
 
     def __init__(self, capacity: int, connect_timeout_s: float, conn_idle_s: float,
-                 max_body: int = MAX_ANSWER, stream: bool = False) -> None:
-        """`stream`: long answers are passed on as they come, where their exchange takes them so."""
+                 max_body: int = MAX_ANSWER, stream: bool = False, counter: FailureCounter | None = None) -> None:
+        """`stream`: long answers are passed on as they come, where their exchange takes them so. `counter` counts the
+        connections that this machine could not begin."""
+        self.counter = counter or Uncounted()
         self.time = asyncio.get_running_loop().time
         self.capacity = capacity
         self.connect_timeout_s = connect_timeout_s
