Ages of upstreams hold where the wall clock is wrong, ahead or behind

Callers would see: after a start with the wall clock 5 s to an hour ahead, upstreams that had just started were taken to be warm (age 3,601 s for 1 s) and pushed over; with the clock behind, warm ones stayed cold at every list that named them. Cause: `Membership` turned Unix times into the loop's clock by one offset read at the start, anew at each list, with no other evidence. `core/starts.py`: a host's start is kept from when it was first heard of; one that is told between two lists lies at most 3 s before the first of them; starts in the future, of two hosts at least, prove the clock to be behind and move the offset; a host that left the list and is back has not started again. The configuration's known list is old and no evidence. What can be known without any of these (a start before the first list, the clock ahead) is still the wall clock's.

--- a/lanemux/core/membership.py
+++ b/lanemux/core/membership.py
@@ -13,10 +13,10 @@
 
 from lanemux import interface as api
 from lanemux.core.address import Address, read_address
+from lanemux.core.starts import Starts
 
 log = logging.getLogger(__name__)
 
-MS = 1_000_000
 STATES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
 NOWHERE: Address = ("", 0)  # of what is gone
 
@@ -49,7 +49,8 @@
     """The upstreams as last told, and the number of each host."""
 
     def __init__(self, unix_offset_ns: int) -> None:
-        self._offset_ns = unix_offset_ns  # from the module's clock to Unix time
+        """`unix_offset_ns`: from the module's clock to Unix time, as the wall clock has it."""
+        self._starts = Starts(unix_offset_ns)
         self._ids: dict[str, int] = {}
         self._hosts: dict[int, str] = {}
         self._last: dict[str, Entry] = {}
@@ -62,14 +63,18 @@
     def last(self, host: str) -> Entry | None:
         return self._last.get(host)
 
-    def take(self, rows: Iterable[object], whole: bool, now_ns: int) -> list[Entry]:
-        """The entries of a list, or of changes to it."""
+    def take(self, rows: Iterable[object], whole: bool, now_ns: int, current: bool = True) -> list[Entry]:
+        """The entries of a list, or of changes to it; `current`: it tells what holds now, and not long ago."""
         named = [row for row in rows if isinstance(row, dict) and isinstance(row.get("host"), str)]
         named.sort(key=lambda row: row["host"])  # so that numbers that collide go alike everywhere
         if whole:
             self._forget(set(self._ids) - {row["host"] for row in named})
+            born = (row.get("born_ms") for row in named)
+            self._starts.compare_clocks((b for b in born if isinstance(b, int)), now_ns)
         entries = [e for e in (self.entry(row["host"], row, now_ns) for row in named) if e is not None]
         self._forget({row["host"] for row in named if row.get("health") == "removed"})
+        if current:
+            self._starts.listed(now_ns)
         return entries
 
     def entry(self, host: str, row: Mapping[str, object], now_ns: int) -> Entry | None:
@@ -79,8 +84,7 @@
             born_ms, cell, weight = row.get("born_ms") or 0, row.get("block") or 0, row.get("share") or 1.0
             if not (isinstance(born_ms, int) and isinstance(cell, int) and isinstance(weight, int | float)):
                 raise BadList("an entry's figures are no numbers")
-            # No start lies in the future: clocks differ a little, and what is younger than new has no warmth.
-            started = min(born_ms * MS - self._offset_ns, now_ns) if born_ms > 0 else 0
+            started = self._starts.started_ns(host, born_ms, now_ns)
             address = NOWHERE if state is api.State.GONE else read_address(str(row.get("dial")))
             upstream = api.Upstream(self.number(host), state, str(row.get("site") or ""), cell,
                                     float(weight), started, str(row.get("class") or ""))
--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -34,14 +34,14 @@
 FIRST_RETRY_S, LAST_RETRY_S = 0.05, 1.0
 
 
-def read_listing(raw: object, membership: Membership, heard_ns: int) -> Listing:
-    """Discovery's answer (protocol page), heard at that time; BadList if it is none."""
+def read_listing(raw: object, membership: Membership, heard_ns: int, current: bool = True) -> Listing:
+    """Discovery's answer (protocol page), heard at that time; BadList if it is none. `current`: it holds now."""
     if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
         raise BadList("no object with hosts")
     version, whole = raw.get("seq"), raw.get("whole")
     if not isinstance(version, int) or not isinstance(whole, bool):
         raise BadList("no seq or whole")
-    return Listing(version, whole, membership.take(raw["hosts"], whole, heard_ns), told_ns=heard_ns)
+    return Listing(version, whole, membership.take(raw["hosts"], whole, heard_ns, current), told_ns=heard_ns)
 
 
 class Source:
--- a/lanemux/net/roster.py
+++ b/lanemux/net/roster.py
@@ -47,7 +47,7 @@
         entries = []
         if self._config.known is not None:
             try:
-                listing = read_listing(self._config.known, self.membership, now_ns())
+                listing = read_listing(self._config.known, self.membership, now_ns(), current=False)
             except BadList as error:  # it may be old anyway: one that can't be read is as none
                 log.warning("list: the known one is left out: %.120s", error)
             else:
