`lanemux soak`: seeded runs of real processes with failing calls, signals and early kills

Nothing played the platform's faults inside the balancers together with restarts. `lanemux soak` draws from a seed: sockets and addresses that cannot be had at a start, descriptors gone in service, failing accepts and connects, short reads and writes, hold-ups of 0.15 s, an off or stepped wall clock, resets that show as time-outs; around them restarts with SIGTERM (half with further signals in series), SIGKILL at the earliest moment (longest deadline plus 0.7 s), callers that go on using open connections, deploys, crashes, freezes, silent machines, floods. The kit's checker judges, with two rules more: no attempt over 0.1 s after its client closed, no upstream told of over 0.15 s more than its client has left. A final answer may be 0.5 s late, as the standing test says. An exit with another status than 0, or over 10 s to be ready again, fails a run. `--replay SEED` keeps logs, report and timeline.

The counts' test names the new rule (`deadline`) too: it compares the whole table.

--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -4,6 +4,7 @@
     python -m lanemux check [--operators FILE] [CONFIG]   read the files as the daemon would; open nothing
     python -m lanemux fleet show ADDRESS [--json]         who is there, as the balancer of that second address sees it
     python -m lanemux rehearse ...                        a day of service on this machine's loopback
+    python -m lanemux soak ...                            seeds of failing system calls, restarts and signals
     python -m lanemux simulate ...                        the real code on a virtual clock, faults from seeds
 
 Exit status 2 means bad use or a file that can't be used, with one line for each fault on standard error.
@@ -27,7 +28,7 @@
 
 USAGE_STATUS = 2
 OPERATORS_VARIABLE = "LANEMUX_OPERATORS"
-COMMANDS = ("serve", "check", "fleet", "rehearse", "simulate")
+COMMANDS = ("serve", "check", "fleet", "rehearse", "soak", "simulate")
 
 
 def main(argv: Sequence[str]) -> int:
@@ -50,6 +51,10 @@
         from lanemux.rehearsal.command import main as rehearse
 
         return rehearse(rest)
+    if command == "soak":
+        from lanemux.rehearsal.soak.command import main as soak
+
+        return soak(rest)
     if command == "simulate":
         from lanemux.virtual.command import main as simulate
 
--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -17,6 +17,7 @@
 READY_S = 30.0  # a balancer that is not ready by then has failed to start
 LEAVE_S = 4.5  # after SIGTERM: the longest deadline and the platform's 0.7 s
 LOOK_S = 0.02
+SERIES_S = 0.01  # between signals that follow one another
 MEMORY_MB, SOCKETS = 192, 1024  # what a balancer is told of its limits; the kit does not enforce them
 
 
@@ -112,6 +113,26 @@
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
 
+    async def end_by(self, kill_at_s: float, signals: bool) -> str:
+        """SIGTERM now and SIGKILL at that time of the loop's clock, with further signals in between if told so.
+
+        Gives what was wrong with its end, or an empty text."""
+        if self.process is None or self.process.poll() is not None:
+            return ""
+        self.meant_down = True
+        self.process.send_signal(signal.SIGTERM)
+        loop = asyncio.get_running_loop()
+        while self.process.poll() is None and loop.time() < kill_at_s:
+            await asyncio.sleep(SERIES_S)
+            if signals:
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+                    self.process.send_signal(number)  # without effect once it has been waited for
+        if self.process.poll() is None:
+            self.process.kill()
+            return ""  # what it had not answered shows in the books
+        status = self.process.returncode
+        return f"balancer {self.number} was told to end and did so with status {status}" if status else ""
+
     async def stop(self) -> str:
         """A planned end; gives what was wrong with it, or an empty text."""
         if self.process is None or self.process.poll() is not None:
--- a/lanemux/rehearsal/books.py
+++ b/lanemux/rehearsal/books.py
@@ -26,6 +26,7 @@
     how: str = ""  # answered, error, declined, cancelled (the balancer closed), died
     digest: str = ""  # of the body that was answered with 200
     served_ns: int = 0  # work done for it
+    told_ms: int = 0  # the time that the balancer said it would wait; 0: it said nothing
 
 
 @dataclass(slots=True)
@@ -73,7 +74,7 @@
     """A span of a box's or a balancer's state, for the rules and the plots."""
 
     who: int
-    state: str  # frozen, cold, draining, down, fallen
+    state: str  # frozen, cold, draining, down, restarting, fallen
     from_ns: int
     to_ns: int = NEVER
 
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -476,11 +476,13 @@
                 f"{len(message.body)} bytes, which no caller sent in this form", name, self.number))
             connection.answer(framing.answer(400 if name else 404))
             return
-        self._attempt(connection, name, ask, path)
+        told = message.headers.get("req-deadline-ms", "")
+        self._attempt(connection, name, ask, path, int(told) if told.isdecimal() else 0)
 
-    def _attempt(self, connection: Connection, name: str, ask: Ask, path: str) -> None:
+    def _attempt(self, connection: Connection, name: str, ask: Ask, path: str, told_ms: int) -> None:
         assert self.model is not None
-        attempt = Attempt(self.number, connection.balancer, name, path, connection.first_lo_ns, connection.whole_ns())
+        attempt = Attempt(self.number, connection.balancer, name, path, connection.first_lo_ns, connection.whole_ns(),
+                          told_ms=told_ms)
         self.world.books.attempts.append(attempt)
         connection.attempt = attempt
         work = attempt_work(self.world.plan, ask, self.number, self._seen[name])
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -27,6 +27,7 @@
     def __init__(self, rooms: list[str], addresses: list[Address]) -> None:
         self._rooms, self.addresses = rooms, addresses
         self.known = set(range(len(addresses)))
+        self.ending: set[int] = set()  # told to end: open connections to them are still in use
 
     def pick(self, room: str, draw: float) -> int:
         near = [b for b in sorted(self.known) if self._rooms[b] == room] or sorted(self.known)
@@ -254,7 +255,9 @@
         given_up = min(ask.try_ns, limit - self.now())
         if given_up < MS:
             return  # the ask's own time is up
-        balancer = self.front.pick(self.plan.scenario.fleet.rooms[ask.room], ask.fronts[number])
+        balancer = self._on_open_connection(ask.fronts[number])
+        if balancer is None:
+            balancer = self.front.pick(self.plan.scenario.fleet.rooms[ask.room], ask.fronts[number])
         entry = Try(ask.number, number, ask.ids[number], balancer, target_of(ask),
                     deadline_ns=self.now() + given_up)
         self.books.tries.append(entry)
@@ -277,6 +280,12 @@
         else:
             self.later(wait_ns, lambda: self._try(ask, entry.number + 1))
 
+    def _on_open_connection(self, draw: float) -> int | None:
+        """A balancer that was told to end and still holds a resting connection, for a share of the tries."""
+        if draw >= self.plan.scenario.callers.use_ending:
+            return None
+        return next((b for b in sorted(self.front.ending) if any(line.usable for line in self._idle.get(b, ()))), None)
+
     # -- connections --
 
     @property
--- a/lanemux/rehearsal/injection.py
+++ b/lanemux/rehearsal/injection.py
@@ -12,7 +12,7 @@
 import builtins
 import errno
 import io
-import json
+import os
 import random
 import runpy
 import selectors
@@ -20,75 +20,19 @@
 import sys
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
+from lanemux.rehearsal.injection_plan import HOLD_UP_S, BadPlan, Plan, read_plan
+
 USAGE_STATUS = 2
 SHORT_BYTES = 7  # a shortened read or write moves at most so many bytes
-HOLD_UP_S = 0.15  # a process may be held up for so long between reading its clock and writing
 ACCEPT_ERRORS = ("ECONNABORTED", "ENFILE", "ENOBUFS", "EPROTO")
 SOCKET_ERRORS = ("ENFILE", "ENOBUFS", "EMFILE", "ENOMEM")
 CONNECT_ERRORS = ("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS")
 BROKEN_ERRORS = ("ETIMEDOUT", "EHOSTUNREACH")
 
 
-class BadPlan(ValueError):
-    """The plan can't be read."""
-
-
-@dataclass(frozen=True)
-class Window:
-    """A span of the process's life, in seconds since its start, in which calls of one kind fail."""
-
-    call: str  # "socket", "bind", "listen", "accept", "read_file" or "replace_file"
-    error: str  # the name of the error number
-    until_s: float
-    from_s: float = 0.0
-
-
-@dataclass(frozen=True)
-class ClockStep:
-    """The wall clock is stepped by so many seconds, so long after the start."""
-
-    at_s: float
-    by_s: float
-
-
-@dataclass(frozen=True)
-class Plan:
-    """What fails, and how often. Shares are probabilities of one call."""
-
-    seed: int = 0
-    windows: Sequence[Window] = ()
-    accept_share: float = 0.0
-    socket_share: float = 0.0
-    connect_share: float = 0.0
-    short_share: float = 0.0
-    hold_up_share: float = 0.0  # of the writes
-    broken_share: float = 0.0  # of the reads that end with a reset: shown as a time-out or an unreachable host
-    wall_offset_s: float = 0.0
-    clock_steps: Sequence[ClockStep] = field(default_factory=tuple)
-
-    def text(self) -> str:
-        """The plan as `read_plan` takes it."""
-        return json.dumps(self, default=vars)
-
-
-def read_plan(text: str) -> Plan:
-    """The plan in a text; BadPlan if it is none."""
-    try:
-        raw = json.loads(text)
-        known = {f.name for f in fields(Plan)}
-        if set(raw) - known:
-            raise BadPlan(f"unknown: {', '.join(sorted(set(raw) - known))}")
-        raw["windows"] = [Window(**window) for window in raw.get("windows", ())]
-        raw["clock_steps"] = [ClockStep(**step) for step in raw.get("clock_steps", ())]
-        return Plan(**raw)
-    except (TypeError, AttributeError, json.JSONDecodeError) as error:
-        raise BadPlan(str(error)) from None
-
-
 def failure(name: str) -> OSError:
     """The exception of an error number's name."""
     number = int(getattr(errno, name))
@@ -100,7 +44,8 @@
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
-        self._random = random.Random(plan.seed)
+        # Each process draws for itself, and the same at each of its starts.
+        self._random = random.Random(f"{plan.seed}/{os.environ.get('RELAY_NAME', '')}")
         self._started_s = time.monotonic()
 
     def happens(self, share: float) -> bool:
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -19,6 +19,7 @@
 REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}  # the platform's words
 UPSETS = ("drop", "reset", "stall", "compact")
 STALL_S = (0.2, 3.0)  # how long a member says nothing: shorter and longer than a balancer takes to find out
+LONGEST_COUNTED_S, KILL_AFTER_S = 3.0, 0.7  # of the deadlines, and beyond it: when SIGKILL may follow SIGTERM
 SAME_ADDRESS = 0.5  # share of successors that come up where the one before them was
 
 
@@ -71,9 +72,9 @@
     """Something that is done to a box or a balancer at a time."""
 
     at_ns: int
-    what: str  # start, drain, leave, die, vanish, return, freeze, neighbour, kill, revive, flood
+    what: str  # start, drain, leave, die, vanish, return, freeze, neighbour, kill, revive, flood, restart
     who: int  # number of the box or balancer
-    until_ns: int = 0  # freeze, neighbour, flood
+    until_ns: int = 0  # freeze, neighbour, flood; restart: SIGKILL comes then
     size: float = 0.0  # neighbour: share taken; flood: connections
     sources: int = 0  # flood: addresses they come from
 
@@ -269,6 +270,23 @@
                             Happening(at + _ns(rng, fault.down_s, SECOND), "revive", who)]
 
 
+def _restart(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
+    """Balancers are told to end, killed at the earliest moment that the platform allows, and started again."""
+    count = plan.scenario.fleet.balancers
+    at = int(fault.at_s * SECOND)
+    for who in rng.sample(range(count), min(count, max(1, round(rng.uniform(*fault.part) * count)))):
+        kill = at + earliest_kill_ns(plan.scenario)
+        plan.happenings += [Happening(at, "restart", who, kill, float(fault.signals)),
+                            Happening(kill + _ns(rng, fault.down_s, SECOND), "revive", who)]
+        at = kill + int(fault.for_s * SECOND)
+
+
+def earliest_kill_ns(scenario: Scenario) -> int:
+    """How long after SIGTERM the platform may send SIGKILL (protocol page)."""
+    longest_s = min(LONGEST_COUNTED_S, max(c.deadline_ms for c in scenario.classes) / 1000)
+    return int((longest_s + KILL_AFTER_S) * SECOND)
+
+
 def _flood(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
     """Connections come up at every balancer at once, and say nothing."""
     at, end = int(fault.at_s * SECOND), int((fault.at_s + fault.for_s) * SECOND)
@@ -291,7 +309,7 @@
 
 
 DRAW = {"freeze": _freeze, "neighbour": _neighbour, "deploy": _deploy, "crash": _crash, "vanish": _vanish,
-        "kill": _kill, "flood": _flood}
+        "kill": _kill, "flood": _flood, "restart": _restart}
 
 
 # ---- asks ----------------------------------------------------------------------------------------------
--- a/lanemux/rehearsal/rules.py
+++ b/lanemux/rehearsal/rules.py
@@ -17,7 +17,9 @@
 from lanemux.rehearsal.plan import MS, Plan
 
 LIMIT_GRACE_NS = 50 * MS  # each time limit is so much longer on sockets (PROTOCOL)
-RULES = ("lost", "twice", "drain", "cold", "foreign")
+LEFT_GRACE_NS = 100 * MS  # no attempt begins so long after its client has closed
+DEADLINE_SLACK_NS = 150 * MS  # an upstream may be told so much more time than the client has left
+RULES = ("lost", "twice", "drain", "cold", "foreign", "deadline")
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +39,13 @@
     by_id: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in boxes.attempts:
         by_id[attempt.id].append(attempt)
+    held_up_ns = int(plan.scenario.hold_up_ms * MS)
+    drain_grace_ns = int(plan.scenario.fleet.drain_grace_ms * MS) + LIMIT_GRACE_NS
     found = [*lost(callers, by_id, names, callers.tries), *twice(by_id, names), *repeats(plan, by_id, callers.tries),
+             *begun_for_nobody(by_id, names, callers.tries, LEFT_GRACE_NS + held_up_ns),
+             *deadlines(by_id, names, callers.tries, DEADLINE_SLACK_NS + held_up_ns),
              *drains(boxes.attempts, callers.told, callers.balancers_down, names,
-                      int(plan.scenario.fleet.drain_grace_ms * MS) + LIMIT_GRACE_NS)]
+                     max(drain_grace_ns, LIMIT_GRACE_NS + held_up_ns))]
     for oddity in (*boxes.oddities, *callers.oddities):
         box = names[oddity.box] if oddity.box >= 0 else ""
         found.append(Violation(oddity.rule, oddity.at_ns, oddity.id, box, oddity.what))
@@ -81,8 +87,32 @@
 
 def _was_down(entry: Try, down: list[Life]) -> bool:
     """Its balancer was killed while it held the request: that is the caller's to retry."""
-    return any(life.who == entry.balancer and life.from_ns <= entry.end_ns and entry.sent_ns <= life.to_ns
-               for life in down)
+    return any(life.who == entry.balancer and life.state == "down" and life.from_ns <= entry.end_ns
+               and entry.sent_ns <= life.to_ns for life in down)
+
+
+def begun_for_nobody(by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try],
+                     grace_ns: int) -> Iterable[Violation]:
+    """Attempts that began so long after their client had closed its connection."""
+    for entry in tries:
+        if entry.how != "left":
+            continue
+        for attempt in by_id.get(entry.id, ()):
+            if attempt.first_lo_ns > entry.end_ns + grace_ns:
+                yield Violation("lost", attempt.first_lo_ns, entry.id, names[attempt.box], (
+                    f"its client left at {_s(entry.end_ns)}; balancer {entry.balancer} began this no sooner than "
+                    f"{_s(attempt.first_lo_ns)}"))
+
+
+def deadlines(by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try],
+              slack_ns: int) -> Iterable[Violation]:
+    """Attempts that told their upstream of more time than their client had left."""
+    for entry in tries:
+        for attempt in by_id.get(entry.id, ()):
+            if attempt.told_ms and attempt.first_lo_ns + attempt.told_ms * MS > entry.deadline_ns + slack_ns:
+                yield Violation("deadline", attempt.first_lo_ns, entry.id, names[attempt.box], (
+                    f"told {attempt.told_ms} ms no sooner than {_s(attempt.first_lo_ns)}; its client waits until "
+                    f"{_s(entry.deadline_ns)}"))
 
 
 def twice(by_id: Mapping[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -20,9 +20,9 @@
 from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns, usage, waited_ns
 from lanemux.rehearsal.books import BoxBooks, CallerBooks, Life
 from lanemux.rehearsal.boxes import Address
-from lanemux.rehearsal.callers import GRACE_NS, Callers, Front
+from lanemux.rehearsal.callers import Callers, Front
 from lanemux.rehearsal.looks import Lateness, quiet_collector
-from lanemux.rehearsal.plan import SECOND, Happening, Notice, Plan, draw, room_of, settings
+from lanemux.rehearsal.plan import MS, SECOND, Happening, Notice, Plan, draw, room_of, settings
 from lanemux.rehearsal.registry import Agent, ListAgent
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation, check
@@ -31,6 +31,8 @@
 from lanemux.rehearsal.validity import Validity, judge
 
 LEAD_S = 0.3  # from the last balancer's readiness to the first ask
+NEW_CONNECTIONS_NS = 300 * MS  # after SIGTERM, new connections go on coming for so long
+RESTART_READY_S = 10.0  # a balancer that was started again is ready by then
 MONITOR_S = 1.0  # how often the processes are looked at
 LOG_TAIL = 2000  # bytes of a failed balancer's log that are shown
 
@@ -63,11 +65,14 @@
 Progress = Callable[[float, Callers], None]
 
 
-async def rehearse(scenario: Scenario, seed: int, command: Sequence[str], progress: Progress | None = None) -> Run:
-    """Play a scenario against balancers that `command` starts; CannotRun if one does not start."""
+async def rehearse(scenario: Scenario, seed: int, command: Sequence[str], progress: Progress | None = None,
+                   folder: Path | None = None) -> Run:
+    """Play a scenario against balancers that `command` starts; CannotRun if one does not start.
+
+    Their configurations and logs go to `folder`, if one is given."""
     began = time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="rehearsal-") as folder:
-        stage = Stage(scenario, seed, command, Path(folder))
+    with tempfile.TemporaryDirectory(prefix="rehearsal-") as temporary:
+        stage = Stage(scenario, seed, command, folder or Path(temporary))
         try:
             await stage.open()
             run = await stage.play(progress)
@@ -186,7 +191,8 @@
         self._pipe.send(("start", self._zero_ns))
         front = Front([room_of(scenario.fleet, b) for b in range(scenario.fleet.balancers)],
                       [b.place.listen for b in self._balancers])
-        callers = self._callers = Callers(self.plan, front, self.books, self._zero_ns)
+        grace_ns = int(scenario.callers.grace_ms * MS)
+        callers = self._callers = Callers(self.plan, front, self.books, self._zero_ns, grace_ns)
         for notice in self.plan.notices:
             self._at(notice.at_ns, self._tell, notice)
         for upset in self.plan.upsets:
@@ -203,7 +209,7 @@
         self._spawn(self._monitor(progress))
         await callers.done.wait()
         longest = max(c.deadline_ms for c in scenario.classes) / 1000
-        await asyncio.sleep(longest + GRACE_NS / 1e9)
+        await asyncio.sleep(longest + grace_ns / 1e9)
         lateness.stop()
         self.books.pressed_share = (pressed_ns() - pressed) / max(1, self.now() - began)
         await self._stop_balancers()
@@ -234,16 +240,34 @@
             self._down[happening.who] = Life(happening.who, "down", self.now())
             self.books.balancers_down.append(self._down[happening.who])
             self._at(self.now() + self.plan.fronts_notice_ns, front.known.discard, happening.who)
+        elif happening.what == "restart":
+            self._spawn(self._end(balancer, happening, front))
         else:
             self._spawn(self._revive(balancer, front))
 
+    async def _end(self, balancer: Balancer, happening: Happening, front: Front) -> None:
+        """A planned end: the front takes it out soon after, and clients go on using what is open."""
+        who = balancer.number
+        self._down[who] = Life(who, "restarting", self.now())
+        self.books.balancers_down.append(self._down[who])
+        front.ending.add(who)
+        self._at(self.now() + NEW_CONNECTIONS_NS, front.known.discard, who)
+        fault = await balancer.end_by((self._zero_ns + happening.until_ns) / 1e9, bool(happening.size))
+        front.ending.discard(who)
+        front.known.discard(who)
+        if fault:
+            self.books.crashes.append(f"{fault}: {_tail(balancer)}")
+
     async def _revive(self, balancer: Balancer, front: Front) -> None:
         life = self._down.pop(balancer.number, None)
         balancer.start(self._agents[balancer.number].listing())
         if life is not None:
             life.to_ns = self.now()
+        began = self._loop.time()
         if await balancer.ready():
             front.known.add(balancer.number)
+        if self._loop.time() - began > RESTART_READY_S and not balancer.meant_down:
+            self.books.crashes.append(f"balancer {balancer.number} was not ready within {RESTART_READY_S:.0f} s")
 
     def _spawn_flood(self, happening: Happening) -> None:
         self._spawn(self._flood(happening))
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -15,8 +15,8 @@
 MAX_BOXES = 120  # with their successors at most 250: one byte of a loopback address numbers them
 MAX_BALANCERS = 16  # each pair has a datagram socket of its own
 MAX_ASKS = 200_000  # the books of a run stay in memory, some KiB for each ask
-FAULTS = ("freeze", "neighbour", "heavy", "deploy", "crash", "vanish", "kill", "flood", "partner")
-AT_BALANCERS = ("kill", "revive", "flood")  # what befalls balancers and not boxes
+FAULTS = ("freeze", "neighbour", "heavy", "deploy", "crash", "vanish", "kill", "flood", "partner", "restart")
+AT_BALANCERS = ("kill", "revive", "flood", "restart")  # what befalls balancers and not boxes
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +100,8 @@
     honour: float = bounded(0, 1, 0.3)  # share of callers that come back no sooner than Retry-After says
     impatient: float = bounded(0, 1, 0.01)  # share of tries whose caller goes away at some moment
     front_notice_s: Range = bounded(0, 60, (1.5, 3.8))  # the front goes on sending to a dead balancer
+    grace_ms: float = bounded(1, 5000, 50.0)  # a final answer may come so much after its time
+    use_ending: float = bounded(0, 1, 0.0)  # share of tries on open connections of a balancer that was told to end
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +131,7 @@
     kind: str = chosen(FAULTS)
     at_s: float = bounded(0, 3600, 0.0)
     for_s: float = bounded(0.01, 3600, 10.0)
-    part: Range = bounded(0, 1, (0.25, 0.25))  # of the boxes (kill: of the balancers)
+    part: Range = bounded(0, 1, (0.25, 0.25))  # of the boxes (kill, restart: of the balancers)
     pause_ms: Range = bounded(1, 60_000, (66.0, 240.0))  # freeze: how long a box stands still
     every_s: Range = bounded(0.05, 600, (0.97, 2.6))  # freeze: between two; neighbour: its time on or off
     take: Range = bounded(0, 0.95, (0.3, 0.62))  # neighbour: of the machine
@@ -138,7 +140,8 @@
     class_name: str = ""  # heavy: which class; "": drawn
     batch: Range = bounded(0.001, 1, (0.051, 0.19))  # deploy: of the fleet at a time
     drain_s: Range = bounded(0, 60, (2.3, 5.1))  # deploy: from the drain to the exit
-    down_s: Range = bounded(0.05, 600, (5.7, 22.0))  # crash, kill: until it is back
+    down_s: Range = bounded(0.05, 600, (5.7, 22.0))  # crash, kill: until it is back; restart: after its end
+    signals: bool = False  # restart: further signals follow the first one until the process has gone
     connections: int = bounded(1, 15_000, 1000)  # flood: opened within a second at each balancer, and silent
     sources: int = bounded(1, 200, 4)  # flood: from so many addresses
     partner_name: str = ""  # partner: whose callers ask so much more, and retry at once; "": drawn
@@ -176,6 +179,7 @@
     classes: tuple[RequestClass, ...] = ()
     partners: tuple[Partner, ...] = ()
     faults: tuple[Fault, ...] = ()
+    hold_up_ms: float = bounded(0, 1000, 0.0)  # a balancer may be held up for so long: the rules allow for it
     operators: str = ""  # the balancers' own operators' file (TOML); "": they have none
 
 
--- /dev/null
+++ b/lanemux/rehearsal/soak/command.py
@@ -0,0 +1,143 @@
+"""`python -m lanemux soak`: plays seeds one after another, keeps the evidence of those that fail."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import shutil
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+from lanemux.rehearsal import report
+from lanemux.rehearsal.rules import counts
+from lanemux.rehearsal.run import CannotRun, Run, rehearse
+from lanemux.rehearsal.soak.draw import SECONDS, SoakRun, draw
+
+KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
+DEFAULT_SEEDS = "1-5"
+MAX_SEEDS = 10_000
+
+
+@dataclass
+class Outcome:
+    """How one seed ended."""
+
+    seed: int
+    valid: bool
+    kept: bool
+    rules: dict[str, int] = field(default_factory=dict)
+    crashes: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)  # the first broken rules with their proofs
+    service: float = 0.0
+    descriptors_most: int = 0
+    memory_most_mb: float = 0.0
+    wall_s: float = 0.0
+
+    @property
+    def failed(self) -> bool:
+        """A rule broken, or a process that crashed, hung or did not start. A run that is not valid accuses nobody."""
+        return not self.kept and self.valid
+
+
+def main(argv: Sequence[str]) -> int:
+    """Play the seeds. 0: none failed; 1: some did; 2: bad use; 3: not one run was valid."""
+    options = _options(argv)
+    try:
+        seeds = [options.replay] if options.replay is not None else list(read_seeds(options.seeds))
+    except ValueError as error:
+        print(f"lanemux: {error}", file=sys.stderr)
+        return BAD_USE
+    outcomes: list[Outcome] = []
+    end_s = time.monotonic() + options.minutes * 60 if options.minutes else float("inf")
+    for seed in seeds:
+        if time.monotonic() >= end_s:
+            print(f"time is over: {len(seeds) - len(outcomes)} of {len(seeds)} seeds were not played")
+            break
+        outcomes.append(_play(draw(seed, options.seconds), Path(options.evidence), options.replay is not None))
+        print(_line(outcomes[-1]), flush=True)
+    if options.json:
+        Path(options.json).write_text(json.dumps({"outcomes": [asdict(o) for o in outcomes]}, indent=1) + "\n")
+    failed = [o.seed for o in outcomes if o.failed]
+    print(f"{len(outcomes)} seeds played, {sum(o.valid for o in outcomes)} valid, {len(failed)} failed {failed or ''}")
+    if failed:
+        return BROKEN
+    return KEPT if any(o.valid for o in outcomes) else NOT_VALID
+
+
+def read_seeds(text: str) -> Iterable[int]:
+    """The seeds of `A-B` or `A`; ValueError for anything else."""
+    first, _, last = text.partition("-")
+    if not first.isdecimal() or (last and not last.isdecimal()):
+        raise ValueError(f"--seeds: {text!r} is not A-B")
+    seeds = range(int(first), int(last or first) + 1)
+    if not 0 < len(seeds) <= MAX_SEEDS:
+        raise ValueError(f"--seeds: from 1 to {MAX_SEEDS} seeds")
+    return seeds
+
+
+def _play(run: SoakRun, evidence: Path, keep: bool) -> Outcome:
+    """One seed; its folder stays where it failed or is a replay."""
+    with tempfile.TemporaryDirectory(prefix=f"soak-{run.seed}-") as folder:
+        plan = Path(folder) / "injection.json"
+        plan.write_text(run.injection.text())
+        command = [sys.executable, "-m", "lanemux.rehearsal.injection", str(plan), "lanemux"]
+        logs = Path(folder) / "logs"
+        logs.mkdir()
+        began = time.monotonic()
+        try:
+            outcome = _judged(run.seed, asyncio.run(rehearse(run.scenario, run.seed, command, folder=logs)),
+                              evidence / str(run.seed))
+        except CannotRun as error:
+            outcome = Outcome(run.seed, valid=True, kept=False, crashes=[str(error)])
+        outcome.wall_s = time.monotonic() - began
+        if outcome.failed or keep:
+            shutil.copytree(folder, evidence / str(run.seed), dirs_exist_ok=True)
+    return outcome
+
+
+def _judged(seed: int, run: Run, evidence: Path) -> Outcome:
+    outcome = Outcome(
+        seed, run.validity.valid, run.kept, counts(run.violations), run.crashes, report.faults(run),
+        run.figures.service, run.callers.descriptors_most, run.callers.memory_most_mb)
+    if outcome.failed:
+        evidence.mkdir(parents=True, exist_ok=True)
+        (evidence / "report.json").write_text(json.dumps(report.as_json(run, f"soak {seed}"), indent=1) + "\n")
+        (evidence / "timeline.txt").write_text("\n".join(_timeline(run)) + "\n")
+    return outcome
+
+
+def _timeline(run: Run) -> Iterator[str]:
+    """What befell whom, and each try of a request whose rule was broken, in order of time."""
+    accused = {violation.request for violation in run.violations}
+    lines = [(h.at_ns, f"{h.what} {h.who}") for h in run.plan.happenings]
+    lines += [(v.at_ns, f"RULE {v.rule}: {v.proof}") for v in run.violations]
+    lines += [(t.sent_ns, f"request {t.id} to balancer {t.balancer}: {t.how} {t.status or ''} at {t.end_ns / 1e9:.3f}, "
+               f"due {t.deadline_ns / 1e9:.3f}") for t in run.callers.tries if t.id in accused]
+    lines += [(a.first_lo_ns, f"attempt of {a.id} at box {a.box}: {a.how} at {a.end_ns / 1e9:.3f}")
+              for a in run.boxes.attempts if a.id in accused]
+    return (f"{at / 1e9:8.3f} {what}" for at, what in sorted(lines))
+
+
+def _line(outcome: Outcome) -> str:
+    state = "FAILED" if outcome.failed else "kept" if outcome.valid else "not valid"
+    broken = {rule: n for rule, n in outcome.rules.items() if n}
+    return (f"seed {outcome.seed}: {state}  service {outcome.service:.3f}  descriptors {outcome.descriptors_most}  "
+            f"memory {outcome.memory_most_mb:.0f} MB  {outcome.wall_s:.0f} s  {broken or ''}  "
+            f"{'; '.join([*outcome.faults, *outcome.crashes])[:400]}".rstrip())
+
+
+def _options(argv: Sequence[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser("lanemux soak", allow_abbrev=False, description=(
+        "Play short runs drawn from seeds against balancers with failing system calls, and judge them."))
+    parser.add_argument("--seeds", default=DEFAULT_SEEDS, metavar="A-B")
+    parser.add_argument("--replay", type=int, metavar="SEED", help="one seed; its evidence is kept in any case")
+    parser.add_argument("--minutes", type=float, metavar="M", help="begin no further seed after so long")
+    parser.add_argument("--seconds", type=float, default=SECONDS, metavar="S", help="length of each run")
+    parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--evidence", metavar="DIR", default="soak-evidence", help="of failed seeds, a folder each")
+    return parser.parse_args(argv)
--- /dev/null
+++ b/lanemux/rehearsal/soak/draw.py
@@ -0,0 +1,98 @@
+"""What one seed of a soak plays: a scenario of the kit and the failures inside the balancers. No I/O, no clock."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from lanemux.rehearsal.injection_plan import HOLD_UP_S, ClockStep, Plan, Window
+from lanemux.rehearsal.scenario import (
+    USUAL_PARTNERS,
+    Callers,
+    Discovery,
+    Fault,
+    Fleet,
+    Load,
+    RequestClass,
+    Scenario,
+    checked,
+)
+
+SECONDS = 8.0  # of one run
+FINAL_ANSWER_GRACE_MS = 500.0  # a final answer that is so late earns nothing, and is not lost
+USE_ENDING = 0.6
+START_ERRORS = (("socket", "ENOBUFS"), ("socket", "EMFILE"), ("socket", "ENFILE"), ("bind", "EADDRINUSE"),
+                ("bind", "EADDRNOTAVAIL"), ("listen", "EADDRINUSE"), ("read_file", "EIO"))
+START_FAILS_S = (0.3, 1.5)
+OUTAGE_S = (0.3, 1.5)  # descriptors gone, in service
+WALL_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
+DEADLINES_MS = (300.0, 600.0, 1500.0)
+MANY_BALANCERS = 12
+
+
+@dataclass(frozen=True)
+class SoakRun:
+    """All that a seed decides."""
+
+    seed: int
+    scenario: Scenario
+    injection: Plan
+
+
+def draw(seed: int, seconds: float = SECONDS) -> SoakRun:
+    """What this seed plays; the same for the same seed and length."""
+    rng = random.Random(f"soak/{seed}")
+    injection = _draw_injection(seed, rng)
+    return SoakRun(seed, _draw_scenario(seed, rng, seconds, injection), injection)
+
+
+def _draw_injection(seed: int, rng: random.Random) -> Plan:
+    windows = []
+    if rng.random() < 0.6:
+        call, error = rng.choice(START_ERRORS)
+        windows.append(Window(call, error, rng.uniform(*START_FAILS_S)))
+    if rng.random() < 0.3:
+        from_s = rng.uniform(2.0, 5.0)
+        until_s = from_s + rng.uniform(*OUTAGE_S)
+        windows += [Window(call, "EMFILE", until_s, from_s) for call in ("socket", "accept")]
+    steps = [ClockStep(rng.uniform(1.0, 6.0), rng.choice(WALL_STEPS_S)) for _ in range(rng.choice((0, 0, 1, 3)))]
+    return Plan(
+        seed=seed, windows=windows, clock_steps=steps,
+        wall_offset_s=rng.choice((0.0, 0.0, *WALL_STEPS_S)),
+        accept_share=rng.choice((0.0, 0.1, 0.33)), connect_share=rng.choice((0.0, 0.1, 0.3)),
+        socket_share=rng.choice((0.0, 0.0, 0.05)), short_share=rng.choice((0.0, 0.1, 0.33)),
+        hold_up_share=rng.choice((0.0, 0.0, 0.002)), broken_share=rng.choice((0.0, 1.0)))
+
+
+def _draw_scenario(seed: int, rng: random.Random, seconds: float, injection: Plan) -> Scenario:
+    deadline_ms = rng.choice(DEADLINES_MS)
+    aim_ms = deadline_ms * rng.uniform(0.4, 0.8)
+    classes = tuple(
+        RequestClass(name, share, work_ms=rng.uniform(20.0, 60.0), aim_ms=aim_ms, deadline_ms=deadline_ms, worth=3.0,
+                     effect=effect, scope=rng.choice(("all", "zone", "cell")), window_ms=rng.choice((400.0, 5000.0)))
+        for name, share, effect in (("quote", 0.4, "safe"), ("booking", 0.3, "keyed"), ("payout", 0.3, "unsafe")))
+    balancers = MANY_BALANCERS if rng.random() < 0.1 else rng.randint(3, 5)
+    return checked(Scenario(
+        title=f"soak, seed {seed}", seconds=seconds, classes=classes, partners=USUAL_PARTNERS,
+        fleet=Fleet(boxes=rng.randint(6, 12), balancers=balancers, cold_s=(2.0, 4.0), cold_worst_s=4.0),
+        load=Load(rate=rng.uniform(40.0, 80.0)),
+        callers=Callers(grace_ms=FINAL_ANSWER_GRACE_MS, use_ending=USE_ENDING, impatient=rng.choice((0.01, 0.1)),
+                        at_once=rng.choice((0.5, 1.0))),
+        discovery=Discovery(notice_s=(0.2, 2.0), add_s=(0.2, 1.0)),
+        hold_up_ms=HOLD_UP_S * 1000 if injection.hold_up_share else 0.0,
+        faults=tuple(_draw_faults(rng, seconds))), f"seed {seed}")
+
+
+def _draw_faults(rng: random.Random, seconds: float) -> list[Fault]:
+    """One release of the balancers on every seed, and two or three troubles beside it."""
+    faults = [Fault("restart", at_s=rng.uniform(1.0, seconds * 0.4), for_s=rng.uniform(0.1, 1.0), part=(0.25, 0.7),
+                    down_s=(0.3, 0.8), signals=rng.random() < 0.5)]
+    others = [
+        Fault("deploy", at_s=rng.uniform(0.5, 2.0), for_s=seconds * 0.6, part=(0.3, 0.6), drain_s=(0.5, 1.5),
+              batch=(0.2, 0.4)),
+        Fault("freeze", at_s=1.0, for_s=seconds - 2.0, part=(0.2, 0.4)),
+        Fault("crash", at_s=rng.uniform(2.0, seconds - 2.0), part=(0.1, 0.3), down_s=(0.5, 1.5)),
+        Fault("vanish", at_s=rng.uniform(2.0, seconds - 3.0), for_s=2.0, part=(0.1, 0.3)),
+        Fault("flood", at_s=rng.uniform(1.0, seconds - 3.0), for_s=2.0, connections=400),
+    ]
+    return faults + rng.sample(others, rng.choice((2, 3)))
--- a/tests/faults/program.py
+++ b/tests/faults/program.py
@@ -11,7 +11,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from lanemux.rehearsal.injection import Plan
+from lanemux.rehearsal.injection_plan import Plan
 from tests.sockets import HOST, PATIENCE_S
 from tests.test_process import config
 
--- a/tests/faults/test_connect.py
+++ b/tests/faults/test_connect.py
@@ -13,7 +13,7 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.rehearsal.injection import Plan, Window
+from lanemux.rehearsal.injection_plan import Plan, Window
 from tests.faults.modules import sends_once
 from tests.faults.program import balancer
 from tests.sockets import MS, Upstream, answers, node, request, run, until
--- a/tests/faults/test_start_and_stop.py
+++ b/tests/faults/test_start_and_stop.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lanemux.rehearsal.injection import Plan, Window
+from lanemux.rehearsal.injection_plan import Plan, Window
 from tests.faults.program import balancer, free_port
 from tests.sockets import HOST, PATIENCE_S, Registry, Upstream, answers, request, run, until
 from tests.test_process import ask, config
--- a/tests/rehearsal/test_rules.py
+++ b/tests/rehearsal/test_rules.py
@@ -93,7 +93,7 @@
 
 def test_what_the_stand_ins_saw_counts_and_is_told_with_its_box() -> None:
     broken = found([], [], oddities=[Oddity(T, "cold", "pushed over", box=2), Oddity(T, "foreign", "x", "id")])
-    assert counts(broken) == {"lost": 0, "twice": 0, "drain": 0, "cold": 1, "foreign": 1}
+    assert counts(broken) == {"lost": 0, "twice": 0, "drain": 0, "cold": 1, "foreign": 1, "deadline": 0}
     assert broken[0].box == PLAN.boxes[2].host
 
 
