A request's time counts from when it came, also where this machine read it late

Where this process knows that it has not been reading (a standstill, accepts that failed or were paused), it asks the kernel when the last bytes came (TCP_INFO) and counts from then, within the span that it knows of itself. Where the kernel does not tell, all is as before.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -12,12 +12,15 @@
 import resource
 import signal
 import socket
+import struct
 import time
 from dataclasses import dataclass
 from typing import Protocol
 
 from lanemux.core.address import Address
 
+# struct tcp_info of Linux: tcpi_last_data_recv, in ms, stands behind eight bytes and eleven numbers of four (tcp(7)).
+TCP_INFO_BYTES, LAST_DATA_OFFSET = 104, 52
 READ_BYTES = 64 * 1024  # of a file at once: memory follows what is there, not what is allowed
 
 
@@ -35,6 +38,12 @@
     def close(self) -> None: ...
 
 
+class ConnectedSocket(Protocol):
+    """What is asked of a connection's socket."""
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes: ...
+
+
 class System(Protocol):
     """The machine under a balancer."""
 
@@ -47,6 +56,9 @@
     def most_kib(self) -> int:
         """The most memory that this process has held so far, in KiB."""
 
+    def since_last_data_s(self, connection: ConnectedSocket) -> float:
+        """How long ago the last bytes came on a connection, read or not; 0 where that can't be told."""
+
     def sleep(self, for_s: float) -> None:
         """Do nothing for so long. Only where no event loop runs."""
 
@@ -111,6 +123,14 @@
     def most_kib(self) -> int:
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
+    def since_last_data_s(self, connection: ConnectedSocket) -> float:
+        try:
+            info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+            (last_ms,) = struct.unpack_from("=I", info, LAST_DATA_OFFSET)
+        except (OSError, struct.error):
+            return 0.0
+        return float(last_ms) / 1000
+
     def sleep(self, for_s: float) -> None:
         time.sleep(for_s)
 
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -17,6 +17,7 @@
 
 log = logging.getLogger(__name__)
 
+SECOND = 1_000_000_000
 READY_PATH = b"/health/ready"
 BACKLOG = 1024
 ACCEPTS = 16  # connections accepted before other work gets its turn
@@ -79,6 +80,7 @@
         self._roomy: Callable[[], None] | None = None  # an answer passes in pieces: told when one has gone out
         self._chunked = self._last = False  # how it passes
         self._transport: asyncio.Transport | None = None
+        self.unread_at_most_s = 0.0  # what came first may have waited so long for its connection to be accepted
         self.since = 0.0  # it has been in its place of the server's tables since then
         self.source = ""  # the address it comes from, where doors are kept
 
@@ -152,6 +154,7 @@
             self._roomy()
 
     def _begin(self, request: Message, received_ns: int) -> None:
+        received_ns -= self._unread_ns()
         self._current = request
         self._server.mark(self)
         if request.target.partition(b"?")[0] == READY_PATH:
@@ -159,6 +162,15 @@
         else:
             self._service.take(self, request, received_ns)
 
+    def _unread_ns(self) -> int:
+        """How long the request that has just been read lay in the kernel: its client's time has run since it came."""
+        at_most_s = max(self.unread_at_most_s, self._server.unread_at_most_s())
+        self.unread_at_most_s = 0.0
+        if at_most_s < FRESH_S or self._transport is None:
+            return 0
+        connection = self._transport.get_extra_info("socket")
+        return int(min(at_most_s, self._server.system.since_last_data_s(connection)) * SECOND)
+
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         """The final answer of the current request."""
         if self._current is None or self._transport is None:
@@ -276,7 +288,7 @@
         self._doors = doors
         self._lobby: dict[ClientConnection, socket.socket] = {}  # behind doors: has said nothing, and costs little
         self._capacity = capacity
-        self._system = system
+        self.system = system
         self._connections: dict[ClientConnection, None] = {}  # in the order in which they came
         self._idle = Table()  # between requests
         self._awaited = Table()  # a request of theirs is due: the first one, or one that has begun
@@ -290,19 +302,21 @@
         self._ticking: asyncio.TimerHandle | None = None
         self._tick_due = 0.0  # by the loop's clock
         self._awake_from = -FRESH_S  # it woke from a standstill then
+        self._standstill_s = 0.0  # which had lasted so long at the most
+        self._not_accepting_since: float | None = None  # connections may wait in the backlog since then
         self._put_off = False  # the last look at the times above was put off for a standstill
         self.draining = False
 
     def listen(self, host: str, port: int) -> int:
         """Start to listen; gives the port."""
-        self._listener = self._system.listen((host, port), BACKLOG)
+        self._listener = self.system.listen((host, port), BACKLOG)
         self._resume()
         self._tick_again(TICK_S)
         return self._listener.port
 
     def inherit(self, descriptor: int, after_s: float) -> int:
         """Accept, after a while, from the socket that the platform holds: until then another process may serve it."""
-        self._listener = self._system.inherit(descriptor)
+        self._listener = self.system.inherit(descriptor)
         self._opening = asyncio.get_running_loop().call_later(after_s, self._resume)
         self._tick_again(TICK_S)
         return self._listener.port
@@ -314,8 +328,15 @@
         now = asyncio.get_running_loop().time()
         if now - self._tick_due > FRESH_S and self._awake_from < self._tick_due:
             self._awake_from = now
+            self._standstill_s = now - self._tick_due + TICK_S
         return now < self._awake_from + FRESH_S
 
+    def unread_at_most_s(self) -> float:
+        """How long what is read now may have waited in the kernel, by what this process knows of itself, in s."""
+        if not self._stood_still():
+            return 0.0
+        return self._standstill_s + asyncio.get_running_loop().time() - self._awake_from
+
     def _tick(self) -> None:
         # One look in a row is put off at the most: a loop that is always late has read its sockets in between, and
         # would never close anybody.
@@ -351,6 +372,8 @@
     def _pause(self, for_s: float | None = None) -> None:
         if self._listener is not None and self._accepting:
             self._accepting = False
+            if self._not_accepting_since is None:
+                self._not_accepting_since = asyncio.get_running_loop().time()
             asyncio.get_running_loop().remove_reader(self._listener)
             if for_s is not None:
                 asyncio.get_running_loop().call_later(for_s, self._resume)
@@ -375,6 +398,7 @@
             try:
                 accepted = self._listener.accept()
             except BlockingIOError:
+                self._not_accepting_since = None
                 return
             except OSError as error:
                 self._counter.call_failed("accept", name_of(error))
@@ -404,6 +428,10 @@
 
     def _adopt(self, accepted: socket.socket) -> None:
         client = ClientConnection(self, self._service)
+        client.unread_at_most_s = self.unread_at_most_s()
+        if self._not_accepting_since is not None:
+            waited_s = asyncio.get_running_loop().time() - self._not_accepting_since
+            client.unread_at_most_s = max(client.unread_at_most_s, waited_s)
         self._connections[client] = None
         self._awaited.add(client)
         self._entered += 1
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -118,6 +118,9 @@
     def most_kib(self) -> int:
         return 16 * 1024
 
+    def since_last_data_s(self, connection: object) -> float:
+        return 0.0  # a virtual kernel keeps no such time
+
     def sleep(self, for_s: float) -> None:
         """A virtual process has its loop from the first moment on: nothing waits without one."""
 
