The soak finds builds with a defect each; heavier load, longer outages, busy loops judged

So outages last up to 2 s, boxes are loaded up to four fifths, three callers in ten leave on half of the seeds, and a run fails where a balancer takes over 0.6 of a second of processor time or service is under 0.3.

--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -169,6 +169,14 @@
         return 0
 
 
+def spent_s(pid: int) -> float:
+    """Processor time of a process so far (Linux, /proc/PID/schedstat); 0 if not told."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
 def pressed_ns() -> int:
     """How long anything on this machine has waited for a processor (Linux, /proc/pressure/cpu); 0 if not told."""
     try:
--- a/lanemux/rehearsal/books.py
+++ b/lanemux/rehearsal/books.py
@@ -109,5 +109,6 @@
     flooded: list[dict[str, int]] = field(default_factory=list)  # of each flood: came up, closed by the balancer, ...
     waited_share: float = 0.0  # of any second, the most that a process of the run waited for a processor
     pressed_share: float = 0.0  # of the run, how long anything on the machine waited for a processor
+    busiest_share: float = 0.0  # of any second, the most processor time of a balancer
     descriptors_most: int = 0  # of any balancer
     memory_most_mb: float = 0.0
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from lanemux.rehearsal import boxes_process
-from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns, usage, waited_ns
+from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns, spent_s, usage, waited_ns
 from lanemux.rehearsal.books import BoxBooks, CallerBooks, Life
 from lanemux.rehearsal.boxes import Address
 from lanemux.rehearsal.callers import Callers, Front
@@ -102,6 +102,7 @@
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._waited: dict[int, int] = {}
+        self._spent_s: dict[int, float] = {}  # processor time at the last look, by process
         self._down: dict[int, Life] = {}
         self._addresses: list[list[Address]] = []
         self._boxes: multiprocessing.process.BaseProcess | None = None
@@ -304,6 +305,10 @@
                 self.books.waited_share = max(self.books.waited_share, share)
             self._waited[pid] = waited
         for pid in pids:
+            spent, before = spent_s(pid), self._spent_s.get(pid)
+            if before is not None:
+                self.books.busiest_share = max(self.books.busiest_share, (spent - before) / MONITOR_S)
+            self._spent_s[pid] = spent
             descriptors, memory = usage(pid)
             self.books.descriptors_most = max(self.books.descriptors_most, descriptors)
             self.books.memory_most_mb = max(self.books.memory_most_mb, memory)
--- a/lanemux/rehearsal/soak/command.py
+++ b/lanemux/rehearsal/soak/command.py
@@ -21,6 +21,8 @@
 KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
 DEFAULT_SEEDS = "1-5"
 MAX_SEEDS = 10_000
+MAX_PROOF = 400  # characters of the proofs on a seed's line
+BUSY_SHARE = 0.6  # of a second: no load of these runs takes so much of a processor, a busy loop does
 
 
 @dataclass
@@ -34,6 +36,7 @@
     crashes: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)  # the first broken rules with their proofs
     service: float = 0.0
+    busiest_share: float = 0.0  # of a second, the processor time of any balancer
     descriptors_most: int = 0
     memory_most_mb: float = 0.0
     wall_s: float = 0.0
@@ -58,7 +61,8 @@
         if time.monotonic() >= end_s:
             print(f"time is over: {len(seeds) - len(outcomes)} of {len(seeds)} seeds were not played")
             break
-        outcomes.append(_play(draw(seed, options.seconds), Path(options.evidence), options.replay is not None))
+        run, keep = draw(seed, options.seconds), options.replay is not None
+        outcomes.append(_play(run, options.module, Path(options.evidence), keep))
         print(_line(outcomes[-1]), flush=True)
     if options.json:
         Path(options.json).write_text(json.dumps({"outcomes": [asdict(o) for o in outcomes]}, indent=1) + "\n")
@@ -80,12 +84,12 @@
     return seeds
 
 
-def _play(run: SoakRun, evidence: Path, keep: bool) -> Outcome:
-    """One seed; its folder stays where it failed or is a replay."""
+def _play(run: SoakRun, module: str, evidence: Path, keep: bool) -> Outcome:
+    """One seed against balancers that this module starts; its folder stays where it failed or is a replay."""
     with tempfile.TemporaryDirectory(prefix=f"soak-{run.seed}-") as folder:
         plan = Path(folder) / "injection.json"
         plan.write_text(run.injection.text())
-        command = [sys.executable, "-m", "lanemux.rehearsal.injection", str(plan), "lanemux"]
+        command = [sys.executable, "-m", "lanemux.rehearsal.injection", str(plan), module]
         logs = Path(folder) / "logs"
         logs.mkdir()
         began = time.monotonic()
@@ -101,9 +105,11 @@
 
 
 def _judged(seed: int, run: Run, evidence: Path) -> Outcome:
+    if run.callers.busiest_share > BUSY_SHARE:
+        run.crashes.append(f"a balancer kept a processor busy for {run.callers.busiest_share:.0%} of a second")
     outcome = Outcome(
         seed, run.validity.valid, run.kept, counts(run.violations), run.crashes, report.faults(run),
-        run.figures.service, run.callers.descriptors_most, run.callers.memory_most_mb)
+        run.figures.service, run.callers.busiest_share, run.callers.descriptors_most, run.callers.memory_most_mb)
     if outcome.failed:
         evidence.mkdir(parents=True, exist_ok=True)
         (evidence / "report.json").write_text(json.dumps(report.as_json(run, f"soak {seed}"), indent=1) + "\n")
@@ -126,9 +132,11 @@
 def _line(outcome: Outcome) -> str:
     state = "FAILED" if outcome.failed else "kept" if outcome.valid else "not valid"
     broken = {rule: n for rule, n in outcome.rules.items() if n}
-    return (f"seed {outcome.seed}: {state}  service {outcome.service:.3f}  descriptors {outcome.descriptors_most}  "
-            f"memory {outcome.memory_most_mb:.0f} MB  {outcome.wall_s:.0f} s  {broken or ''}  "
-            f"{'; '.join([*outcome.faults, *outcome.crashes])[:400]}".rstrip())
+    figures = [f"service {outcome.service:.3f}", f"busiest {outcome.busiest_share:.2f}",
+               f"descriptors {outcome.descriptors_most}", f"memory {outcome.memory_most_mb:.0f} MB",
+               f"{outcome.wall_s:.0f} s"]
+    proofs = "; ".join([*outcome.faults, *outcome.crashes])[:MAX_PROOF]
+    return "  ".join([f"seed {outcome.seed}: {state}", *figures, str(broken or ""), proofs]).rstrip()
 
 
 def _options(argv: Sequence[str]) -> argparse.Namespace:
@@ -138,6 +146,7 @@
     parser.add_argument("--replay", type=int, metavar="SEED", help="one seed; its evidence is kept in any case")
     parser.add_argument("--minutes", type=float, metavar="M", help="begin no further seed after so long")
     parser.add_argument("--seconds", type=float, default=SECONDS, metavar="S", help="length of each run")
+    parser.add_argument("--module", metavar="NAME", default="lanemux", help="what starts one balancer")
     parser.add_argument("--json", metavar="FILE")
     parser.add_argument("--evidence", metavar="DIR", default="soak-evidence", help="of failed seeds, a folder each")
     return parser.parse_args(argv)
--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -10,6 +10,7 @@
     USUAL_PARTNERS,
     Callers,
     Discovery,
+    Expect,
     Fault,
     Fleet,
     Load,
@@ -21,10 +22,13 @@
 SECONDS = 8.0  # of one run
 FINAL_ANSWER_GRACE_MS = 500.0  # a final answer that is so late earns nothing, and is not lost
 USE_ENDING = 0.6
+WORK_MS = 40.0  # mean work of a request
+LOAD = (0.2, 0.8)  # of what all boxes can do
+SERVICE_LEAST = 0.3  # of what was asked; with all faults at once most is served still
 START_ERRORS = (("socket", "ENOBUFS"), ("socket", "EMFILE"), ("socket", "ENFILE"), ("bind", "EADDRINUSE"),
                 ("bind", "EADDRNOTAVAIL"), ("listen", "EADDRINUSE"), ("read_file", "EIO"))
 START_FAILS_S = (0.3, 1.5)
-OUTAGE_S = (0.3, 1.5)  # descriptors gone, in service
+OUTAGE_S = (0.8, 2.0)  # descriptors gone, in service
 WALL_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 DEADLINES_MS = (300.0, 600.0, 1500.0)
 MANY_BALANCERS = 12
@@ -68,18 +72,20 @@
     deadline_ms = rng.choice(DEADLINES_MS)
     aim_ms = deadline_ms * rng.uniform(0.4, 0.8)
     classes = tuple(
-        RequestClass(name, share, work_ms=rng.uniform(20.0, 60.0), aim_ms=aim_ms, deadline_ms=deadline_ms, worth=3.0,
+        RequestClass(name, share, work_ms=WORK_MS, aim_ms=aim_ms, deadline_ms=deadline_ms, worth=3.0,
                      effect=effect, scope=rng.choice(("all", "zone", "cell")), window_ms=rng.choice((400.0, 5000.0)))
         for name, share, effect in (("quote", 0.4, "safe"), ("booking", 0.3, "keyed"), ("payout", 0.3, "unsafe")))
+    boxes = rng.randint(5, 9)
     balancers = MANY_BALANCERS if rng.random() < 0.1 else rng.randint(3, 5)
     return checked(Scenario(
         title=f"soak, seed {seed}", seconds=seconds, classes=classes, partners=USUAL_PARTNERS,
-        fleet=Fleet(boxes=rng.randint(6, 12), balancers=balancers, cold_s=(2.0, 4.0), cold_worst_s=4.0),
-        load=Load(rate=rng.uniform(40.0, 80.0)),
-        callers=Callers(grace_ms=FINAL_ANSWER_GRACE_MS, use_ending=USE_ENDING, impatient=rng.choice((0.01, 0.1)),
+        fleet=Fleet(boxes=boxes, balancers=balancers, cold_s=(2.0, 4.0), cold_worst_s=4.0),
+        load=Load(rate=rng.uniform(*LOAD) * boxes * 1000 / WORK_MS),
+        callers=Callers(grace_ms=FINAL_ANSWER_GRACE_MS, use_ending=USE_ENDING, impatient=rng.choice((0.01, 0.3)),
                         at_once=rng.choice((0.5, 1.0))),
         discovery=Discovery(notice_s=(0.2, 2.0), add_s=(0.2, 1.0)),
         hold_up_ms=HOLD_UP_S * 1000 if injection.hold_up_share else 0.0,
+        expect=Expect(service_least=SERVICE_LEAST),
         faults=tuple(_draw_faults(rng, seconds))), f"seed {seed}")
 
 
--- /dev/null
+++ b/tests/rehearsal/broken/blames_upstreams.py
@@ -0,0 +1,13 @@
+"""Takes a connect that this machine fails for a failure of the upstream."""
+
+import sys
+
+from lanemux.net import daemon, upstream
+
+
+def never(error: OSError) -> bool:
+    return False
+
+
+upstream.may_pass_soon = never  # type: ignore[attr-defined]
+sys.exit(daemon.main())
--- /dev/null
+++ b/tests/rehearsal/broken/signals_end_it.py
@@ -0,0 +1,14 @@
+"""Lets the next signal end the process once its loop has closed."""
+
+import signal
+import sys
+
+from lanemux.net import daemon
+
+
+def hold_nothing() -> None:
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, daemon.HANDLED_SIGNALS)
+
+
+daemon.hold_signals = hold_nothing
+sys.exit(daemon.main())
--- /dev/null
+++ b/tests/rehearsal/broken/waits_by_wall_clock.py
@@ -0,0 +1,15 @@
+"""Its timers and deadlines follow the wall clock."""
+
+import sys
+import time
+
+from lanemux.net import daemon
+from lanemux.net.startup import EventLoop
+
+
+def wall(self: EventLoop) -> float:
+    return time.time()
+
+
+EventLoop.time = wall  # type: ignore[method-assign, assignment]
+sys.exit(daemon.main())
--- /dev/null
+++ b/tests/rehearsal/test_soak.py
@@ -0,0 +1,81 @@
+"""The soak: what a seed draws, a short one on this build, and builds with one defect each that it finds."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from lanemux.rehearsal.injection_plan import BadPlan, Plan, Window, read_plan
+from lanemux.rehearsal.plan import draw as draw_plan
+from lanemux.rehearsal.plan import earliest_kill_ns
+from lanemux.rehearsal.soak.command import BROKEN, KEPT, NOT_VALID, read_seeds
+from lanemux.rehearsal.soak.draw import draw
+
+ROOT = Path(__file__).parent.parent.parent
+SECOND = 1_000_000_000
+TIMEOUT_S = 240
+
+
+def soak(folder: Path, *words: str) -> tuple[int, list[dict[str, object]], str]:
+    """Exit status, how each seed ended, and what was printed."""
+    told = folder / "soak.json"
+    ended = subprocess.run(
+        [sys.executable, "-m", "lanemux", "soak", "--json", str(told), "--evidence", str(folder / "evidence"), *words],
+        cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False)
+    assert told.is_file(), ended.stderr
+    return ended.returncode, json.loads(told.read_text())["outcomes"], ended.stdout
+
+
+def test_a_seed_draws_the_same_run_each_time() -> None:
+    assert draw(7) == draw(7) and draw(7) != draw(8)
+    assert read_plan(draw(7).injection.text()) == draw(7).injection
+
+
+def test_every_seed_restarts_a_balancer_and_kills_it_at_the_earliest_moment() -> None:
+    for seed in range(40):
+        run = draw(seed)
+        plan = draw_plan(run.scenario, seed)
+        ends = [h for h in plan.happenings if h.what == "restart"]
+        assert ends and all(h.until_ns - h.at_ns == earliest_kill_ns(run.scenario) for h in ends)
+        longest = max(c.deadline_ms for c in run.scenario.classes) / 1000
+        assert earliest_kill_ns(run.scenario) == pytest.approx((min(3.0, longest) + 0.7) * SECOND)
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{", '{"speed": 1}', '{"windows": [{"call": "socket"}]}', '{"windows": 3}'])
+def test_a_plan_that_is_none_is_refused(text: str) -> None:
+    with pytest.raises(BadPlan):
+        read_plan(text)
+
+
+def test_a_plan_reads_back_as_it_was_written() -> None:
+    plan = Plan(seed=3, windows=[Window("bind", "EADDRINUSE", 1.0, 0.5)], short_share=0.5)
+    assert read_plan(plan.text()) == plan
+
+
+@pytest.mark.parametrize(("text", "seeds"), [("3", [3]), ("3-5", [3, 4, 5])])
+def test_seeds_are_read(text: str, seeds: list[int]) -> None:
+    assert list(read_seeds(text)) == seeds
+
+
+@pytest.mark.parametrize("text", ["", "x", "5-3", "1-x", "1-100000"])
+def test_seeds_that_are_none_are_refused(text: str) -> None:
+    with pytest.raises(ValueError, match="seeds"):
+        read_seeds(text)
+
+
+def test_a_short_soak_of_this_build_keeps_every_rule(tmp_path: Path) -> None:
+    status, outcomes, said = soak(tmp_path, "--seeds", "1-3")
+    assert status in (KEPT, NOT_VALID), said
+    assert [outcome["crashes"] for outcome in outcomes if outcome["valid"]] in ([], [[]], [[]] * 2, [[]] * 3), said
+
+
+@pytest.mark.parametrize(("defect", "seed"), [("signals_end_it", 1), ("drops_requests_at_the_end", 1)])
+def test_a_build_with_a_defect_is_found(tmp_path: Path, defect: str, seed: int) -> None:
+    status, outcomes, said = soak(tmp_path, "--seeds", str(seed), "--module", f"tests.rehearsal.broken.{defect}")
+    assert status in (BROKEN, NOT_VALID), said
+    assert status == NOT_VALID or (tmp_path / "evidence" / str(seed) / "timeline.txt").exists()
+    assert outcomes[0]["crashes"] or outcomes[0]["faults"], said
