--- a/bench/back.py
+++ b/bench/back.py
@@ -29,8 +29,11 @@
 STEP_NS = 50 * MS
 RESTED_S = (0.4, 0.5)  # a new process gets its first request so long after its start
 TENANTS = {name: api.Tenant(name, share) for name, share in (("ash", 0.5), ("birch", 0.3), ("cedar", 0.2))}
-LOOKS = {"tenants": TENANTS, "prices": api.Prices(probe=0.002),
-         "limits": api.Limits(max_attempts=5, may_cancel=True, probes=True, retry_after=True)}
+LOOKS = {
+    "tenants": TENANTS,
+    "prices": api.Prices(probe=0.002),
+    "limits": api.Limits(max_attempts=5, may_cancel=True, probes=True, retry_after=True),
+}
 
 
 def fleet(seed: int, proxies: int = 1, clients: Clients | None = None) -> Fleet:
@@ -95,7 +98,11 @@
 
 
 CASES: dict[str, Callable[[int], float]] = {
-    "blank start": blank_start, "standstill of 1 s": standstill, "cut of 3 s": cut, "cut, two a second": little_traffic}
+    "blank start": blank_start,
+    "standstill of 1 s": standstill,
+    "cut of 3 s": cut,
+    "cut, two a second": little_traffic,
+}
 
 
 def tell(seeds: int) -> None:
@@ -109,14 +116,19 @@
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 16
     if len(sys.argv) > 2:
         with tempfile.TemporaryDirectory() as folder:
-            archive = subprocess.run(["git", "archive", sys.argv[2], "lanemux"], cwd=ROOT, check=True,
-                                     capture_output=True)
+            archive = subprocess.run(
+                ["git", "archive", sys.argv[2], "lanemux"], cwd=ROOT, check=True, capture_output=True
+            )
             subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
             for name in ("bench", "tests"):
                 Path(folder, name).symlink_to(ROOT / name)
             print(f"{sys.argv[2]}:", flush=True)
-            subprocess.run([sys.executable, "-m", "bench.back", str(seeds)], cwd=folder, check=True,
-                           env=os.environ | {"PYTHONPATH": folder})
+            subprocess.run(
+                [sys.executable, "-m", "bench.back", str(seeds)],
+                cwd=folder,
+                check=True,
+                env=os.environ | {"PYTHONPATH": folder},
+            )
     print("this tree:")
     tell(seeds)
 
--- a/bench/etcd_follow.py
+++ b/bench/etcd_follow.py
@@ -49,8 +49,17 @@
 
     def row(self, health: str = "up", stamp: bool = False) -> bytes:
         site = str(time.monotonic_ns()) if stamp else "a"
-        return json.dumps({"dial": f"{HOST}:{self.box}", "site": site, "class": "m", "block": 0,
-                           "health": health, "share": 1.0, "born_ms": 0}).encode()
+        return json.dumps(
+            {
+                "dial": f"{HOST}:{self.box}",
+                "site": site,
+                "class": "m",
+                "block": 0,
+                "health": health,
+                "share": 1.0,
+                "born_ms": 0,
+            }
+        ).encode()
 
     def wrote(self, changes: Sequence[Change], revision: int) -> None:
         """Rows have been handed to the balancer's socket."""
@@ -61,7 +70,7 @@
 
     def write(self, rows: list[tuple[str, bytes | None]]) -> None:
         for start in range(0, len(rows), TXN):
-            self.standin.store.write([(f"{PREFIX}{h}".encode(), v) for h, v in rows[start:start + TXN]])
+            self.standin.store.write([(f"{PREFIX}{h}".encode(), v) for h, v in rows[start : start + TXN]])
         self.standin.changed()
 
     def memory_mb(self) -> float:
@@ -72,13 +81,28 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+
 SETTINGS: dict[str, Any] = {
-    "me": 0, "replicas_of_me": 4, "locality": "a", "zones": ["a"], "registry_mode": "push",
+    "me": 0,
+    "replicas_of_me": 4,
+    "locality": "a",
+    "zones": ["a"],
+    "registry_mode": "push",
     "load_report": {"columns": ["inflight", "queue"], "how": "probe"},
-    "profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 264_000_000}], "realms": [{"name": "a", "share": 1}],
-    "limits": {"conn_idle_ns": 15_000_000_000, "connect_timeout_ns": 200_000_000, "max_open": 20000, "probes": True,
-               "may_cancel": True, "retry_after": True, "send_cap": 5},
-    "prices": {"probe": 0.002}, "rules": {"stop_sending_within_ns": 500_000_000}}
+    "profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 264_000_000}],
+    "realms": [{"name": "a", "share": 1}],
+    "limits": {
+        "conn_idle_ns": 15_000_000_000,
+        "connect_timeout_ns": 200_000_000,
+        "max_open": 20000,
+        "probes": True,
+        "may_cancel": True,
+        "retry_after": True,
+        "send_cap": 5,
+    },
+    "prices": {"probe": 0.002},
+    "rules": {"stop_sending_within_ns": 500_000_000},
+}
 
 
 def free_port() -> int:
@@ -96,23 +120,50 @@
     with tempfile.TemporaryDirectory() as name:
         folder, port = Path(name), free_port()
         crowd = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "bench.programs.crowd", str(port), str(RATE), str(PHASES_S),
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=64 * 1024 * 1024)
+            sys.executable,
+            "-m",
+            "bench.programs.crowd",
+            str(port),
+            str(RATE),
+            str(PHASES_S),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=64 * 1024 * 1024,
+        )
         assert crowd.stdout is not None
         box = int(await crowd.stdout.readline())
-        (folder / "config.json").write_text(json.dumps({
-            "name": "n0", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:1", "seed": "1", "settings": SETTINGS,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}))
+        (folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"{HOST}:{port}",
+                    "discovery": f"{HOST}:1",
+                    "seed": "1",
+                    "settings": SETTINGS,
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                }
+            )
+        )
         (folder / "operators.toml").write_text(
-            f'[etcd]\nendpoints = ["{HOST}:{standin.address[1]}"]\nprefix = "{PREFIX}"\n')
+            f'[etcd]\nendpoints = ["{HOST}:{standin.address[1]}"]\nprefix = "{PREFIX}"\n'
+        )
         here = World(standin, box, folder, None, crowd)  # type: ignore[arg-type]
         standin.wrote = here.wrote
         here.write([(f"q-{i:06}", here.row()) for i in range(count)])
         with (folder / "log").open("wb") as log:
             here.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", *program, str(folder / "report.json"), stdout=log, stderr=log,
-                env={**os.environ, "RELAY_CONFIG": str(folder / "config.json"),
-                     "LANEMUX_OPERATORS": str(folder / "operators.toml")})
+                sys.executable,
+                "-m",
+                *program,
+                str(folder / "report.json"),
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    "RELAY_CONFIG": str(folder / "config.json"),
+                    "LANEMUX_OPERATORS": str(folder / "operators.toml"),
+                },
+            )
         try:
             while not standin.watches:
                 await asyncio.sleep(0.01)
@@ -161,8 +212,7 @@
         print((here.folder / "log").read_text()[-500:])
         # From the moment it was written to the balancer's socket.
         report["late"] = [(at, at - here.sent[at - v], s) for at, v, s in report["late"] if at - v in here.sent]
-    told(f"notice to decision in calm, {RATE} requests/s",
-         [v for at, v, _ in report["late"] if calm <= at < bursts])
+    told(f"notice to decision in calm, {RATE} requests/s", [v for at, v, _ in report["late"] if calm <= at < bursts])
     told(f"the drain within a burst of {BURST}", [v for at, v, s in report["late"] if at >= bursts and s == "DRAINING"])
     told(f"all changes of bursts of {BURST}", [v for at, v, _ in report["late"] if at >= bursts])
     told("the loop for one slice", report["took"])
@@ -172,8 +222,10 @@
     for name, begin, stop in (("without a burst", quiet, bursts), ("with bursts", bursts, end)):
         spans = [v / 1e6 for at, v in report["stood"] if begin <= at < stop]
         asked = [s * 1000 for at, s in answered if begin <= at < stop]
-        print(f"{name}: the loop stood still {max(spans, default=0):.1f} ms at most; {len(asked)} answers, "
-              f"p50 {share(asked, 0.5):.2f} ms, p99 {share(asked, 0.99):.2f} ms, most {max(asked, default=0):.1f} ms")
+        print(
+            f"{name}: the loop stood still {max(spans, default=0):.1f} ms at most; {len(asked)} answers, "
+            f"p50 {share(asked, 0.5):.2f} ms, p99 {share(asked, 0.99):.2f} ms, most {max(asked, default=0):.1f} ms"
+        )
 
 
 async def size() -> None:
@@ -192,9 +244,12 @@
                     await asyncio.sleep(0.01)
                 await asyncio.sleep(1.2)
             after, lists = here.memory_mb(), here.standin.lists
-            print(f"{count} boxes: {settled:.1f} MB and {spent:.2f} s of processor until the list was in; after "
-                  f"{RELISTS} losses and {lists} pages {after:.1f} MB, "
-                  f"{(here.processor_s() - spent) / RELISTS * 1000:.0f} ms of processor for each", flush=True)
+            print(
+                f"{count} boxes: {settled:.1f} MB and {spent:.2f} s of processor until the list was in; after "
+                f"{RELISTS} losses and {lists} pages {after:.1f} MB, "
+                f"{(here.processor_s() - spent) / RELISTS * 1000:.0f} ms of processor for each",
+                flush=True,
+            )
 
 
 def main() -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,6 @@
 """What a fleet gains from the words between balancers, on the model of `tests/fleet.py`: with them over without.
 
-    python -m bench.fleet [SEEDS]     8 cores: 3 s for one seed
+python -m bench.fleet [SEEDS]     8 cores: 3 s for one seed
 """
 
 from __future__ import annotations
@@ -43,8 +43,10 @@
             told = list(pool.map(play, [day] * len(seeds), seeds, [True] * len(seeds)))
             silent = list(pool.map(play, [day] * len(seeds), seeds, [False] * len(seeds)))
             ratio = statistics.mean(a / b for a, b in zip(told, silent, strict=True))
-            print(f"{day:20} served with words {statistics.mean(told):.3f}, without {statistics.mean(silent):.3f}, "
-                  f"ratio {ratio:.2f}, {len(seeds)} seeds")
+            print(
+                f"{day:20} served with words {statistics.mean(told):.3f}, without {statistics.mean(silent):.3f}, "
+                f"ratio {ratio:.2f}, {len(seeds)} seeds"
+            )
 
 
 if __name__ == "__main__":
--- a/bench/list_changes.py
+++ b/bench/list_changes.py
@@ -28,8 +28,9 @@
 
 def before(revision: str) -> ModuleType:
     """`policy.py` of another revision, as a module."""
-    text = subprocess.run(["git", "show", f"{revision}:lanemux/policy.py"], capture_output=True, text=True,
-                          check=True).stdout
+    text = subprocess.run(
+        ["git", "show", f"{revision}:lanemux/policy.py"], capture_output=True, text=True, check=True
+    ).stdout
     module = sys.modules["policy_before"] = ModuleType("policy_before")
     exec(compile(text, "policy_before.py", "exec"), module.__dict__)
     return module
@@ -53,18 +54,23 @@
 
 def measure(module: ModuleType, size: int, looks: bool) -> list[float]:
     limits = api.Limits(max_attempts=3, probes=looks)
-    balancer = module.Balancer(api.Settings(me=1, replicas_of_me=PROXIES, limits=limits,
-                                            report_columns=("inflight",)), 1, 1)
+    balancer = module.Balancer(
+        api.Settings(me=1, replicas_of_me=PROXIES, limits=limits, report_columns=("inflight",)), 1, 1
+    )
     entries = fleet(size)
     balancer.handle(1, [api.ListUpdate(api.ListKind.FULL, entries)])
     some = entries[:SLICE]
     kind = api.ListKind.DELTA
-    drain, up, drains, ups, whole = timed(balancer, [
-        lambda: api.ListUpdate(kind, [some[0]._replace(state=api.State.DRAINING)]),
-        lambda: api.ListUpdate(kind, [some[0]]),
-        lambda: api.ListUpdate(kind, [e._replace(state=api.State.GONE) for e in some]),
-        lambda: api.ListUpdate(kind, some),
-        lambda: api.ListUpdate(api.ListKind.FULL, entries[1:] + entries[:1])])
+    drain, up, drains, ups, whole = timed(
+        balancer,
+        [
+            lambda: api.ListUpdate(kind, [some[0]._replace(state=api.State.DRAINING)]),
+            lambda: api.ListUpdate(kind, [some[0]]),
+            lambda: api.ListUpdate(kind, [e._replace(state=api.State.GONE) for e in some]),
+            lambda: api.ListUpdate(kind, some),
+            lambda: api.ListUpdate(api.ListKind.FULL, entries[1:] + entries[:1]),
+        ],
+    )
     return [(drain + up) / 2, (drains + ups) / 2, whole]
 
 
@@ -77,8 +83,11 @@
         for size in SIZES:
             for name, module in modules:
                 one, many, whole = measure(module, size, looks)
-                print(f"{'whole fleet' if looks else 'quarter'} as home, {size:6} upstreams, {name}: one change "
-                      f"{one:.3f} ms, {SLICE} changes {many:.3f} ms, whole list {whole:.1f} ms", flush=True)
+                print(
+                    f"{'whole fleet' if looks else 'quarter'} as home, {size:6} upstreams, {name}: one change "
+                    f"{one:.3f} ms, {SLICE} changes {many:.3f} ms, whole list {whole:.1f} ms",
+                    flush=True,
+                )
 
 
 if __name__ == "__main__":
--- a/bench/members.py
+++ b/bench/members.py
@@ -54,9 +54,12 @@
             last = sorted(p.last_s for p in played)
             first = statistics.median(p.first_s for p in played)
             false, messages, size = (statistics.mean(of) for of in zip(*(p[2:] for p in played), strict=True))
-            print(f"{count:5} members: first knows after {first:.2f} s, all after {statistics.median(last):.2f} s "
-                  f"(most {last[-1]:.2f}); false alarms an hour {false:.1f}; {messages:.1f} messages, {size:.0f} bytes "
-                  f"a second; {seeds} seeds", flush=True)
+            print(
+                f"{count:5} members: first knows after {first:.2f} s, all after {statistics.median(last):.2f} s "
+                f"(most {last[-1]:.2f}); false alarms an hour {false:.1f}; {messages:.1f} messages, {size:.0f} bytes "
+                f"a second; {seeds} seeds",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/bench/outages.py
+++ b/bench/outages.py
@@ -53,7 +53,11 @@
 
 
 BUILDS: dict[str, type[Storm] | None] = {
-    OFF: None, ON: Storm, "no spread of returns": _NoSpread, "no finding out": _NoRestarts}
+    OFF: None,
+    ON: Storm,
+    "no spread of returns": _NoSpread,
+    "no finding out": _NoRestarts,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,13 +105,17 @@
 def _outage(world: World) -> Scenario:
     mean_s = sum(c.share * c.work_ms for c in USUAL_CLASSES) / 1000
     return Scenario(
-        "an outage", world.seconds, 1.0,
+        "an outage",
+        world.seconds,
+        1.0,
         Fleet(boxes=world.boxes, balancers=world.balancers, looks=world.looks, fall_multiple=world.fall_multiple),
         Load(rate=world.load * world.boxes / mean_s, swing=0.1),
         Callers(at_once=1.0, honour=world.honour, marks=world.marks),
         Discovery(notice_s=world.notice_s, add_s=(0.77, 2.5)),
-        classes=USUAL_CLASSES, partners=USUAL_PARTNERS,
-        faults=(Fault("crash", at_s=DIES_S, part=(world.part, world.part), down_s=world.down_s),))
+        classes=USUAL_CLASSES,
+        partners=USUAL_PARTNERS,
+        faults=(Fault("crash", at_s=DIES_S, part=(world.part, world.part), down_s=world.down_s),),
+    )
 
 
 @dataclass(slots=True)
@@ -142,10 +150,20 @@
         broken[violation.rule] = broken.get(violation.rule, 0) + 1
     f = result.figures
     fell = len({v.box for v in result.violations if v.rule == "cold"})
-    return Row(build, seed, f.service, f.outage_service, f.recovery_s, f.returns_peak, fell, f.cold_budget_most,
-               f.attempts_per_ask, statistics.mean(v for p, v in f.by_partner.items() if p != PARTNER), broken,
-               [(sum(p.earned.values()), sum(p.asked.values()))
-                for p in over_time(result.plan, result.boxes, result.books)])
+    return Row(
+        build,
+        seed,
+        f.service,
+        f.outage_service,
+        f.recovery_s,
+        f.returns_peak,
+        fell,
+        f.cold_budget_most,
+        f.attempts_per_ask,
+        statistics.mean(v for p, v in f.by_partner.items() if p != PARTNER),
+        broken,
+        [(sum(p.earned.values()), sum(p.asked.values())) for p in over_time(result.plan, result.boxes, result.books)],
+    )
 
 
 def spread(values: Sequence[float]) -> str:
@@ -164,14 +182,16 @@
     before = {r.seed: r.outage_service for r in off}
     gaps = [r.outage_service - before[r.seed] for r in rows if r.seed in before]
     error = statistics.stdev(gaps) / len(gaps) ** 0.5 if len(gaps) > 1 else 0.0
-    return (f"{build:<22}{sum(r.fell for r in rows):>5}{sum(r.fell > 0 for r in rows):>6}"
-            f"{max(r.budget for r in rows):>8.2f}{statistics.median(r.budget for r in rows):>7.2f}  "
-            f"{spread([r.service for r in rows])}  {spread([r.outage_service for r in rows])}  "
-            f"{statistics.mean(gaps) if gaps else 0:+.3f} ({error:.3f})  "
-            f"{statistics.median(back) if back else math.nan:6.2f} s{len(rows) - len(back):>5}  "
-            f"{statistics.median(r.returns_peak for r in rows):6.2f}  "
-            f"{statistics.median(r.attempts_per_ask for r in rows):5.2f}  "
-            f"{spread([r.others for r in rows])}  {others or ''}")
+    return (
+        f"{build:<22}{sum(r.fell for r in rows):>5}{sum(r.fell > 0 for r in rows):>6}"
+        f"{max(r.budget for r in rows):>8.2f}{statistics.median(r.budget for r in rows):>7.2f}  "
+        f"{spread([r.service for r in rows])}  {spread([r.outage_service for r in rows])}  "
+        f"{statistics.mean(gaps) if gaps else 0:+.3f} ({error:.3f})  "
+        f"{statistics.median(back) if back else math.nan:6.2f} s{len(rows) - len(back):>5}  "
+        f"{statistics.median(r.returns_peak for r in rows):6.2f}  "
+        f"{statistics.median(r.attempts_per_ask for r in rows):5.2f}  "
+        f"{spread([r.others for r in rows])}  {others or ''}"
+    )
 
 
 def table(rows: Iterable[Row]) -> None:
@@ -179,8 +199,10 @@
     by_build: dict[str, list[Row]] = {}
     for row in rows:
         by_build.setdefault(row.build, []).append(row)
-    print(f"{'':<22}{'fell':>5}{'seeds':>6}{'budget':>8}{'med.':>7}  service        in the outage  over off        "
-          "back after  never  peak  tries  other partners  other rules broken")
+    print(
+        f"{'':<22}{'fell':>5}{'seeds':>6}{'budget':>8}{'med.':>7}  service        in the outage  over off        "
+        "back after  never  peak  tries  other partners  other rules broken"
+    )
     for build, own in by_build.items():
         print(line(build, own, by_build.get(OFF, [])), flush=True)
 
@@ -191,8 +213,7 @@
     for build in builds:
         own = [r.worth for r in rows if r.build == build]
         steps = min(len(w) for w in own) - 1
-        lines.append((build, [sum(w[i][0] for w in own) / max(1.0, sum(w[i][1] for w in own))
-                              for i in range(steps)]))
+        lines.append((build, [sum(w[i][0] for w in own) / max(1.0, sum(w[i][1] for w in own)) for i in range(steps)]))
     steps = len(lines[0][1])
     names = ", ".join(name for name, _ in lines)
     print(f'```mermaid\nxychart-beta\n    title "service by half seconds: {names}"')
@@ -213,8 +234,11 @@
     parser.add_argument("--json", type=Path)
     parser.add_argument("--plot", action="store_true")
     options = parser.parse_args()
-    jobs = [(options.world, build, seed) for seed in range(options.first, options.first + options.seeds)
-            for build in options.only]
+    jobs = [
+        (options.world, build, seed)
+        for seed in range(options.first, options.first + options.seeds)
+        for build in options.only
+    ]
     with multiprocessing.get_context("spawn").Pool(options.jobs) as pool:
         rows = list(pool.imap_unordered(run, jobs))
     rows.sort(key=lambda r: (options.only.index(r.build), r.seed))
--- a/bench/programs/crowd.py
+++ b/bench/programs/crowd.py
@@ -34,8 +34,10 @@
     began = time.monotonic()
     try:
         reader, writer = idle.pop() if idle else await asyncio.open_connection(HOST, port)
-        writer.write(f"GET /read/1 HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\nReq-Owner: a\r\n"
-                     "Req-Deadline-Ms: 2000\r\n\r\n".encode())
+        writer.write(
+            f"GET /read/1 HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\nReq-Owner: a\r\n"
+            "Req-Deadline-Ms: 2000\r\n\r\n".encode()
+        )
         head = await reader.readuntil(b"\r\n\r\n")
         await reader.readexactly(int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0]))
     except (OSError, asyncio.IncompleteReadError):
--- a/bench/programs/plain.py
+++ b/bench/programs/plain.py
@@ -74,6 +74,7 @@
 
 def start(choose: Choose) -> None:
     """One balancer that decides so, started like the real one."""
+
     def made(settings: api.Settings, seed: int, now: int) -> Plain:
         return Plain(choose, settings, seed)
 
--- a/bench/rehearsals.py
+++ b/bench/rehearsals.py
@@ -44,8 +44,19 @@
     """Its report; played again while it is not valid."""
     with tempfile.NamedTemporaryFile(suffix=".json") as file:
         program = ["--program", f"{sys.executable} -m {job.program}"] if job.program else []
-        words = [sys.executable, "-m", "lanemux", "rehearse", job.scenario, "--seed", str(job.seed),
-                 "--json", file.name, *job.more, *program]
+        words = [
+            sys.executable,
+            "-m",
+            "lanemux",
+            "rehearse",
+            job.scenario,
+            "--seed",
+            str(job.seed),
+            "--json",
+            file.name,
+            *job.more,
+            *program,
+        ]
         report: dict[str, Any] = {"valid": False}
         for _ in range(plays):
             subprocess.run(words, capture_output=True, timeout=600)
@@ -65,8 +76,10 @@
     ordered = sorted(values)
     if not ordered:
         return "no valid run"
-    return (f"median {statistics.median(ordered):.3f}, {ordered[0]:.3f} to {ordered[-1]:.3f}, "
-            f"standard deviation {statistics.pstdev(ordered):.3f}")
+    return (
+        f"median {statistics.median(ordered):.3f}, {ordered[0]:.3f} to {ordered[-1]:.3f}, "
+        f"standard deviation {statistics.pstdev(ordered):.3f}"
+    )
 
 
 def healthy(seeds: int, abreast: int) -> None:
@@ -74,20 +87,29 @@
         reports = played([Job(name, seed) for seed in range(1, seeds + 1)], abreast)
         valid = [r for r in reports if r["valid"]]
         accused = [r["seed"] for r in valid if any(r["rules"].values()) or r["crashes"] or r["expectations_missed"]]
-        print(f"{name}: {len(valid)} of {seeds} valid, accused on seeds {accused or 'none'}; service "
-              f"{spread(r['service'] for r in valid)}; of a cold box's budget at most "
-              f"{max((r['cold_budget_most'] for r in valid), default=0):.2f}; blindness at most "
-              f"{max((r['blindness'] for r in valid), default=0):.2f}", flush=True)
+        print(
+            f"{name}: {len(valid)} of {seeds} valid, accused on seeds {accused or 'none'}; service "
+            f"{spread(r['service'] for r in valid)}; of a cold box's budget at most "
+            f"{max((r['cold_budget_most'] for r in valid), default=0):.2f}; blindness at most "
+            f"{max((r['blindness'] for r in valid), default=0):.2f}",
+            flush=True,
+        )
 
 
 def broken(seeds: int, abreast: int) -> None:
-    rows = [*((b, n, r, True) for b, n, r in BY_RULE), ("never_answers", "friday-rush-short", "lost", True),
-            *((b, n, f, False) for b, n, f in BY_FIGURE)]
+    rows = [
+        *((b, n, r, True) for b, n, r in BY_RULE),
+        ("never_answers", "friday-rush-short", "lost", True),
+        *((b, n, f, False) for b, n, f in BY_FIGURE),
+    ]
     for build, name, by, rule in rows:
         reports = played([Job(name, s, f"tests.rehearsal.broken.{build}") for s in range(1, seeds + 1)], abreast)
         valid = [r for r in reports if r["valid"]]
-        caught = [r for r in valid if (r["rules"][by] if rule else any(
-            line.startswith(by) for line in r["expectations_missed"]))]
+        caught = [
+            r
+            for r in valid
+            if (r["rules"][by] if rule else any(line.startswith(by) for line in r["expectations_missed"]))
+        ]
         print(f"{build} ({name}): caught by {by} on {len(caught)} of {len(valid)} valid runs of {seeds}", flush=True)
 
 
@@ -98,19 +120,31 @@
             path = f"bench.programs.{program}" if program else ""
             reports = played([Job(name, s, path, more) for s in range(1, seeds + 1)], abreast)
             valid = [r for r in reports if r["valid"]]
-            print(f"{name}, {program or 'this build'}: {len(valid)} of {seeds} valid; service "
-                  f"{spread(r['service'] for r in valid)}; worst 10 s {spread(r['worst_10_s'] for r in valid)}",
-                  flush=True)
+            print(
+                f"{name}, {program or 'this build'}: {len(valid)} of {seeds} valid; service "
+                f"{spread(r['service'] for r in valid)}; worst 10 s {spread(r['worst_10_s'] for r in valid)}",
+                flush=True,
+            )
 
 
 def cost() -> None:
     for rate in RATES:
-        report = play(Job("calm", 1, "bench.programs.least_connections", (
-            "--rate", str(rate), "--boxes", "100", "--seconds", "12", "--balancers", str(BALANCERS_AT_RATE))), 1)
+        report = play(
+            Job(
+                "calm",
+                1,
+                "bench.programs.least_connections",
+                ("--rate", str(rate), "--boxes", "100", "--seconds", "12", "--balancers", str(BALANCERS_AT_RATE)),
+            ),
+            1,
+        )
         v = report["validity"]
-        print(f"{rate} asks/s: valid {report['valid']}; asks late p99 {v['asks_late_p99_ms']:.1f} ms, callers "
-              f"{v['callers_late_p99_ms']:.1f} ms, boxes {v['boxes_late_p99_ms']:.1f} ms; "
-              f"{report['attempts']} attempts; {v['reasons']}", flush=True)
+        print(
+            f"{rate} asks/s: valid {report['valid']}; asks late p99 {v['asks_late_p99_ms']:.1f} ms, callers "
+            f"{v['callers_late_p99_ms']:.1f} ms, boxes {v['boxes_late_p99_ms']:.1f} ms; "
+            f"{report['attempts']} attempts; {v['reasons']}",
+            flush=True,
+        )
 
 
 def main() -> None:
--- a/bench/seam_cost.py
+++ b/bench/seam_cost.py
@@ -103,9 +103,18 @@
         framer = framing.Framer(answers=True)
         while loop.time() < until:
             self.count += 1
-            writer.write(framing.request("/rate-lookup/1", {
-                "Host": "quotes.internal", "Req-Id": f"{self.number:04x}{self.count:012x}",
-                "Req-Owner": "brooklyn-desk", "Req-Deadline-Ms": "600", "Req-Cost": "1000"}))
+            writer.write(
+                framing.request(
+                    "/rate-lookup/1",
+                    {
+                        "Host": "quotes.internal",
+                        "Req-Id": f"{self.number:04x}{self.count:012x}",
+                        "Req-Owner": "brooklyn-desk",
+                        "Req-Deadline-Ms": "600",
+                        "Req-Cost": "1000",
+                    },
+                )
+            )
             answers: list[framing.Message] = []
             while not answers:
                 answers = framer.feed(await reader.read(65536))
@@ -123,17 +132,24 @@
     operators: Path
 
 
-async def start(side: Side, folder: Path, core: int, agent: Agent, place: Place,
-                program: list[str]) -> asyncio.subprocess.Process:
+async def start(
+    side: Side, folder: Path, core: int, agent: Agent, place: Place, program: list[str]
+) -> asyncio.subprocess.Process:
     told = settings(draw(find("calm-short", ""), 1), 0)
     told["realms"] = [{"name": "brooklyn-desk", "share": 1.0}]
     path = folder / f"{side.name}.json"
     path.write_text(json.dumps(configuration(side.name, place, "1", agent.listing(), told)))
     more = ["--operators", str(side.operators)] if "-m" in program else []
     return await asyncio.create_subprocess_exec(
-        sys.executable, *program, *more, cwd=side.root, stdin=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+        sys.executable,
+        *program,
+        *more,
+        cwd=side.root,
+        stdin=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
         env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(side.root)},
-        preexec_fn=lambda: os.sched_setaffinity(0, {core}))
+        preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+    )
 
 
 async def open_upstreams(agent: Agent) -> None:
@@ -158,8 +174,9 @@
 
 
 @contextlib.asynccontextmanager
-async def standing(sides: tuple[Side, Side], folder: Path,
-                   program: list[str]) -> AsyncIterator[dict[str, tuple[int, int]]]:
+async def standing(
+    sides: tuple[Side, Side], folder: Path, program: list[str]
+) -> AsyncIterator[dict[str, tuple[int, int]]]:
     """The balancers' ports and process numbers."""
     agent = Agent(0, lambda: 0, 0, [])
     discovery = await agent.open(HOST)
@@ -187,8 +204,9 @@
         await agent.close()
 
 
-async def measure(sides: tuple[Side, Side], rounds: int, number: int, folder: Path,
-                  what: str) -> dict[str, list[tuple[float, float, int]]]:
+async def measure(
+    sides: tuple[Side, Side], rounds: int, number: int, folder: Path, what: str
+) -> dict[str, list[tuple[float, float, int]]]:
     """One pair's rounds."""
     figures: dict[str, list[tuple[float, float, int]]] = {side.name: [] for side in sides}
     async with standing(sides if number % 2 else (sides[1], sides[0]), folder, PROGRAMS[what]) as found:
@@ -210,15 +228,22 @@
     here, there = (side.name for side in sides)
     for name in (here, there):
         rows = [row for pair in pairs for row in pair[name]]
-        print(f"{what}, {name}: {statistics.median(r[0] for r in rows):.0f} requests/s, "
-              f"{statistics.median(r[1] for r in rows):.1f} us of processor a request (medians), "
-              f"{sum(r[2] for r in rows)} not served")
+        print(
+            f"{what}, {name}: {statistics.median(r[0] for r in rows):.0f} requests/s, "
+            f"{statistics.median(r[1] for r in rows):.1f} us of processor a request (medians), "
+            f"{sum(r[2] for r in rows)} not served"
+        )
     for figure, column in (("requests/s", 0), ("us a request", 1)):
-        ratios = [statistics.median(h[column] / t[column] for h, t in zip(pair[here], pair[there], strict=True))
-                  for pair in pairs]
+        ratios = [
+            statistics.median(h[column] / t[column] for h, t in zip(pair[here], pair[there], strict=True))
+            for pair in pairs
+        ]
         error = statistics.stdev(ratios) / len(ratios) ** 0.5 if len(ratios) > 1 else 0.0
-        print(f"{what}, {figure}, {here} over {there}: {len(pairs)} pairs, mean of their medians "
-              f"{statistics.mean(ratios):.4f}, standard error {error:.4f}", flush=True)
+        print(
+            f"{what}, {figure}, {here} over {there}: {len(pairs)} pairs, mean of their medians "
+            f"{statistics.mean(ratios):.4f}, standard error {error:.4f}",
+            flush=True,
+        )
 
 
 def compare(sides: tuple[Side, Side], rounds: int, pairs: int, folder: Path, loads: list[str]) -> None:
@@ -230,7 +255,7 @@
     if len(sys.argv) < 2:
         raise SystemExit(__doc__)
     other_name, *more = sys.argv[1:]
-    rounds, pairs = [int(word) for word in more] + [ROUNDS, PAIRS][len(more):]
+    rounds, pairs = [int(word) for word in more] + [ROUNDS, PAIRS][len(more) :]
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         plain, storm, other = folder / "plain.toml", folder / "storm.toml", folder / "other"
--- a/bench/simulate.py
+++ b/bench/simulate.py
@@ -1,8 +1,8 @@
 """What the virtual world finds and costs. Run from the repository's root:
 
-    python -m bench.simulate planted [NAME ...]   # each planted fault: seeds until it is found, the plan cut down
-    python -m bench.simulate replay [SEEDS]       # seeds in three processes: other hash seeds, another day's date
-    python -m bench.simulate agree [SEEDS]        # a faultless scenario on both clocks
+python -m bench.simulate planted [NAME ...]   # each planted fault: seeds until it is found, the plan cut down
+python -m bench.simulate replay [SEEDS]       # seeds in three processes: other hash seeds, another day's date
+python -m bench.simulate agree [SEEDS]        # a faultless scenario on both clocks
 """
 
 from __future__ import annotations
@@ -63,8 +63,14 @@
 
 def _simulate(root: Path, *words: str, hash_seed: str = "0", launcher: str = "") -> str:
     start = ["-c", launcher] if launcher else ["-m", "lanemux", "simulate"]
-    done = subprocess.run([sys.executable, *start, *words], cwd=root, capture_output=True, text=True, timeout=3000,
-                          env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(root)})
+    done = subprocess.run(
+        [sys.executable, *start, *words],
+        cwd=root,
+        capture_output=True,
+        text=True,
+        timeout=3000,
+        env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(root)},
+    )
     return done.stdout + done.stderr
 
 
@@ -73,8 +79,16 @@
     with tempfile.TemporaryDirectory() as folder:
         for hash_seed, launcher in (("1", ""), ("2", ""), ("3", ANOTHER_DAY)):
             report = Path(folder) / f"{hash_seed}.json"
-            _simulate(ROOT, "--seeds", f"1-{seeds}", "--no-shrink", "--json", str(report), hash_seed=hash_seed,
-                      launcher=launcher)
+            _simulate(
+                ROOT,
+                "--seeds",
+                f"1-{seeds}",
+                "--no-shrink",
+                "--json",
+                str(report),
+                hash_seed=hash_seed,
+                launcher=launcher,
+            )
             found.append(json.loads(report.read_text()))
             print(f"hash seed {hash_seed}{', 400 days on' if launcher else ''}: digest {found[-1]['digest']}")
     differ = [s for s in found[0]["digests"] if len({f["digests"][s] for f in found}) > 1]
@@ -87,15 +101,21 @@
     rows = []
     for seed in range(1, seeds + 1):
         with tempfile.NamedTemporaryFile(suffix=".json") as file:
-            subprocess.run([sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--seed", str(seed), "--json",
-                            file.name], capture_output=True, timeout=300)
+            subprocess.run(
+                [sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--seed", str(seed), "--json", file.name],
+                capture_output=True,
+                timeout=300,
+            )
             real = json.loads(Path(file.name).read_text())
         links = dict.fromkeys(("client", "box", "list", "peer"), Weather())
         virtual = play(Script(seed), made=Setting(scenario, links)).figures
         rows.append((real["service"], virtual.service))
-        print(f"seed {seed}: real {real['service']:.4f} ({real['answered_in_time']} of {real['asked']} in time, "
-              f"{real['attempts']} attempts, valid {real['valid']}), virtual {virtual.service:.4f} "
-              f"({virtual.answered_in_time} of {virtual.asked}, {virtual.attempts})", flush=True)
+        print(
+            f"seed {seed}: real {real['service']:.4f} ({real['answered_in_time']} of {real['asked']} in time, "
+            f"{real['attempts']} attempts, valid {real['valid']}), virtual {virtual.service:.4f} "
+            f"({virtual.answered_in_time} of {virtual.asked}, {virtual.attempts})",
+            flush=True,
+        )
     for name, column in (("real", [r for r, _ in rows]), ("virtual", [v for _, v in rows])):
         print(f"{name}: mean {statistics.mean(column):.4f}, deviation {statistics.stdev(column):.4f}")
     gaps = [v - r for r, v in rows]
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -50,13 +50,17 @@
         for name in ("lanemux", "deploy"):
             shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
     else:
-        packed = subprocess.run(["git", "archive", commit, "lanemux", "deploy"], cwd=ROOT, check=True,
-                                capture_output=True).stdout
+        packed = subprocess.run(
+            ["git", "archive", commit, "lanemux", "deploy"], cwd=ROOT, check=True, capture_output=True
+        ).stdout
         with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
             archive.extractall(folder, filter="data")
     if (folder / "deploy" / "build").exists():  # the libraries are this interpreter's; of the rest, what it leaves
-        subprocess.run([sys.executable, "-m", "compileall", "-q", "--invalidation-mode", "checked-hash", "lanemux"],
-                       cwd=folder, check=True)
+        subprocess.run(
+            [sys.executable, "-m", "compileall", "-q", "--invalidation-mode", "checked-hash", "lanemux"],
+            cwd=folder,
+            check=True,
+        )
     return folder
 
 
@@ -64,10 +68,25 @@
     """A configuration with so many balancers and known upstreams."""
     own = free_port(HOST, datagrams=True)
     peers = [own, *((f"127.1.{i // 250}.{1 + i % 250}", 7946) for i in range(size - 1))]
-    hosts = [{"host": f"quote-server-{i:05d}", "dial": f"127.2.{i // 250}.{1 + i % 250}:8080", "site": f"zone-{i % 5}",
-              "class": "box-a", "block": i // 8, "health": "up", "share": 1.0, "born_ms": 0} for i in range(size)]
-    settings: dict[str, object] = {"me": 0, "replicas_of_me": size, "profiles": [{"name": "read"}],
-                                   "limits": {"peers": True, "send_cap": 3}}
+    hosts = [
+        {
+            "host": f"quote-server-{i:05d}",
+            "dial": f"127.2.{i // 250}.{1 + i % 250}:8080",
+            "site": f"zone-{i % 5}",
+            "class": "box-a",
+            "block": i // 8,
+            "health": "up",
+            "share": 1.0,
+            "born_ms": 0,
+        }
+        for i in range(size)
+    ]
+    settings: dict[str, object] = {
+        "me": 0,
+        "replicas_of_me": size,
+        "profiles": [{"name": "read"}],
+        "limits": {"peers": True, "send_cap": 3},
+    }
     place = Place((HOST, 0), NOBODY, own, peers, (HOST, 9))
     return configuration("n0", place, "8c1f30d27a5be964", {"seq": 1, "whole": True, "hosts": hosts}, settings)
 
@@ -91,8 +110,9 @@
         path.write_text(json.dumps(told(size)))
         environment = {**os.environ, "RELAY_CONFIG": str(path), "PYTHONDONTWRITEBYTECODE": "1", "TMPDIR": folder}
         begun = time.monotonic()
-        with subprocess.Popen([sys.executable, "-m", "lanemux"], cwd=place, env=environment,
-                              stderr=subprocess.PIPE) as process:
+        with subprocess.Popen(
+            [sys.executable, "-m", "lanemux"], cwd=place, env=environment, stderr=subprocess.PIPE
+        ) as process:
             assert process.stderr is not None
             for line in process.stderr:
                 if b"ready on port" in line:
@@ -111,6 +131,7 @@
     def both(name: str) -> str:
         values = [getattr(c, name) for c in costs]
         return f"{statistics.median(values):.0f} ({max(values):.0f})"
+
     return " | ".join(both(name) for name in ("ready_ms", "processor_ms", "private_mib", "most_mib"))
 
 
--- a/bench/storms.py
+++ b/bench/storms.py
@@ -40,8 +40,11 @@
     files = {how: folder / f"{how}.toml" for how in ("off", "on")}
     files["off"].write_text("")
     files["on"].write_text(ON)
-    jobs = [Job(name, seed, more=("--balancers-operators", str(files[how])))
-            for seed in range(1, seeds + 1) for how in files]
+    jobs = [
+        Job(name, seed, more=("--balancers-operators", str(files[how])))
+        for seed in range(1, seeds + 1)
+        for how in files
+    ]
     reports = played(jobs, abreast)
     return {how: [r for r in reports[i::2] if r["valid"]] for i, how in enumerate(files)}
 
@@ -49,9 +52,11 @@
 def _line(how: str, reports: list[dict[str, Any]], seeds: int) -> None:
     fallen = sum(r["rules"]["cold"] for r in reports)
     broken = sum(sum(r["rules"].values()) for r in reports)
-    print(f"{how}: {len(reports)} of {seeds} valid, rules broken {broken}, boxes pushed over {fallen}, of a cold box's "
-          f"budget at most {max((r['cold_budget_most'] for r in reports), default=0):.2f} "
-          f"(median {statistics.median([r['cold_budget_most'] for r in reports] or [0]):.2f})")
+    print(
+        f"{how}: {len(reports)} of {seeds} valid, rules broken {broken}, boxes pushed over {fallen}, of a cold box's "
+        f"budget at most {max((r['cold_budget_most'] for r in reports), default=0):.2f} "
+        f"(median {statistics.median([r['cold_budget_most'] for r in reports] or [0]):.2f})"
+    )
     for figure in ("service", "outage_service", "returns_peak", "attempts_per_ask"):
         print(f"  {figure}: {spread(r[figure] for r in reports)}")
     back = [r["recovery_s"] for r in reports if r["recovery_s"] >= 0]
@@ -66,8 +71,10 @@
     gaps = {figure: _pairs(both, figure) for figure in ("service", "outage_service")}
     for figure, pairs in gaps.items():
         if len(pairs) > 1:
-            print(f"{figure}, on over off, seed by seed: mean {statistics.mean(pairs):+.4f}, standard error "
-                  f"{statistics.stdev(pairs) / len(pairs) ** 0.5:.4f}")
+            print(
+                f"{figure}, on over off, seed by seed: mean {statistics.mean(pairs):+.4f}, standard error "
+                f"{statistics.stdev(pairs) / len(pairs) ** 0.5:.4f}"
+            )
 
 
 def _pairs(both: dict[str, list[dict[str, Any]]], figure: str) -> list[float]:
@@ -83,21 +90,28 @@
         both = _reports("reconnect-flood", seeds, 1, folder)
         both["no flood"] = [r for r in played([Job(str(quiet), s) for s in range(1, seeds + 1)], 1) if r["valid"]]
     for how, reports in both.items():
-        print(f"{how}: {len(reports)} of {seeds} valid; rules broken {sum(sum(r['rules'].values()) for r in reports)}; "
-              f"service {spread(r['service'] for r in reports)}; first attempt p99 "
-              f"{spread(r['first_attempt_p99_ms'] for r in reports)} ms; descriptors at most "
-              f"{max((r['descriptors_most'] for r in reports), default=0)}, memory "
-              f"{max((r['memory_most_mb'] for r in reports), default=0):.1f} MB; tries that found no balancer "
-              f"{[r['unreached'] for r in reports]}", flush=True)
+        print(
+            f"{how}: {len(reports)} of {seeds} valid; rules broken {sum(sum(r['rules'].values()) for r in reports)}; "
+            f"service {spread(r['service'] for r in reports)}; first attempt p99 "
+            f"{spread(r['first_attempt_p99_ms'] for r in reports)} ms; descriptors at most "
+            f"{max((r['descriptors_most'] for r in reports), default=0)}, memory "
+            f"{max((r['memory_most_mb'] for r in reports), default=0):.1f} MB; tries that found no balancer "
+            f"{[r['unreached'] for r in reports]}",
+            flush=True,
+        )
 
 
 def _settings() -> api.Settings:
     return api.Settings(
         classes={"fee": api.RequestClass("fee", aim_ns=264 * MS), "list": api.RequestClass("list", aim_ns=264 * MS)},
-        tenants={name: api.Tenant(name, 0.1) for name in "abcdefghi"}, replicas_of_me=4, retries_marked=True,
-        report_columns=("inflight", "queue"), prices=api.Prices(probe=0.002),
+        tenants={name: api.Tenant(name, 0.1) for name in "abcdefghi"},
+        replicas_of_me=4,
+        retries_marked=True,
+        report_columns=("inflight", "queue"),
+        prices=api.Prices(probe=0.002),
         limits=api.Limits(max_attempts=5, probes=True, peers=True, retry_after=True, max_retry_after_ns=2 * SECOND),
-        rules=api.Rules(cold_from=0.31, cold_ns=8 * SECOND))
+        rules=api.Rules(cold_from=0.31, cold_ns=8 * SECOND),
+    )
 
 
 class Driver:
@@ -119,8 +133,14 @@
     def _one(self) -> None:
         self.count += 1
         self.now += 10 * MS
-        made = self.module.handle(self.now, [api.Arrival(
-            str(self.count), "fee", "abcdefghi"[self.count % 9], self.now + 264 * MS, 75 * MS, "u", False)])
+        made = self.module.handle(
+            self.now,
+            [
+                api.Arrival(
+                    str(self.count), "fee", "abcdefghi"[self.count % 9], self.now + 264 * MS, 75 * MS, "u", False
+                )
+            ],
+        )
         while made:
             events: list[api.Event] = []
             for action in made:
@@ -142,9 +162,11 @@
         times = {driver: driver.run(BATCH) for driver in order}
         pairs.append((times[off], times[on]))
     ratios = [b / a for a, b in pairs]
-    print(f"off {statistics.median(a for a, _ in pairs):.1f} us, on {statistics.median(b for _, b in pairs):.1f} us a "
-          f"request in the decisions (medians of {rounds} rounds of {BATCH}); on over off: median "
-          f"{statistics.median(ratios):.3f}, standard error {statistics.stdev(ratios) / len(ratios) ** 0.5:.4f}")
+    print(
+        f"off {statistics.median(a for a, _ in pairs):.1f} us, on {statistics.median(b for _, b in pairs):.1f} us a "
+        f"request in the decisions (medians of {rounds} rounds of {BATCH}); on over off: median "
+        f"{statistics.median(ratios):.3f}, standard error {statistics.stdev(ratios) / len(ratios) ** 0.5:.4f}"
+    )
 
 
 def returns() -> None:
@@ -166,8 +188,11 @@
             return {}
 
         def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
-            return [api.Refuse(e.request, int(self.rng.uniform(0.25, 1.0) * SECOND)) for e in events
-                    if isinstance(e, api.Arrival) and self.refusing]
+            return [
+                api.Refuse(e.request, int(self.rng.uniform(0.25, 1.0) * SECOND))
+                for e in events
+                if isinstance(e, api.Arrival) and self.refusing
+            ]
 
     inner, now = Refuses(), SECOND
     module = Storm(inner, _settings(), Plan(), 1, now) if storm else inner
@@ -186,8 +211,10 @@
 def _told(back: Iterable[int]) -> str:
     bins = Counter(at // (100 * MS) for at in back)
     count = max(bins) - min(bins) + 1
-    return (f"400 come back over {count / 10:.1f} s; in 100 ms at most {max(bins.values())}, on average "
-            f"{400 / count:.1f}: peak over mean {max(bins.values()) * count / 400:.2f}")
+    return (
+        f"400 come back over {count / 10:.1f} s; in 100 ms at most {max(bins.values())}, on average "
+        f"{400 / count:.1f}: peak over mean {max(bins.values()) * count / 400:.2f}"
+    )
 
 
 def main() -> None:
@@ -195,9 +222,9 @@
     numbers = [int(word) for word in more]
     match what:
         case "outage":
-            outage("storm-short", *(numbers + [20, 2][len(numbers):]))
+            outage("storm-short", *(numbers + [20, 2][len(numbers) :]))
         case "partner":
-            outage("partner-storm", *(numbers + [10, 2][len(numbers):]))
+            outage("partner-storm", *(numbers + [10, 2][len(numbers) :]))
         case "flood":
             flood(*(numbers or [5]))
         case "returns":
--- a/bench/structures.py
+++ b/bench/structures.py
@@ -1,6 +1,6 @@
 """The structures of `lanemux/core` beside plain ones, as a ratio in one run.
 
-    python -m bench.structures     under half a minute
+python -m bench.structures     under half a minute
 """
 
 from __future__ import annotations
@@ -119,8 +119,10 @@
                 own, other = made(size, steps), plain(size, steps)
                 ours.append(own / STEPS * 1e6)
                 ratios.append(other / own)
-            print(f"{made.__name__:8}{size:7} {statistics.median(ours):8.2f} us a step, plain over ours "
-                  f"{statistics.median(ratios):8.2f} ({min(ratios):.2f} to {max(ratios):.2f})")
+            print(
+                f"{made.__name__:8}{size:7} {statistics.median(ours):8.2f} us a step, plain over ours "
+                f"{statistics.median(ratios):8.2f} ({min(ratios):.2f} to {max(ratios):.2f})"
+            )
 
 
 if __name__ == "__main__":
--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -87,12 +87,21 @@
 def figures(balancer: Balancer) -> dict[str, object]:
     """All counts since the start of the process, and what is held now."""
     tally = balancer.tally
-    results = {name: {"succeeded": tally.succeeded[name], "declined": tally.declined[name],
-                      "aborted": tally.aborted[name]} for name in tally.succeeded}
-    return {"results": results, "forwards": tally.forwards, "outstanding": balancer.outstanding,
-            "discovered": balancer.discovered, "ejected": balancer.ejected,
-            "sighup_applied": tally.reloads, "sighup_rejected": tally.reloads_refused,
-            "failed_calls": tally.failed_calls, "standing": balancer.standing()}
+    results = {
+        name: {"succeeded": tally.succeeded[name], "declined": tally.declined[name], "aborted": tally.aborted[name]}
+        for name in tally.succeeded
+    }
+    return {
+        "results": results,
+        "forwards": tally.forwards,
+        "outstanding": balancer.outstanding,
+        "discovered": balancer.discovered,
+        "ejected": balancer.ejected,
+        "sighup_applied": tally.reloads,
+        "sighup_rejected": tally.reloads_refused,
+        "failed_calls": tally.failed_calls,
+        "standing": balancer.standing(),
+    }
 
 
 def _said(status: int, text: str) -> Reply:
@@ -116,8 +125,12 @@
     return _said(200, "back to work") if balancer.entrance.resume() else _said(409, "this process ends")
 
 
-PLAIN = {"health": (b"GET", _health), "stats": (b"GET", _stats), "quiesce": (b"PUT", _quiesce),
-         "resume": (b"PUT", _resume)}
+PLAIN = {
+    "health": (b"GET", _health),
+    "stats": (b"GET", _stats),
+    "quiesce": (b"PUT", _quiesce),
+    "resume": (b"PUT", _resume),
+}
 OF_ONE = {"cordon": True, "uncordon": False}
 
 
@@ -126,7 +139,7 @@
     path = target.partition(b"?")[0]
     if len(target) > MAX_TARGET or not path.startswith(PREFIX.encode()):
         return _said(404, "no such call")
-    name, _, rest = path[len(PREFIX):].decode("latin-1").partition("/")
+    name, _, rest = path[len(PREFIX) :].decode("latin-1").partition("/")
     if name in PLAIN and not rest:
         wanted, act = PLAIN[name]
         return act(balancer) if method == wanted else Reply(405, b"another method\n", wanted)
--- a/lanemux/core/address.py
+++ b/lanemux/core/address.py
@@ -26,7 +26,8 @@
     """Four decimal numbers; a leading zero would be read as octal elsewhere."""
     parts = host.split(".")
     return len(parts) == 4 and all(
-        p.isascii() and p.isdigit() and len(p) <= 3 and str(int(p)) == p and int(p) < 256 for p in parts)
+        p.isascii() and p.isdigit() and len(p) <= 3 and str(int(p)) == p and int(p) < 256 for p in parts
+    )
 
 
 def _is_v6(host: str) -> bool:
--- a/lanemux/core/failures.py
+++ b/lanemux/core/failures.py
@@ -7,17 +7,42 @@
 from typing import Protocol
 
 # The same call would fail the same way for ever: a privilege is missing, or what was named is no such thing.
-LASTING = frozenset({errno.EACCES, errno.EPERM, errno.EBADF, errno.ENOTSOCK, errno.EINVAL, errno.EAFNOSUPPORT,
-                     errno.EPROTONOSUPPORT, errno.EOPNOTSUPP, errno.ENOTDIR, errno.EISDIR, errno.ELOOP,
-                     errno.ENAMETOOLONG})
+LASTING = frozenset(
+    {
+        errno.EACCES,
+        errno.EPERM,
+        errno.EBADF,
+        errno.ENOTSOCK,
+        errno.EINVAL,
+        errno.EAFNOSUPPORT,
+        errno.EPROTONOSUPPORT,
+        errno.EOPNOTSUPP,
+        errno.ENOTDIR,
+        errno.EISDIR,
+        errno.ELOOP,
+        errno.ENAMETOOLONG,
+    }
+)
 # `socket` or `connect` failed on this machine: the other side has not been asked.
 LOCAL = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN})
 # There is no way there now. It may be this machine's, for a moment, or the network's.
 UNREACHABLE = frozenset({errno.ENETUNREACH, errno.ENETDOWN})
 # accept(2): errors of the connection that was waiting, which is gone; the next one may be sound.
-OF_ONE_CONNECTION = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.ENOPROTOOPT,
-                               errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP,
-                               errno.ENETUNREACH, errno.EINTR})
+OF_ONE_CONNECTION = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.EINTR,
+    }
+)
 
 FIRST_PAUSE_S = 0.02
 LAST_PAUSE_S = 0.25
--- a/lanemux/core/front.py
+++ b/lanemux/core/front.py
@@ -1,9 +1,9 @@
 """Whether clients are to come to this balancer. No I/O and no clock.
 
-    READY --quiesce--> SENDING_AWAY --(AWAY_S)--> AWAY
-      ^                     |                       |
-      +------- resume ------+----------- resume ----+
-    any --end--> ENDING, for good
+READY --quiesce--> SENDING_AWAY --(AWAY_S)--> AWAY
+  ^                     |                       |
+  +------- resume ------+----------- resume ----+
+any --end--> ENDING, for good
 """
 
 from __future__ import annotations
--- a/lanemux/core/index.py
+++ b/lanemux/core/index.py
@@ -72,13 +72,13 @@
         """The home begins there and has so many; work out `reach` anew."""
         self.first, self.home = first, home
         ring, n, far, end = self._near.ring.members, self.near, self._far, first + home
-        self.reach = ring[first:end] + ring[:min(first, max(0, end - n))] + far[:max(0, home - n)]
+        self.reach = ring[first:end] + ring[: min(first, max(0, end - n))] + far[: max(0, home - n)]
         outside = (m for m in self._near.mine.members if not self.at_home(m))
-        beyond = next(outside, None) if home < n else next(iter(far[home - n:][:1]), None)
+        beyond = next(outside, None) if home < n else next(iter(far[home - n :][:1]), None)
         if beyond is not None:
             self.reach.append(beyond)
 
     def all(self) -> list[Member]:
         """The home, then the others in this balancer's own order."""
         outside = [m for m in self._near.mine.members if not self.at_home(m)]
-        return self.reach[:self.home] + outside + self._far[max(0, self.home - self.near):]
+        return self.reach[: self.home] + outside + self._far[max(0, self.home - self.near) :]
--- a/lanemux/core/membership.py
+++ b/lanemux/core/membership.py
@@ -86,8 +86,15 @@
                 raise BadList("an entry's figures are no numbers")
             started = self._starts.started_ns(host, born_ms, now_ns)
             address = NOWHERE if state is api.State.GONE else read_address(str(row.get("dial")))
-            upstream = api.Upstream(self.number(host), state, str(row.get("site") or ""), cell,
-                                    float(weight), started, str(row.get("class") or ""))
+            upstream = api.Upstream(
+                self.number(host),
+                state,
+                str(row.get("site") or ""),
+                cell,
+                float(weight),
+                started,
+                str(row.get("class") or ""),
+            )
             self._last[host] = Entry(upstream, address, host)
             return self._last[host]
         except (KeyError, ValueError, OverflowError) as error:  # one bad row must not hide the others
--- a/lanemux/core/words.py
+++ b/lanemux/core/words.py
@@ -34,12 +34,14 @@
     """The words of a peer's datagram; none if it is anything else."""
     if len(data) % FORM.size or len(data) > MESSAGE:
         return []
-    return [Word(upstream, number, held & MAX_HELD, steps * REST_STEP_NS, held >= GOOD)
-            for upstream, number, held, steps in FORM.iter_unpack(data)]
+    return [
+        Word(upstream, number, held & MAX_HELD, steps * REST_STEP_NS, held >= GOOD)
+        for upstream, number, held, steps in FORM.iter_unpack(data)
+    ]
 
 
 def datagrams(words: Mapping[int, Sequence[bytes]]) -> Iterator[tuple[int, bytes]]:
     """As few as hold all the words for each peer: (peer, datagram)."""
     for peer, said in words.items():
         for i in range(0, len(said), MESSAGE_WORDS):
-            yield peer, b"".join(said[i:i + MESSAGE_WORDS])
+            yield peer, b"".join(said[i : i + MESSAGE_WORDS])
--- a/lanemux/drill.py
+++ b/lanemux/drill.py
@@ -19,11 +19,17 @@
 
 Json = dict[str, Any]
 
-EFFECTS = {"read_like": api.Effect.SAFE, "idempotency_key": api.Effect.KEYED,
-           "non_idempotent": api.Effect.UNSAFE}
-RESULTS = {"delivered": api.Result.OK, "app_error": api.Result.ERROR, "shed": api.Result.FULL,
-           "expired": api.Result.TIMEOUT, "dial_failed": api.Result.CONNECT_FAILED,
-           "dropped": api.Result.RESET, "revoked": api.Result.CANCELLED, "unused": api.Result.MOOT}
+EFFECTS = {"read_like": api.Effect.SAFE, "idempotency_key": api.Effect.KEYED, "non_idempotent": api.Effect.UNSAFE}
+RESULTS = {
+    "delivered": api.Result.OK,
+    "app_error": api.Result.ERROR,
+    "shed": api.Result.FULL,
+    "expired": api.Result.TIMEOUT,
+    "dial_failed": api.Result.CONNECT_FAILED,
+    "dropped": api.Result.RESET,
+    "revoked": api.Result.CANCELLED,
+    "unused": api.Result.MOOT,
+}
 STATES = {0: api.State.GONE, 1: api.State.READY, 2: api.State.DRAINING}
 LISTS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
 
@@ -40,48 +46,102 @@
 def read_settings(raw: Json) -> api.Settings:
     classes = {}
     for row in raw.get("profiles") or ():
-        given = _pick(row, {"window_ns": "window_ns", "aim_ns": "aim_ns", "worth": "worth",
-                            "late_worth": "late_worth", "stream": "stream", "aim_stretch": "aim_stretch",
-                            "hard_limit_ns": "limit_ns"})
+        given = _pick(
+            row,
+            {
+                "window_ns": "window_ns",
+                "aim_ns": "aim_ns",
+                "worth": "worth",
+                "late_worth": "late_worth",
+                "stream": "stream",
+                "aim_stretch": "aim_stretch",
+                "hard_limit_ns": "limit_ns",
+            },
+        )
         for theirs, ours in (("runs_in", "zones"), ("allowed_on", "kinds")):
             if row.get(theirs) is not None:
                 given[ours] = frozenset(row[theirs])
         classes[row["name"]] = api.RequestClass(
-            row["name"], EFFECTS[row.get("repeat", "non_idempotent")],
-            api.Scope(row.get("dedup_scope") or "all"), **given)
-    tenants = {row["name"]: api.Tenant(row["name"], **_pick(row, {"share": "share",
-                                                                 "quota_per_s": "quota_per_s"}))
-               for row in raw.get("realms") or ()}
-    limits = _pick(raw.get("limits") or {}, {
-        "send_cap": "max_attempts", "second_copies": "second_copies", "may_cancel": "may_cancel",
-        "probes": "probes", "peers": "peers", "retry_after": "retry_after",
-        "max_retry_after_ns": "max_retry_after_ns", "connect_timeout_ns": "connect_timeout_ns",
-        **{name: name for name in ("conn_idle_ns", "max_streams", "max_open", "cpu_us_per_s",
-                                   "cpu_us_per_request")}})
-    rules = _pick(raw.get("rules") or {}, {
-        "grace_to_answer_ns": "answer_grace_ns",
-        **{name: name for name in ("stop_sending_within_ns", "ask_within_ns", "cold_from", "cold_ns",
-                                   "fall_multiple", "overload_for_ns", "full_unproven")}})
-    prices = _pick(raw.get("prices") or {}, {
-        "registry_mode": "list_lines",
-        **{name: name for name in ("cross_zone", "waste", "probe", "peer", "connection", "handshake",
-                                   "late_fail")}})
+            row["name"],
+            EFFECTS[row.get("repeat", "non_idempotent")],
+            api.Scope(row.get("dedup_scope") or "all"),
+            **given,
+        )
+    tenants = {
+        row["name"]: api.Tenant(row["name"], **_pick(row, {"share": "share", "quota_per_s": "quota_per_s"}))
+        for row in raw.get("realms") or ()
+    }
+    limits = _pick(
+        raw.get("limits") or {},
+        {
+            "send_cap": "max_attempts",
+            "second_copies": "second_copies",
+            "may_cancel": "may_cancel",
+            "probes": "probes",
+            "peers": "peers",
+            "retry_after": "retry_after",
+            "max_retry_after_ns": "max_retry_after_ns",
+            "connect_timeout_ns": "connect_timeout_ns",
+            **{
+                name: name for name in ("conn_idle_ns", "max_streams", "max_open", "cpu_us_per_s", "cpu_us_per_request")
+            },
+        },
+    )
+    rules = _pick(
+        raw.get("rules") or {},
+        {
+            "grace_to_answer_ns": "answer_grace_ns",
+            **{
+                name: name
+                for name in (
+                    "stop_sending_within_ns",
+                    "ask_within_ns",
+                    "cold_from",
+                    "cold_ns",
+                    "fall_multiple",
+                    "overload_for_ns",
+                    "full_unproven",
+                )
+            },
+        },
+    )
+    prices = _pick(
+        raw.get("prices") or {},
+        {
+            "registry_mode": "list_lines",
+            **{name: name for name in ("cross_zone", "waste", "probe", "peer", "connection", "handshake", "late_fail")},
+        },
+    )
     reports = raw.get("load_report") or {}
     return api.Settings(
-        me=raw.get("me", 0), replicas_of_me=raw.get("replicas_of_me", 1), zone=raw.get("locality") or "",
-        discovery_push=raw.get("registry_mode", "push") == "push", classes=classes, tenants=tenants,
-        limits=api.Limits(**limits), rules=api.Rules(**rules), prices=api.Prices(**prices),
+        me=raw.get("me", 0),
+        replicas_of_me=raw.get("replicas_of_me", 1),
+        zone=raw.get("locality") or "",
+        discovery_push=raw.get("registry_mode", "push") == "push",
+        classes=classes,
+        tenants=tenants,
+        limits=api.Limits(**limits),
+        rules=api.Rules(**rules),
+        prices=api.Prices(**prices),
         report_columns=tuple(reports.get("columns") or ()),
-        reports_in_answers=reports.get("how") == "answers", zones=tuple(raw.get("zones") or ()),
+        reports_in_answers=reports.get("how") == "answers",
+        zones=tuple(raw.get("zones") or ()),
         weights=api.Weights(raw.get("weight_source") or "none"),
         retries_marked=bool((raw.get("clients") or {}).get("marks_retry")),
-        **_pick(raw, {"over_share_worth": "over_share_worth"}))
+        **_pick(raw, {"over_share_worth": "over_share_worth"}),
+    )
 
 
 def read_upstream(row: Json) -> api.Upstream:
-    return api.Upstream(row["upstream"], STATES[row.get("availability", 1)], row.get("locality") or "",
-                        row.get("cohort") or 0, row.get("scale") or 1.0, row.get("up_since_ns") or 0,
-                        row.get("class_of_host") or "")
+    return api.Upstream(
+        row["upstream"],
+        STATES[row.get("availability", 1)],
+        row.get("locality") or "",
+        row.get("cohort") or 0,
+        row.get("scale") or 1.0,
+        row.get("up_since_ns") or 0,
+        row.get("class_of_host") or "",
+    )
 
 
 def _is_whole(value: object) -> TypeGuard[int]:
@@ -112,14 +172,27 @@
 
 
 def _arrival(e: Json) -> api.Event:
-    return api.Arrival(_text(e, "ticket"), _text(e, "kind"), str(e.get("user_group") or ""),
-                       _whole(e, "deadline_ns"), e.get("cost_guess_ns") or 0, e.get("entity") or "",
-                       bool(e.get("resent")))
+    return api.Arrival(
+        _text(e, "ticket"),
+        _text(e, "kind"),
+        str(e.get("user_group") or ""),
+        _whole(e, "deadline_ns"),
+        e.get("cost_guess_ns") or 0,
+        e.get("entity") or "",
+        bool(e.get("resent")),
+    )
 
 
 def _outcome(e: Json) -> api.Event:
-    return api.Outcome(_text(e, "ticket"), _whole(e, "attempt"), _whole(e, "upstream"),
-                       RESULTS[e["result"]], e.get("took_ns") or 0, bool(e.get("complete")), _metrics(e))
+    return api.Outcome(
+        _text(e, "ticket"),
+        _whole(e, "attempt"),
+        _whole(e, "upstream"),
+        RESULTS[e["result"]],
+        e.get("took_ns") or 0,
+        bool(e.get("complete")),
+        _metrics(e),
+    )
 
 
 READ: dict[str, Callable[[Json], api.Event]] = {
@@ -127,16 +200,16 @@
     "returned": _outcome,
     "timer": lambda e: api.Wake(_text(e, "name")),
     "dropped": lambda e: api.ClientGone(_text(e, "ticket")),
-    "accepted": lambda e: api.AnswerBegun(_text(e, "ticket"), _whole(e, "attempt"), _whole(e, "upstream"),
-                                          e.get("took_ns") or 0),
-    "probe_result": lambda e: api.ProbeResult(_whole(e, "upstream"), RESULTS[e["result"]],
-                                              e.get("took_ns") or 0, _metrics(e)),
-    "message": lambda e: api.PeerMessage(_whole(e, "origin_peer"),
-                                         base64.b64decode(e["blob"], validate=True)),
+    "accepted": lambda e: api.AnswerBegun(
+        _text(e, "ticket"), _whole(e, "attempt"), _whole(e, "upstream"), e.get("took_ns") or 0
+    ),
+    "probe_result": lambda e: api.ProbeResult(
+        _whole(e, "upstream"), RESULTS[e["result"]], e.get("took_ns") or 0, _metrics(e)
+    ),
+    "message": lambda e: api.PeerMessage(_whole(e, "origin_peer"), base64.b64decode(e["blob"], validate=True)),
 }
 WRITE: dict[type, Callable[[Any], Json]] = {
-    api.Send: lambda a: {"t": "submit_to", "ticket": a.request, "upstream": a.upstream,
-                         "timeout_ns": a.timeout_ns},
+    api.Send: lambda a: {"t": "submit_to", "ticket": a.request, "upstream": a.upstream, "timeout_ns": a.timeout_ns},
     api.Refuse: lambda a: {"t": "push_back", "ticket": a.request, "backoff_ns": a.retry_after_ns},
     api.Fail: lambda a: {"t": "finish_error", "ticket": a.request},
     api.Cancel: lambda a: {"t": "retract", "ticket": a.request, "attempt": a.attempt},
--- a/lanemux/etcd/board.py
+++ b/lanemux/etcd/board.py
@@ -81,8 +81,11 @@
             else:
                 self._gone(host)
         if self._doubts:
-            log.warning("etcd: %d upstreams that the store does not name are kept for %d s", len(self._doubts),
-                        DOUBT_NS // SECOND)
+            log.warning(
+                "etcd: %d upstreams that the store does not name are kept for %d s",
+                len(self._doubts),
+                DOUBT_NS // SECOND,
+            )
         self._named.clear()
 
     def changed(self, pairs: Iterable[Pair]) -> None:
@@ -103,7 +106,7 @@
 
     def _host(self, key: bytes) -> str:
         """The host that a key is about, or nothing."""
-        rest = key[len(self._prefix):]
+        rest = key[len(self._prefix) :]
         try:
             host = rest.decode() if key.startswith(self._prefix) and len(rest) <= MAX_HOST else ""
         except UnicodeDecodeError:
--- a/lanemux/etcd/follower.py
+++ b/lanemux/etcd/follower.py
@@ -302,13 +302,19 @@
         self._behind_ns = self._behind_ns or now
         if now - self._behind_ns < BEHIND_NS:
             return []
-        return [Said(f"etcd: a member stays at revision {revision}, {self.seen} is known"), Close(True),
-                *self._relist(now)]
+        return [
+            Said(f"etcd: a member stays at revision {revision}, {self.seen} is known"),
+            Close(True),
+            *self._relist(now),
+        ]
 
     def _cancelled(self, now: int, event: Cancelled) -> list[Step]:
         if event.compacted > 0:
-            return [Said(f"etcd: history is gone up to revision {event.compacted}; the list is read anew"),
-                    Close(False), *self._relist(now)]
+            return [
+                Said(f"etcd: history is gone up to revision {event.compacted}; the list is read anew"),
+                Close(False),
+                *self._relist(now),
+            ]
         return self._fail(now, f"watch cancelled: {event.reason}")
 
     def _relist(self, now: int) -> list[Step]:
--- a/lanemux/etcd/member.py
+++ b/lanemux/etcd/member.py
@@ -58,8 +58,9 @@
         self.address = address
         self._target = target
         self._system = system or Machine()
-        self._channel = Channel(*address, config=Configuration(
-            http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW))
+        self._channel = Channel(
+            *address, config=Configuration(http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW)
+        )
         self._token = ""
         self._asked = asyncio.Event()  # that the watch be asked for its progress
 
@@ -71,8 +72,9 @@
 
     async def list(self, start: bytes, revision: int, hear: Callable[[Event], None]) -> None:
         """One page."""
-        request = messages.RangeRequest(key=start or self._target.begin, range_end=self._target.end, limit=PAGE,
-                                        revision=revision)
+        request = messages.RangeRequest(
+            key=start or self._target.begin, range_end=self._target.end, limit=PAGE, revision=revision
+        )
         await self._guarded(self._listed(request, hear), hear)
 
     async def watch(self, revision: int, hear: Callable[[Event], None]) -> None:
@@ -92,8 +94,9 @@
             hear(Failed(f"{type(error).__name__}: {error}"))
 
     async def _listed(self, request: Any, hear: Callable[[Event], None]) -> None:
-        method = UnaryUnaryMethod(self._channel, "/etcdserverpb.KV/Range", messages.RangeRequest,
-                                  messages.RangeResponse)
+        method = UnaryUnaryMethod(
+            self._channel, "/etcdserverpb.KV/Range", messages.RangeRequest, messages.RangeResponse
+        )
         # The loop's own time limit: grpclib's would be read from another clock.
         async with asyncio.timeout(CALL_S), method.open(metadata=await self._metadata()) as stream:
             await stream.send_message(request, end=True)
@@ -108,10 +111,16 @@
         hear(Page(reply.header.cluster_id, reply.header.revision, pairs, reply.more))
 
     async def _watched(self, revision: int, hear: Callable[[Event], None]) -> None:
-        method = StreamStreamMethod(self._channel, "/etcdserverpb.Watch/Watch", messages.WatchRequest,
-                                    messages.WatchResponse)
-        create = {"key": self._target.begin, "range_end": self._target.end, "start_revision": revision,
-                  "progress_notify": True, "fragment": True}
+        method = StreamStreamMethod(
+            self._channel, "/etcdserverpb.Watch/Watch", messages.WatchRequest, messages.WatchResponse
+        )
+        create = {
+            "key": self._target.begin,
+            "range_end": self._target.end,
+            "start_revision": revision,
+            "progress_notify": True,
+            "fragment": True,
+        }
         # `hasleader`: a member that has lost its quorum ends the watch instead of saying nothing for ever.
         async with method.open(metadata={**await self._metadata(), "hasleader": "true"}) as stream:
             await stream.send_message(messages.WatchRequest(create_request=create))
@@ -148,8 +157,12 @@
 
     async def _authenticate(self) -> str:
         password = self._system.read(self._target.password_file, MAX_PASSWORD).decode(errors="replace").rstrip("\r\n")
-        method = UnaryUnaryMethod(self._channel, "/etcdserverpb.Auth/Authenticate", messages.AuthenticateRequest,
-                                  messages.AuthenticateResponse)
+        method = UnaryUnaryMethod(
+            self._channel,
+            "/etcdserverpb.Auth/Authenticate",
+            messages.AuthenticateRequest,
+            messages.AuthenticateResponse,
+        )
         async with asyncio.timeout(CALL_S):
             reply = await method(messages.AuthenticateRequest(name=self._target.user, password=password))
         return str(reply.token)
@@ -167,8 +180,9 @@
         part = 0
         async for chunk in _slowly(response.events):
             part += 1
-            pairs = [Pair(e.kv.key, None if e.type == messages.DELETED else e.kv.value, e.kv.mod_revision)
-                     for e in chunk]
+            pairs = [
+                Pair(e.kv.key, None if e.type == messages.DELETED else e.kv.value, e.kv.mod_revision) for e in chunk
+            ]
             hear(News(cluster, revision, pairs, response.fragment or part < parts))
     elif not response.created:
         hear(Progress(cluster, revision))
@@ -179,7 +193,7 @@
     for start in range(0, len(items), CHUNK):
         if start:
             await asyncio.sleep(0)
-        yield items[start:start + CHUNK]
+        yield items[start : start + CHUNK]
 
 
 def _bound(stream: Any) -> None:
--- a/lanemux/etcd/messages.py
+++ b/lanemux/etcd/messages.py
@@ -14,19 +14,40 @@
 # which is written like an int32.
 FIELDS: dict[str, tuple[tuple[str, int, str], ...]] = {
     "ResponseHeader": (("cluster_id", 1, "uint64"), ("member_id", 2, "uint64"), ("revision", 3, "int64")),
-    "KeyValue": (("key", 1, "bytes"), ("create_revision", 2, "int64"), ("mod_revision", 3, "int64"),
-                 ("value", 5, "bytes")),
-    "RangeRequest": (("key", 1, "bytes"), ("range_end", 2, "bytes"), ("limit", 3, "int64"),
-                     ("revision", 4, "int64"), ("serializable", 7, "bool")),
+    "KeyValue": (
+        ("key", 1, "bytes"),
+        ("create_revision", 2, "int64"),
+        ("mod_revision", 3, "int64"),
+        ("value", 5, "bytes"),
+    ),
+    "RangeRequest": (
+        ("key", 1, "bytes"),
+        ("range_end", 2, "bytes"),
+        ("limit", 3, "int64"),
+        ("revision", 4, "int64"),
+        ("serializable", 7, "bool"),
+    ),
     "RangeResponse": (("header", 1, "ResponseHeader"), ("kvs", 2, "KeyValue*"), ("more", 3, "bool")),
     "Event": (("type", 1, "int32"), ("kv", 2, "KeyValue")),
-    "WatchCreateRequest": (("key", 1, "bytes"), ("range_end", 2, "bytes"), ("start_revision", 3, "int64"),
-                           ("progress_notify", 4, "bool"), ("fragment", 8, "bool")),
+    "WatchCreateRequest": (
+        ("key", 1, "bytes"),
+        ("range_end", 2, "bytes"),
+        ("start_revision", 3, "int64"),
+        ("progress_notify", 4, "bool"),
+        ("fragment", 8, "bool"),
+    ),
     "WatchProgressRequest": (),
     "WatchRequest": (("create_request", 1, "WatchCreateRequest"), ("progress_request", 3, "WatchProgressRequest")),
-    "WatchResponse": (("header", 1, "ResponseHeader"), ("watch_id", 2, "int64"), ("created", 3, "bool"),
-                      ("canceled", 4, "bool"), ("compact_revision", 5, "int64"), ("cancel_reason", 6, "string"),
-                      ("fragment", 7, "bool"), ("events", 11, "Event*")),
+    "WatchResponse": (
+        ("header", 1, "ResponseHeader"),
+        ("watch_id", 2, "int64"),
+        ("created", 3, "bool"),
+        ("canceled", 4, "bool"),
+        ("compact_revision", 5, "int64"),
+        ("cancel_reason", 6, "string"),
+        ("fragment", 7, "bool"),
+        ("events", 11, "Event*"),
+    ),
     "AuthenticateRequest": (("name", 1, "string"), ("password", 2, "string")),
     "AuthenticateResponse": (("header", 1, "ResponseHeader"), ("token", 2, "string")),
 }
@@ -39,8 +60,9 @@
         message = file.message_type.add(name=name)
         for field, number, kind in fields:
             plain = kind.rstrip("*")
-            added = message.field.add(name=field, number=number, label=REPEATED if kind != plain else SINGLE,
-                                      type=KINDS.get(plain, MESSAGE))
+            added = message.field.add(
+                name=field, number=number, label=REPEATED if kind != plain else SINGLE, type=KINDS.get(plain, MESSAGE)
+            )
             if plain not in KINDS:
                 added.type_name = f".{PACKAGE}.{plain}"
     pool = descriptor_pool.DescriptorPool()
--- a/lanemux/etcd/source.py
+++ b/lanemux/etcd/source.py
@@ -55,8 +55,9 @@
 class EtcdSource:
     """A `ListSource`. It follows from the first `watch` on until it is stopped."""
 
-    def __init__(self, target: Target, membership: Membership, rng: random.Random, heard: Heard,
-                 system: System | None = None) -> None:
+    def __init__(
+        self, target: Target, membership: Membership, rng: random.Random, heard: Heard, system: System | None = None
+    ) -> None:
         self._heard = heard
         self._system = system or Machine()
         self._target = target
@@ -143,8 +144,7 @@
             case Whole():
                 self._board.whole(step.set_back, now)
                 self._heard(Listing(self._follower.seen, False, [], "etcd", now))  # also if it changes nothing
-                log.info("etcd: the list is whole at revision %d, %d changes", self._follower.seen,
-                         self._board.pending)
+                log.info("etcd: the list is whole at revision %d, %d changes", self._follower.seen, self._board.pending)
             case Changed():
                 self._board.changed(step.pairs)
             case Said():
@@ -216,8 +216,11 @@
     def _log_age(self, now: int) -> None:
         if now - max(self._contact_ns, self._aged_ns) >= AGE_LOG_NS:
             self._aged_ns = now
-            log.warning("etcd: nothing heard for %d s; the list of %d upstreams serves on",
-                        (now - self._contact_ns) // SECOND, len(self._membership.hosts))
+            log.warning(
+                "etcd: nothing heard for %d s; the list of %d upstreams serves on",
+                (now - self._contact_ns) // SECOND,
+                len(self._membership.hosts),
+            )
 
 
 def _fault(task: asyncio.Task[None], hear: Callable[[Event], None]) -> None:
--- a/lanemux/fleet/command.py
+++ b/lanemux/fleet/command.py
@@ -36,8 +36,10 @@
     finally:
         connection.close()
     if answer.status != 200:
-        print(f"lanemux: {options.address}: {answer.status}: [fleet] is off there, or it is no second address",
-              file=sys.stderr)
+        print(
+            f"lanemux: {options.address}: {answer.status}: [fleet] is off there, or it is no second address",
+            file=sys.stderr,
+        )
         return FAILED
     print(told.decode() if options.json else _table(json.loads(told)))
     return SHOWN
@@ -46,6 +48,8 @@
 def _table(told: dict[str, object]) -> str:
     members = told["members"]
     assert isinstance(members, list)
-    rows = [f"{m['number']:>6}  {m['state']:<10} {m['incarnation']:>11}" + "  (asked)" * (m["number"] == told["me"])
-            for m in members]
+    rows = [
+        f"{m['number']:>6}  {m['state']:<10} {m['incarnation']:>11}" + "  (asked)" * (m["number"] == told["me"])
+        for m in members
+    ]
     return "\n".join(["number  state      incarnation", *rows])
--- a/lanemux/fleet/election.py
+++ b/lanemux/fleet/election.py
@@ -64,8 +64,9 @@
 class Seat:
     """One seat of the council. Feed it words and ticks; send what `out` holds; ask `leads`."""
 
-    def __init__(self, me: int, council: Sequence[int], term_ns: int, rng: random.Random, now: int, *,
-                 blank: bool = True) -> None:
+    def __init__(
+        self, me: int, council: Sequence[int], term_ns: int, rng: random.Random, now: int, *, blank: bool = True
+    ) -> None:
         """`blank`: it may have had a former life that it knows nothing of. ValueError if it has no seat."""
         if me not in council or len(council) % 2 == 0:
             raise ValueError(f"{me} in a council of {sorted(council)}: it must be in it, and their number odd")
@@ -133,8 +134,9 @@
             if now < self.silent_ns:
                 return
             self._expire(now)
-            said = (self._prepared(word.ballot) if word.step is Step.PREPARE
-                    else self._proposed(sender, word.ballot, now))
+            said = (
+                self._prepared(word.ballot) if word.step is Step.PREPARE else self._proposed(sender, word.ballot, now)
+            )
             if sender == self.me:
                 self._count(self.me, said, now)
             else:
--- a/lanemux/fleet/following.py
+++ b/lanemux/fleet/following.py
@@ -113,8 +113,12 @@
     def heard(self, sender: int, word: Word, now: int) -> None:
         """A word of a seat; of anybody else, or to another question than the one that is out, it counts for nothing."""
         begun_ns = self._asked_ns
-        if (sender not in self.council or word.kind is not Kind.TOLD or word.question != self._question
-                or begun_ns is None):
+        if (
+            sender not in self.council
+            or word.kind is not Kind.TOLD
+            or word.question != self._question
+            or begun_ns is None
+        ):
             return
         self._asked_ns = None
         if word.leads == sender:
--- a/lanemux/fleet/members.py
+++ b/lanemux/fleet/members.py
@@ -263,8 +263,11 @@
         if (news.incarnation, news.standing) < member.word:
             return
         if (news.incarnation, news.standing) == member.word:
-            if news.standing is Standing.SUSPECTED and news.by not in member.doubters \
-                    and len(member.doubters) < CONFIRMED:
+            if (
+                news.standing is Standing.SUSPECTED
+                and news.by not in member.doubters
+                and len(member.doubters) < CONFIRMED
+            ):
                 member.doubters.add(news.by)
                 self._spread(member)
             return
@@ -349,5 +352,11 @@
             del self._fresh[number]
             if other.told < self._retold:
                 self._fresh[number] = None  # behind those that have waited longer
-        self.out.append((to, Message(kind, self.boot, self.incarnation, member.standing, member.incarnation, question,
-                                     about, tuple(told)).data()))
+        self.out.append(
+            (
+                to,
+                Message(
+                    kind, self.boot, self.incarnation, member.standing, member.incarnation, question, about, tuple(told)
+                ).data(),
+            )
+        )
--- a/lanemux/fleet/setup.py
+++ b/lanemux/fleet/setup.py
@@ -19,8 +19,14 @@
 def faults(told: Fleet, config: Config) -> list[str]:
     """What of the section does not fit the configuration: key and reason."""
     strange = [number for number in told.council if number >= len(config.peers)]
-    return [f"fleet.council: {number} is no number in peers; allowed are 0 to {len(config.peers) - 1}"
-            for number in strange] if config.peers else []
+    return (
+        [
+            f"fleet.council: {number} is no number in peers; allowed are 0 to {len(config.peers) - 1}"
+            for number in strange
+        ]
+        if config.peers
+        else []
+    )
 
 
 def plug(node: Node, told: Fleet) -> None:
--- a/lanemux/fleet/view.py
+++ b/lanemux/fleet/view.py
@@ -25,8 +25,9 @@
 
     name, first = "fleet", MAGIC
 
-    def __init__(self, me: int, count: int, rng: random.Random, now: int, council: Sequence[int] = (),
-                 term_ns: int = 3 * SECOND) -> None:
+    def __init__(
+        self, me: int, count: int, rng: random.Random, now: int, council: Sequence[int] = (), term_ns: int = 3 * SECOND
+    ) -> None:
         """As `Members`, and with the council's seats, if there is one; ValueError as there, and for no council."""
         self.members = Members(me, count, rng, now)
         self.council = tuple(council)
@@ -106,10 +107,18 @@
         """JSON of `/admin/fleet`."""
         known = {m.number: (m.standing, m.incarnation) for m in self.members.members.values()}
         known[self.members.me] = (Standing.LEAVING if self.members.leaving else Standing.UP, self.members.incarnation)
-        members = [{"number": number, "state": standing.name.lower(), "incarnation": incarnation}
-                   for number, (standing, incarnation) in sorted(known.items())]
-        return {"me": self.members.me, "members": members, "council": self.council, "leader": self.leader(now),
-                "slow": self.members.ill, "unread": self.members.bad + self._bad}
+        members = [
+            {"number": number, "state": standing.name.lower(), "incarnation": incarnation}
+            for number, (standing, incarnation) in sorted(known.items())
+        ]
+        return {
+            "me": self.members.me,
+            "members": members,
+            "council": self.council,
+            "leader": self.leader(now),
+            "slow": self.members.ill,
+            "unread": self.members.bad + self._bad,
+        }
 
     def _tell(self, now: int) -> None:
         if now // SECOND != self._second:
@@ -119,8 +128,13 @@
         leader = self.leader(now)
         if leader != self._leader:
             self._leader = leader
-            self._say("nobody is known to lead" if leader is None else
-                      "this balancer leads" if leader == self.members.me else f"balancer {leader} leads")
+            self._say(
+                "nobody is known to lead"
+                if leader is None
+                else "this balancer leads"
+                if leader == self.members.me
+                else f"balancer {leader} leads"
+            )
         for change in self.members.changes:
             self._say(f"balancer {change.number} is {change.standing.name.lower()} (incarnation {change.incarnation})")
         self.members.changes.clear()
--- a/lanemux/fleet/wire.py
+++ b/lanemux/fleet/wire.py
@@ -69,8 +69,21 @@
         """The datagram; ValueError for more news than one holds."""
         if len(self.news) > MOST_NEWS:
             raise ValueError(f"{len(self.news)} news in one message, of {MOST_NEWS}")
-        parts = [HEAD.pack(MAGIC, VERSION, self.kind, len(self.news), self.boot, self.incarnation, self.you,
-                           self.your_incarnation, self.question, self.about, 0)]
+        parts = [
+            HEAD.pack(
+                MAGIC,
+                VERSION,
+                self.kind,
+                len(self.news),
+                self.boot,
+                self.incarnation,
+                self.you,
+                self.your_incarnation,
+                self.question,
+                self.about,
+                0,
+            )
+        ]
         parts += [NEWS.pack(*n) for n in self.news]
         data = b"".join(parts)
         return data + b"\0" if len(data) % WORD.size == 0 else data
@@ -91,8 +104,10 @@
     if size > len(data) or len(data) > size + 1:
         raise BadMessage(f"{len(data)} bytes for {count} news")
     try:
-        news = tuple(News(number, Standing(standing), inc, by)
-                     for number, standing, inc, by in NEWS.iter_unpack(data[HEAD.size:size]))
+        news = tuple(
+            News(number, Standing(standing), inc, by)
+            for number, standing, inc, by in NEWS.iter_unpack(data[HEAD.size : size])
+        )
         return Message(Kind(kind), boot, incarnation, Standing(you), yours, question, about, news)
     except ValueError as error:
         raise BadMessage(str(error)) from None
--- a/lanemux/net/config.py
+++ b/lanemux/net/config.py
@@ -83,14 +83,19 @@
     peer_listen, peers_all, admin = raw.get("peer_listen"), raw.get("peers_all"), raw.get("admin_addr")
     limits = raw.get("limits") or {}
     return Config(
-        name=str(raw["name"]), listen=read_address(raw["listen"]), discovery=read_address(raw["discovery"]),
+        name=str(raw["name"]),
+        listen=read_address(raw["listen"]),
+        discovery=read_address(raw["discovery"]),
         seed=int.from_bytes(str(raw["seed"]).encode(), "big"),
         sockets=int(limits.get("sockets") or DEFAULT_SOCKETS),
-        settings=read_settings(raw["settings"]), known=raw.get("known"),
+        settings=read_settings(raw["settings"]),
+        known=raw.get("known"),
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=[read_address(a) for a in raw.get("peers") or ()],
         peers_all=read_address(peers_all) if peers_all else None,
-        cores=float(limits.get("cores") or 0.0), admin=read_address(admin) if admin else None)
+        cores=float(limits.get("cores") or 0.0),
+        admin=read_address(admin) if admin else None,
+    )
 
 
 def from_environment(config: Config, environment: Mapping[str, str]) -> Config:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -63,9 +63,17 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
-async def serve(config: Config, path: str, lists: Lists | None = None, system: System | None = None,
-                module: MakeModule = Balancer, made: Callable[[Node], None] = lambda node: None,
-                doors: MakeDoors | None = None, beside: MakeBeside | None = None, stages: Stages | None = None) -> None:
+async def serve(
+    config: Config,
+    path: str,
+    lists: Lists | None = None,
+    system: System | None = None,
+    module: MakeModule = Balancer,
+    made: Callable[[Node], None] = lambda node: None,
+    doors: MakeDoors | None = None,
+    beside: MakeBeside | None = None,
+    stages: Stages | None = None,
+) -> None:
     """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node before it
     starts. `stages`: what the start has cost so far. Raises Unobtainable where its address can't be had at all."""
     system = system or Machine()
@@ -88,8 +96,13 @@
             aside.start()
         if await _start(node, rest_s(config.cores, system.spent_s()), stop):
             stages.passed("list and sockets")
-            log.info("%s: started: %s; %d balancers, %d upstreams", config.name, stages.told(), len(config.peers),
-                     node.discovered)
+            log.info(
+                "%s: started: %s; %d balancers, %d upstreams",
+                config.name,
+                stages.told(),
+                len(config.peers),
+                node.discovered,
+            )
             log.info("%s: ready on port %d", config.name, node.port)
             if log.isEnabledFor(logging.DEBUG):
                 reporting = loop.create_task(_report_standing(config.name, node))
@@ -144,9 +157,14 @@
     return from_environment(config, os.environ)
 
 
-def main(lists: Lists | None = None, module: MakeModule = Balancer, doors: MakeDoors | None = None,
-         beside: MakeBeside | None = None, level: str = "info",
-         made: Callable[[Node], None] = lambda node: None) -> int:
+def main(
+    lists: Lists | None = None,
+    module: MakeModule = Balancer,
+    doors: MakeDoors | None = None,
+    beside: MakeBeside | None = None,
+    level: str = "info",
+    made: Callable[[Node], None] = lambda node: None,
+) -> int:
     """One balancer until a signal ends it; its list is platform discovery's unless the operators say otherwise."""
     _log_to_standard_error(level)
     hold_signals()
@@ -164,6 +182,7 @@
     except (BadConfig, Unobtainable) as error:
         print(f"lanemux: {error}", file=sys.stderr)
         return UNUSABLE_STATUS
+
     async def run() -> None:
         try:
             await serve(config, path or "", lists, module=module, made=made, doors=doors, beside=beside, stages=stages)
--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -55,8 +55,9 @@
 
     def get(self, query: str, wait_s: float, done: Callable[[Listing | None], None]) -> Exchange:
         data = write_request(b"GET", (LIST_PATH + query).encode(), [(b"Host", self._host)])
-        return self._pool.exchange(data, wait_s + OVERDUE_S,
-                                   lambda result, response: done(self._read(result, response)))
+        return self._pool.exchange(
+            data, wait_s + OVERDUE_S, lambda result, response: done(self._read(result, response))
+        )
 
     def _read(self, result: api.Result, response: Message | None) -> Listing | None:
         if result is not api.Result.OK or response is None or response.status != 200:
@@ -75,8 +76,9 @@
 class Discovery:
     """Watches the list. Where it is pushed, the watch never ends; where it is asked, the module says when."""
 
-    def __init__(self, address: Address, membership: Membership, pushed: bool, rng: random.Random,
-                 heard: Heard) -> None:
+    def __init__(
+        self, address: Address, membership: Membership, pushed: bool, rng: random.Random, heard: Heard
+    ) -> None:
         self._membership = membership
         self._source = Source(address, membership)
         self._successor: Source | None = None  # the new address, until it has told the whole list
@@ -160,7 +162,8 @@
         if listing is None or not listing.whole:
             self._handover_failures += 1
             self._handover_retry = asyncio.get_running_loop().call_later(
-                self._pause_s(self._handover_failures), self._ask_successor)
+                self._pause_s(self._handover_failures), self._ask_successor
+            )
             return
         self._end_call()
         if self._fetch is not None:  # what the whole list was asked for, this one answers
--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -16,12 +16,32 @@
 FRAMING = 8  # times its body that a chunked message may take: a byte a chunk takes six
 MOST_LOAD = 1e12  # of any figure in a load report; what is above has no meaning
 MAX_ANNOUNCED = 16  # 1xx answers ahead of an answer
-HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate",
-                        b"proxy-authorization", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-                        b"expect", b"content-length"})
-REASONS = {200: "OK", 400: "Bad Request", 405: "Method Not Allowed",
-           408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
-           431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout"}
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -193,8 +213,13 @@
     def on_message_complete(self) -> None:
         if self.bad:
             return
-        message = Message(self._headers, bytes(self._body), self._parser.should_keep_alive(),
-                          old=self._parser.get_http_version() == "1.0", streamed=self._streaming)
+        message = Message(
+            self._headers,
+            bytes(self._body),
+            self._parser.should_keep_alive(),
+            old=self._parser.get_http_version() == "1.0",
+            streamed=self._streaming,
+        )
         if isinstance(self._parser, httptools.HttpRequestParser):
             message.method, message.target = self._parser.get_method(), self._target
         else:
@@ -223,11 +248,17 @@
 
 def write_stream_head(status: int, headers: Headers, length: int | None, close: bool, chunked: bool) -> bytes:
     """The head of an answer whose body follows in pieces: of a told length, in chunks, or until the connection ends."""
-    framing = [(b"Content-Length", b"%d" % length)] if length is not None else \
-        [(b"Transfer-Encoding", b"chunked")] if chunked else []
+    framing = (
+        [(b"Content-Length", b"%d" % length)]
+        if length is not None
+        else [(b"Transfer-Encoding", b"chunked")]
+        if chunked
+        else []
+    )
     extra = [(b"Connection", b"close")] if close else []
-    return _head(b"HTTP/1.1 %d %s" % (status, REASONS.get(status, "Unknown").encode()),
-                 [*headers, *framing, *extra], b"", False)
+    return _head(
+        b"HTTP/1.1 %d %s" % (status, REASONS.get(status, "Unknown").encode()), [*headers, *framing, *extra], b"", False
+    )
 
 
 def write_response(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
@@ -257,5 +288,8 @@
         return None
     if not isinstance(value, dict):
         return None
-    return {k: float(v) for k, v in value.items()
-            if isinstance(v, int | float) and not isinstance(v, bool) and 0 <= v <= MOST_LOAD}
+    return {
+        k: float(v)
+        for k, v in value.items()
+        if isinstance(v, int | float) and not isinstance(v, bool) and 0 <= v <= MOST_LOAD
+    }
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -78,8 +78,14 @@
 class Node:
     """One real balancer. Its list comes from platform discovery, unless another source is given."""
 
-    def __init__(self, config: Config, module: Module, source: MakeSource | None = None,
-                 system: System | None = None, doors: MakeDoors | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        module: Module,
+        source: MakeSource | None = None,
+        system: System | None = None,
+        doors: MakeDoors | None = None,
+    ) -> None:
         system = system or Machine()
         self.config = config
         limits = config.settings.limits
@@ -102,8 +108,9 @@
         self._sweep: asyncio.TimerHandle | None = None
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self.tally = Tally(config.settings.classes)
-        self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True,
-                        counter=self.tally)
+        self._hub = Hub(
+            room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True, counter=self.tally
+        )
         self._passing: dict[str, Call] = {}  # whose answers pass in pieces
         self.server = Server(self, room, system, self.tally, doors(room) if doors is not None else None)
         self.entrance = Entrance(config, self.server)
@@ -209,9 +216,15 @@
 
     def held(self) -> dict[str, int]:
         """What is held for requests and clients, by kind: at rest, without clients, all is zero."""
-        return {"calls": len(self._calls), "clients' calls": len(self._by_client), "ids": len(self._ids),
-                "events": len(self._events), "probes": len(self._looks), "connections": self.server.held,
-                "attempts": self._hub.open - len(self._hub.idle)}
+        return {
+            "calls": len(self._calls),
+            "clients' calls": len(self._by_client),
+            "ids": len(self._ids),
+            "events": len(self._events),
+            "probes": len(self._looks),
+            "connections": self.server.held,
+            "attempts": self._hub.open - len(self._hub.idle),
+        }
 
     def close(self) -> None:
         """Stop everything at once; what is open fails, and nothing is begun any more."""
@@ -347,9 +360,17 @@
         cookies = (c.strip() for c in request.header(b"cookie").decode("latin-1").split(";"))
         key = next((c[5:] for c in cookies if c.startswith("user=")), "")
         cost_us = whole_number(request.header(b"req-cost")) or 0
-        self.feed(api.Arrival(call.id, name, request.header(b"req-owner").decode("latin-1"),
-                              deadline_ns - MODULE_EARLY_NS, cost_us * 1000, key,
-                              request.header(b"req-retry") == b"1"))
+        self.feed(
+            api.Arrival(
+                call.id,
+                name,
+                request.header(b"req-owner").decode("latin-1"),
+                deadline_ns - MODULE_EARLY_NS,
+                cost_us * 1000,
+                key,
+                request.header(b"req-retry") == b"1",
+            )
+        )
 
     def _out_of_time(self, call: Call) -> None:
         self._finish(call, 504)
@@ -412,13 +433,23 @@
             end = min(end, self._decided_ns + action.timeout_ns)
         if call is not None:
             call.sends += 1
-        if (call is None or call.out is not None or pool is None or not pool.ready or end <= now
-                or number >= self._limits.max_attempts):
+        if (
+            call is None
+            or call.out is not None
+            or pool is None
+            or not pool.ready
+            or end <= now
+            or number >= self._limits.max_attempts
+        ):
             self.feed(api.Outcome(action.request, number, action.upstream, api.Result.MOOT, 0, call is None))
             return
-        call.out = Exchange(pool, self._attempt(call.request, end - now),
-                            self._when_ended(call, number, action.upstream, now), wrote=self._forwarded,
-                            begin=self._when_begun(call, number, action.upstream, now))
+        call.out = Exchange(
+            pool,
+            self._attempt(call.request, end - now),
+            self._when_ended(call, number, action.upstream, now),
+            wrote=self._forwarded,
+            begin=self._when_begun(call, number, action.upstream, now),
+        )
         call.out.start(end / SECOND)
 
     def _forwarded(self) -> None:
@@ -429,8 +460,9 @@
         headers.append((b"Req-Deadline-Ms", b"%d" % max(1, timeout_ns // MS)))
         return write_request(request.method, request.target, headers, request.body)
 
-    def _when_ended(self, call: Call, number: int, upstream: int,
-                    sent_ns: int) -> Callable[[api.Result, Message | None], None]:
+    def _when_ended(
+        self, call: Call, number: int, upstream: int, sent_ns: int
+    ) -> Callable[[api.Result, Message | None], None]:
         def ended(result: api.Result, response: Message | None) -> None:
             call.out = None
             took = now_ns() - sent_ns
@@ -443,10 +475,12 @@
                 self._finish(call, 200, headers, response.body)
             report = self._report(response) if self.config.settings.reports_in_answers else None
             self.feed(api.Outcome(call.id, number, upstream, result, took, call.over, report))
+
         return ended
 
     def _when_begun(self, call: Call, number: int, upstream: int, sent_ns: int) -> Begin:
         """What takes an answer that is passed on as it comes: one piece is on its way at a time."""
+
         def begun(exchange: Exchange, head: Message) -> PassOn | None:
             if call.over:
                 return None
@@ -467,6 +501,7 @@
             call.client.begin([(k, v) for k, v in head.end_to_end() if k != b"srv-load"], head.length, roomy)
             self.feed(api.AnswerBegun(call.id, number, upstream, call.moved_ns - sent_ns))
             return pass_on
+
         return begun
 
     def _report(self, response: Message | None) -> dict[str, float] | None:
@@ -494,8 +529,9 @@
             self.feed(api.ProbeResult(upstream, result, now_ns() - now, report))
 
         host = "{}:{}".format(*pool.address).encode()
-        look = Exchange(pool, write_request(b"GET", self._probe_path, [(b"Host", host)]), ended,
-                        self._hub.capacity // PROBE_SPARE)
+        look = Exchange(
+            pool, write_request(b"GET", self._probe_path, [(b"Host", host)]), ended, self._hub.capacity // PROBE_SPARE
+        )
         self._looks[look] = None
         look.start(self._loop.time() + PROBE_TIMEOUT_S)
 
@@ -525,4 +561,3 @@
     if response.status in (503, 504) and response.header(b"srv-declined") == b"1":
         return api.Result.FULL
     return api.Result.ERROR
-
--- a/lanemux/net/peers.py
+++ b/lanemux/net/peers.py
@@ -17,8 +17,9 @@
 class Peers(asyncio.DatagramProtocol):
     """Sends to peers by number, and hands on what comes from their addresses."""
 
-    def __init__(self, peers: Sequence[Address], everyone: Address | None, me: int,
-                 heard: Callable[[int, bytes], None]) -> None:
+    def __init__(
+        self, peers: Sequence[Address], everyone: Address | None, me: int, heard: Callable[[int, bytes], None]
+    ) -> None:
         self._peers = peers
         self._numbers = {address: i for i, address in enumerate(peers) if i != me}
         self._everyone = everyone
--- a/lanemux/net/roster.py
+++ b/lanemux/net/roster.py
@@ -27,8 +27,15 @@
     `told` takes each news for the decisions, `strayed` is called when attempts may wait for a connection to an upstream
     that is not to get them any more."""
 
-    def __init__(self, config: Config, hub: Hub, system: System, source: MakeSource | None,
-                 told: Callable[[api.ListUpdate], None], strayed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        hub: Hub,
+        system: System,
+        source: MakeSource | None,
+        told: Callable[[api.ListUpdate], None],
+        strayed: Callable[[], None],
+    ) -> None:
         self._config, self._hub, self._wall_ns = config, hub, system.wall_ns
         self._told, self._strayed = told, strayed
         offset_ns = system.wall_ns() - now_ns()
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -188,8 +188,12 @@
         if self._current is None or self._transport is None:
             return
         self._chunked = length is None and not self._current.old
-        self._last = (not self._current.keep_alive or self._server.draining or self._server.crowded
-                      or (length is None and not self._chunked))
+        self._last = (
+            not self._current.keep_alive
+            or self._server.draining
+            or self._server.crowded
+            or (length is None and not self._chunked)
+        )
         self._roomy = roomy
         self._transport.set_write_buffer_limits(high=0)  # to be told when all that was written has gone
         self._transport.write(write_stream_head(200, headers, length, self._last, self._chunked))
@@ -280,8 +284,9 @@
 class Server:
     """Listens, bounds the connections and the times that clients may take for what they owe."""
 
-    def __init__(self, service: Service, capacity: int, system: System, counter: FailureCounter,
-                 doors: Doors | None = None) -> None:
+    def __init__(
+        self, service: Service, capacity: int, system: System, counter: FailureCounter, doors: Doors | None = None
+    ) -> None:
         """`counter` counts the connections that could not be accepted."""
         self._service = service
         self._counter = counter
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -34,8 +34,15 @@
     `done` is called once: with RESULT OK and the response, whatever its status, or with what went wrong.
     """
 
-    def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0,
-                 wrote: Callable[[], None] = lambda: None, begin: Begin | None = None) -> None:
+    def __init__(
+        self,
+        pool: Pool,
+        data: bytes,
+        done: Done,
+        spare: int = 0,
+        wrote: Callable[[], None] = lambda: None,
+        begin: Begin | None = None,
+    ) -> None:
         """`wrote` is told, once, when the last byte is written; `begin` takes an answer that is passed on as it
         comes, and gives what takes its pieces. Without it, such an answer is given up."""
         self.pool = pool
@@ -60,8 +67,9 @@
     @property
     def astray(self) -> bool:
         """It waits for a connection to where its upstream no longer is, or to one that may get nothing new."""
-        return self.waiting and (not self.pool.ready or (
-            self._coming is not None and self._coming.address != self.pool.address))
+        return self.waiting and (
+            not self.pool.ready or (self._coming is not None and self._coming.address != self.pool.address)
+        )
 
     def start(self, end_s: float | None) -> None:
         """Send it as soon as there is a connection; it times out at that time of the loop's clock."""
@@ -347,8 +355,15 @@
 class Hub:
     """What all pools share: the limits, and the count of connections."""
 
-    def __init__(self, capacity: int, connect_timeout_s: float, conn_idle_s: float,
-                 max_body: int = MAX_ANSWER, stream: bool = False, counter: FailureCounter | None = None) -> None:
+    def __init__(
+        self,
+        capacity: int,
+        connect_timeout_s: float,
+        conn_idle_s: float,
+        max_body: int = MAX_ANSWER,
+        stream: bool = False,
+        counter: FailureCounter | None = None,
+    ) -> None:
         """`stream`: long answers are passed on as they come, where their exchange takes them so. `counter` counts the
         connections that this machine could not begin."""
         self.counter = counter or Uncounted()
@@ -369,7 +384,7 @@
         """Where to read into. The more answers pass at once, the less of each is taken at a time."""
         if self.passing * PIECE <= PASSING_BYTES:
             return self._buffer
-        return self._buffer[:max(LEAST_PIECE, PASSING_BYTES // self.passing)]
+        return self._buffer[: max(LEAST_PIECE, PASSING_BYTES // self.passing)]
 
     def own(self, opening: asyncio.Task[None]) -> None:
         """Hold a connection's coming up until it is over."""
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -73,8 +73,7 @@
     def learn(self, result: api.Result, rules: api.Rules) -> None:
         """Note its outcome. "Full" proves nothing where upstreams also drop what they had begun."""
         self.result = result
-        self.may_have_run = (result not in api.NEVER_RAN
-                             or (result is api.Result.FULL and rules.full_unproven))
+        self.may_have_run = result not in api.NEVER_RAN or (result is api.Result.FULL and rules.full_unproven)
 
 
 @dataclass(slots=True, eq=False)
@@ -119,8 +118,7 @@
 
     def may_refuse(self) -> bool:
         everywhere = self.cls.effect is api.Effect.KEYED and self.cls.scope is api.Scope.ALL
-        return (self.cls.effect is api.Effect.SAFE or everywhere
-                or not any(a.may_have_run for a in self.attempts))
+        return self.cls.effect is api.Effect.SAFE or everywhere or not any(a.may_have_run for a in self.attempts)
 
     def _same_group(self, x: Server, y: Server) -> bool:
         if self.cls.scope is api.Scope.ALL:
@@ -325,12 +323,11 @@
         self.blocked_ns = 0  # the line found no upstream since
 
     def admits(self, entry: api.Upstream) -> bool:
-        return ((self.zones is None or entry.zone in self.zones)
-                and (self.kinds is None or entry.kind in self.kinds))
+        return (self.zones is None or entry.zone in self.zones) and (self.kinds is None or entry.kind in self.kinds)
 
     def reaches(self, server: Server) -> bool:
         """Is it one that this pool draws from now?"""
-        return self.at_home(server) or server in self.reach[self.home:self.width]
+        return self.at_home(server) or server in self.reach[self.home : self.width]
 
 
 class Fleet:
@@ -342,20 +339,30 @@
         self.rng = rng
         self.servers: dict[int, Server] = {}
         # With fewer proxies than zones, zones without one would be left idle.
-        self.by_zone = (settings.prices.connection > 0 < settings.prices.cross_zone
-                        and max(1, settings.replicas_of_me) >= len(settings.zones))
+        self.by_zone = settings.prices.connection > 0 < settings.prices.cross_zone and max(
+            1, settings.replicas_of_me
+        ) >= len(settings.zones)
         self.pools: dict[tuple[frozenset[str] | None, frozenset[str] | None], Pool] = {}
         self.any = self.pool(api.RequestClass(""))
         for cls in settings.classes.values():
             self.pool(cls)
-        self.looks = (settings.limits.probes and "inflight" in settings.report_columns
-                      and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
+        self.looks = (
+            settings.limits.probes
+            and "inflight" in settings.report_columns
+            and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE
+        )
         # Where looks are too dear, those who share an upstream tell each other what they have there.
-        self.may_tell = (not self.looks and settings.limits.peers and len(self.pools) == 1
-                         and self.any.zones is None and not self.by_zone)
+        self.may_tell = (
+            not self.looks
+            and settings.limits.peers
+            and len(self.pools) == 1
+            and self.any.zones is None
+            and not self.by_zone
+        )
         self.tells = False
-        longest = max((c.limit_ns if c.late_worth or c.stream else c.aim_ns for c in settings.classes.values()),
-                      default=SECOND)
+        longest = max(
+            (c.limit_ns if c.late_worth or c.stream else c.aim_ns for c in settings.classes.values()), default=SECOND
+        )
         self.unknown_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND) // 3
         self.word_ns = longest + SECOND // 20  # all that a word told of has ended, and its end been told
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
@@ -452,8 +459,9 @@
             homes = [p.sharers for p in self.pools.values() if p.at_home(s)]
             s.placed, s.own, s.sharers = self.arranged, bool(homes), max([1.0, *homes])
             at, settings = self.any.place(s) if self.tells else None, self.settings
-            s.peers = () if at is None else sharers(at, self.any.near, self.any.home, settings.replicas_of_me,
-                                                    settings.me)
+            s.peers = (
+                () if at is None else sharers(at, self.any.near, self.any.home, settings.replicas_of_me, settings.me)
+            )
         return s
 
     def heard(self, peer: int, word: Word, now: int) -> Server | None:
@@ -523,8 +531,9 @@
 
     def _may_leave(self, s: Server, now: int) -> bool:
         self.barred = {o.id: o for o in self.barred.values() if o.free_ns() > now}
-        return all(sum(p.reaches(o) for o in self.barred.values()) < 0.7 * p.width
-                   for p in self.pools.values() if p.reaches(s))
+        return all(
+            sum(p.reaches(o) for o in self.barred.values()) < 0.7 * p.width for p in self.pools.values() if p.reaches(s)
+        )
 
     def rest(self, s: Server, until_ns: int) -> None:
         s.barred_ns, self.barred[s.id] = until_ns, s
@@ -577,7 +586,7 @@
         """The lightest, by requests held and learned speed, of two draws and the previous winner."""
         if self.tells:
             # What all hold is known: the lightest of all within reach, by chance among those about alike.
-            near = pool.reach[:pool.width] if allowed is None else allowed
+            near = pool.reach[: pool.width] if allowed is None else allowed
             drawn, unlike = [s for s in near if self.fit(s, now)][:SCAN], UNLIKE
         else:
             drawn = self.draw(pool, DRAWS, now) if allowed is None else [s for s in allowed if self.fit(s, now)]
@@ -631,7 +640,7 @@
         for i, x in enumerate((1.0, a.load, took, a.load * a.load, a.load * took)):
             self.sums[i] = KEPT * self.sums[i] + x
         n, mean_held, mean_took = self.sums[0], self.sums[1] / self.sums[0], self.sums[2] / self.sums[0]
-        spread, along = self.sums[3] / n - mean_held ** 2, self.sums[4] / n - mean_held * mean_took
+        spread, along = self.sums[3] / n - mean_held**2, self.sums[4] / n - mean_held * mean_took
         alone = max(1.0, mean_took / mean_held)
         self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
         self.base = max(0.0, mean_took - self.each * mean_held)
@@ -649,7 +658,8 @@
     def known(self, k: int) -> bool:
         """Were upstreams held at k for so long that a good number should have finished?"""
         return self.done[1] >= EVIDENCE and (
-            k == 1 or self.busy[k] * self.done[k - 1] >= 4 * EVIDENCE * self.busy[k - 1])
+            k == 1 or self.busy[k] * self.done[k - 1] >= 4 * EVIDENCE * self.busy[k - 1]
+        )
 
     def speed(self, k: int) -> float:
         # A clock that stands still between batches books no time: no division by it.
@@ -747,18 +757,28 @@
 
     def avoided(self, now: int) -> int:
         """Listed upstreams left alone now since they failed here or at a peer; pacing a cold one is no avoiding."""
-        return sum(s.entry.state is api.State.READY and s.strikes > 0 and s.free_ns() > now
-                   for s in self.fleet.barred.values())
+        return sum(
+            s.entry.state is api.State.READY and s.strikes > 0 and s.free_ns() > now for s in self.fleet.barred.values()
+        )
 
     def standing(self, now: int) -> dict[str, object]:
         """Why it does what it does: R, what it was learned from, what waits, what rests, refusals by reason."""
         rate, fleet = self.rate, self.fleet
-        return {"rate": rate.value, "failed": rate.failed, "sent": rate.sent, "served": rate.served,
-                "open": len(self.requests), "line": sum(len(p.line) for p in fleet.pools.values()),
-                "limit": self.crowding.limit, "base_ns": self.crowding.base, "each_ns": self.crowding.each,
-                "load": fleet.load(now), "resting": sum(s.free_ns() > now for s in fleet.barred.values()),
-                "refused": dict(self.refused),
-                "tenants": {n: [t.rate, t.u - t.hold, t.demand] for n, t in self.throttles.items()}}
+        return {
+            "rate": rate.value,
+            "failed": rate.failed,
+            "sent": rate.sent,
+            "served": rate.served,
+            "open": len(self.requests),
+            "line": sum(len(p.line) for p in fleet.pools.values()),
+            "limit": self.crowding.limit,
+            "base_ns": self.crowding.base,
+            "each_ns": self.crowding.each,
+            "load": fleet.load(now),
+            "resting": sum(s.free_ns() > now for s in fleet.barred.values()),
+            "refused": dict(self.refused),
+            "tenants": {n: [t.rate, t.u - t.hold, t.demand] for n, t in self.throttles.items()},
+        }
 
     def _mend(self, calls: Mapping[str, api.Held], now: int) -> None:
         """A batch was lost half way: go on from what the proxy really holds.
@@ -778,13 +798,13 @@
             self._settle(r.giving_up)
             held = calls.get(r.id) if not r.over else None
             for a in [a for a in r.attempts if a.result is None]:
-                if held is not None and held.out and a is r.attempts[:held.sends][-1]:
+                if held is not None and held.out and a is r.attempts[: held.sends][-1]:
                     a.server.inflight += not r.begun_ns
                 else:
                     a.learn(api.Result.CANCELLED, self.settings.rules)
                     self._settle(a.overdue)
             if held is not None:
-                del r.attempts[held.sends:]  # the others never went out
+                del r.attempts[held.sends :]  # the others never went out
                 self.requests[r.id] = r
         for name in [name for name in calls if name not in self.requests]:
             self.actions.append(api.Fail(name) if calls[name].sends else api.Refuse(name))
@@ -993,8 +1013,11 @@
 
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
-        if r.attempts and any(r.may_send(s, now, self.settings.limits)
-                              for s in self._choices(r) or r.pool.reach[:1]) and now < r.give_up_ns:
+        if (
+            r.attempts
+            and any(r.may_send(s, now, self.settings.limits) for s in self._choices(r) or r.pool.reach[:1])
+            and now < r.give_up_ns
+        ):
             r.pool.line.appendleft(r)
             r.giving_up = self._later(r.give_up_ns, "give up", r)
             self._look_around(r, now)
@@ -1120,8 +1143,7 @@
         left = r.aim_ns - r.gone_ns - now
         if server.elsewhere is not None:
             return self.crowding.time(server.crowd(now) + 1) * self.fleet.pace(server, now) > left
-        return (server.load >= 1 and server.told(now)
-                and self.crowding.time(server.load + 1.5) * server.pace > left)
+        return server.load >= 1 and server.told(now) and self.crowding.time(server.load + 1.5) * server.pace > left
 
     def _send(self, r: Request, server: Server, now: int) -> None:
         self.crowding.held(self.fleet.place(server), now)
--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -37,13 +37,22 @@
     return f"{address[0]}:{address[1]}"
 
 
-def configuration(name: str, place: Place, seed: str, known: dict[str, object], settings: dict[str, object],
-                  sockets: int = SOCKETS) -> dict[str, object]:
+def configuration(
+    name: str, place: Place, seed: str, known: dict[str, object], settings: dict[str, object], sockets: int = SOCKETS
+) -> dict[str, object]:
     """What a balancer finds in its configuration file (protocol page)."""
-    return {"name": name, "listen": text(place.listen), "discovery": text(place.discovery), "seed": seed,
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets},
-            "peer_listen": text(place.peer_listen), "peers": [text(a) for a in place.peers],
-            "peers_all": text(place.peers_all), "known": known, "settings": settings}
+    return {
+        "name": name,
+        "listen": text(place.listen),
+        "discovery": text(place.discovery),
+        "seed": seed,
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets},
+        "peer_listen": text(place.peer_listen),
+        "peers": [text(a) for a in place.peers],
+        "peers_all": text(place.peers_all),
+        "known": known,
+        "settings": settings,
+    }
 
 
 def free_port(host: str, datagrams: bool = False) -> Address:
@@ -61,8 +70,9 @@
 class Balancer:
     """One balancer's process, over its restarts."""
 
-    def __init__(self, number: int, command: Sequence[str], place: Place, folder: Path,
-                 settings: dict[str, object], seed: int) -> None:
+    def __init__(
+        self, number: int, command: Sequence[str], place: Place, folder: Path, settings: dict[str, object], seed: int
+    ) -> None:
         self.number, self.place = number, place
         self._command, self._folder, self._settings, self._seed = command, folder, settings, seed
         self._starts = 0
@@ -83,15 +93,26 @@
         path.write_text(json.dumps(config))
         temporary = self._folder / f"tmp-{self.number}"
         temporary.mkdir(exist_ok=True)
-        environment = {**os.environ, "RELAY_NAME": name, "RELAY_LISTEN": config["listen"],
-                       "RELAY_DISCOVERY": config["discovery"], "RELAY_CONFIG": str(path), "TMPDIR": str(temporary)}
+        environment = {
+            **os.environ,
+            "RELAY_NAME": name,
+            "RELAY_LISTEN": config["listen"],
+            "RELAY_DISCOVERY": config["discovery"],
+            "RELAY_CONFIG": str(path),
+            "TMPDIR": str(temporary),
+        }
         if self.place.operators:
             operators = self._folder / f"operators-{self.number}.toml"
             operators.write_text(self.place.operators)
             environment["LANEMUX_OPERATORS"] = str(operators)
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen(self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                            env=environment)  # type: ignore[arg-type]
+            self.process = subprocess.Popen(
+                self._command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,  # type: ignore[arg-type]
+            )
 
     async def ready(self) -> bool:
         """Wait until it says that it is ready; False if it ends or takes too long."""
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -51,8 +51,11 @@
     """A box has the request in the form in which a caller sent it."""
     body = sent_body(ask)
     key = idempotency_key(plan.seed, ask.number) if ask.effect == "keyed" else ""
-    return (message.first == f"{'GET' if body is None else 'POST'} {target_of(ask)} HTTP/1.1"
-            and message.body == (body or b"") and message.headers.get("idempotency-key", "") == key)
+    return (
+        message.first == f"{'GET' if body is None else 'POST'} {target_of(ask)} HTTP/1.1"
+        and message.body == (body or b"")
+        and message.headers.get("idempotency-key", "") == key
+    )
 
 
 def body_of(name: str, host: str, serial: int) -> bytes:
@@ -239,8 +242,7 @@
         if self.model is not None:
             return
         now = self.world.now()
-        self.model = BoxModel(self.box, self.world.plan.scenario.fleet, now, cold,
-                              self.world.plan.cancels_queued)
+        self.model = BoxModel(self.box, self.world.plan.scenario.fleet, now, cold, self.world.plan.cancels_queued)
         self._end_life("down")
         for address in self.addresses:
             listener = bound(address, self.world.socket)
@@ -279,13 +281,21 @@
 
     def _fall(self) -> None:
         now = self.world.now()
-        recent = Counter(a.balancer for a in self.world.books.attempts
-                         if a.box == self.number and a.whole_ns > now - int(
-                             self.world.plan.scenario.fleet.fall_ms * MS))
-        self.world.books.oddities.append(Oddity(
-            now, "cold", f"box {self.box.host} was pushed over "
-            f"{(now - self._life['cold'].from_ns) / 1e9:.1f} s after its start; attempts in the window by balancer: "
-            f"{dict(sorted(recent.items()))}", box=self.number))
+        recent = Counter(
+            a.balancer
+            for a in self.world.books.attempts
+            if a.box == self.number and a.whole_ns > now - int(self.world.plan.scenario.fleet.fall_ms * MS)
+        )
+        self.world.books.oddities.append(
+            Oddity(
+                now,
+                "cold",
+                f"box {self.box.host} was pushed over "
+                f"{(now - self._life['cold'].from_ns) / 1e9:.1f} s after its start; attempts in the window by "
+                f"balancer: {dict(sorted(recent.items()))}",
+                box=self.number,
+            )
+        )
         self.die()
         self._begin_life("fallen")
         self.world.fell(self.number, now)
@@ -407,14 +417,18 @@
             look = self.world.look(1)
             connection = Connection(self, balancer, look if look > self._unseen_ns else self._frozen_from())
             task: asyncio.Task[object] = self.world.loop.create_task(
-                self.world.loop.connect_accepted_socket(lambda c=connection: c, accepted))  # type: ignore[misc]
+                self.world.loop.connect_accepted_socket(lambda c=connection: c, accepted)  # type: ignore[misc]
+            )
             self._attaching[task] = None
             task.add_done_callback(self._attached)
 
     def _frozen_from(self) -> int:
         """The start of the latest time for which nothing was accepted."""
-        spans = [life.from_ns for life in self.world.books.lives
-                 if life.who == self.number and life.state in ("frozen", "vanished", "down")]
+        spans = [
+            life.from_ns
+            for life in self.world.books.lives
+            if life.who == self.number and life.state in ("frozen", "vanished", "down")
+        ]
         return max(spans, default=0)
 
     def _attached(self, task: asyncio.Task[object]) -> None:
@@ -471,9 +485,16 @@
         name = message.headers.get("req-id", "")
         ask = self.world.asks.get(name)
         if ask is None or not as_sent(self.world.plan, ask, message):
-            self.world.books.oddities.append(Oddity(
-                self.world.now(), "foreign", f"box {self.box.host} was sent {message.first[:120]!r} with "
-                f"{len(message.body)} bytes, which no caller sent in this form", name, self.number))
+            self.world.books.oddities.append(
+                Oddity(
+                    self.world.now(),
+                    "foreign",
+                    f"box {self.box.host} was sent {message.first[:120]!r} with "
+                    f"{len(message.body)} bytes, which no caller sent in this form",
+                    name,
+                    self.number,
+                )
+            )
             connection.answer(framing.answer(400 if name else 404))
             return
         told = message.headers.get("req-deadline-ms", "")
@@ -481,8 +502,9 @@
 
     def _attempt(self, connection: Connection, name: str, ask: Ask, path: str, told_ms: int) -> None:
         assert self.model is not None
-        attempt = Attempt(self.number, connection.balancer, name, path, connection.first_lo_ns, connection.whole_ns(),
-                          told_ms=told_ms)
+        attempt = Attempt(
+            self.number, connection.balancer, name, path, connection.first_lo_ns, connection.whole_ns(), told_ms=told_ms
+        )
         self.world.books.attempts.append(attempt)
         connection.attempt = attempt
         work = attempt_work(self.world.plan, ask, self.number, self._seen[name])
--- a/lanemux/rehearsal/boxes_process.py
+++ b/lanemux/rehearsal/boxes_process.py
@@ -32,8 +32,9 @@
     loop = asyncio.get_running_loop()
     plan = draw(scenario, seed)
     asks = {name: ask for ask in plan.asks for name in ask.ids}
-    world = World(loop, plan, looks, BoxBooks(), int(loop.time() * 1e9), asks,
-                  lambda box, at: pipe.send(("fell", box, at)))
+    world = World(
+        loop, plan, looks, BoxBooks(), int(loop.time() * 1e9), asks, lambda box, at: pipe.send(("fell", box, at))
+    )
     addresses = reserve(plan, prefix)
     boxes = Boxes(world, addresses)
     boxes.open()
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -81,8 +81,9 @@
     def _answered(self, message: framing.Message) -> None:
         current, self.current = self.current, None
         if current is None:
-            self._callers.odd("lost", f"balancer {self.balancer} sent an answer that nobody asked for: "
-                              f"{message.first[:80]!r}", None)
+            self._callers.odd(
+                "lost", f"balancer {self.balancer} sent an answer that nobody asked for: {message.first[:80]!r}", None
+            )
             self.close()
             return
         self.used = True
@@ -113,8 +114,9 @@
 class Attempted:
     """One try of an ask: from its sending to its one end."""
 
-    def __init__(self, callers: Callers, ask: Ask, entry: Try, given_up_ns: int,
-                 after: Callable[[Attempted], None]) -> None:
+    def __init__(
+        self, callers: Callers, ask: Ask, entry: Try, given_up_ns: int, after: Callable[[Attempted], None]
+    ) -> None:
         self.ask, self.entry = ask, entry
         self._callers, self._after = callers, after
         self._line: Line | None = None
@@ -122,8 +124,10 @@
         self._again = False  # it was sent once more after its connection closed between requests
         leaves = ask.leaves_ns if not entry.number else 0
         self._leaving = bool(leaves) and leaves < given_up_ns
-        self._timers = [callers.later(given_up_ns, self._give_up),
-                        callers.later(leaves if self._leaving else given_up_ns + callers.grace_ns, self._close)]
+        self._timers = [
+            callers.later(given_up_ns, self._give_up),
+            callers.later(leaves if self._leaving else given_up_ns + callers.grace_ns, self._close),
+        ]
 
     async def send(self) -> None:
         """Connect where needed, and write the request."""
@@ -138,9 +142,14 @@
             return
         self._line = line
         remaining_ms = max(1, self.entry.deadline_ns // MS - self._callers.now() // MS)
-        headers = {"Host": "quotes.internal", "Req-Id": self.entry.id, "Req-Owner": self.ask.partner,
-                   "Cookie": f"user={self.ask.user}", "Req-Deadline-Ms": str(remaining_ms),
-                   "Req-Cost": str(self.ask.hint_us)}
+        headers = {
+            "Host": "quotes.internal",
+            "Req-Id": self.entry.id,
+            "Req-Owner": self.ask.partner,
+            "Cookie": f"user={self.ask.user}",
+            "Req-Deadline-Ms": str(remaining_ms),
+            "Req-Cost": str(self.ask.hint_us),
+        }
         if self.entry.number and self._callers.plan.scenario.callers.marks:
             headers["Req-Retry"] = "1"
         if self.ask.effect == "keyed":
@@ -250,16 +259,16 @@
         self.begin()
 
     def _try(self, ask: Ask, number: int) -> None:
-        limit = ask.at_ns + int(next(c.deadline_ms for c in self.plan.scenario.classes
-                                     if c.name == ask.class_name) * MS)
+        limit = ask.at_ns + int(
+            next(c.deadline_ms for c in self.plan.scenario.classes if c.name == ask.class_name) * MS
+        )
         given_up = min(ask.try_ns, limit - self.now())
         if given_up < MS:
             return  # the ask's own time is up
         balancer = self._on_open_connection(ask.fronts[number])
         if balancer is None:
             balancer = self.front.pick(self.plan.scenario.fleet.rooms[ask.room], ask.fronts[number])
-        entry = Try(ask.number, number, ask.ids[number], balancer, target_of(ask),
-                    deadline_ns=self.now() + given_up)
+        entry = Try(ask.number, number, ask.ids[number], balancer, target_of(ask), deadline_ns=self.now() + given_up)
         self.books.tries.append(entry)
         self.spawn(Attempted(self, ask, entry, given_up, self._after).send())
 
@@ -305,7 +314,8 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, line = await self._loop.create_connection(
-                    lambda: Line(self, balancer), *self.front.addresses[balancer])
+                    lambda: Line(self, balancer), *self.front.addresses[balancer]
+                )
         except (OSError, TimeoutError):
             return None
         self._lines[line] = None
--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -159,8 +159,11 @@
 
 
 def _options(argv: Sequence[str]) -> argparse.Namespace:
-    parser = argparse.ArgumentParser("lanemux rehearse", allow_abbrev=False, description=(
-        "Play a day of service against balancers started on this machine's loopback, and judge it."))
+    parser = argparse.ArgumentParser(
+        "lanemux rehearse",
+        allow_abbrev=False,
+        description=("Play a day of service against balancers started on this machine's loopback, and judge it."),
+    )
     parser.add_argument("scenario", nargs="?", default=DEFAULT, metavar="NAME|FILE.toml")
     parser.add_argument("--seed", type=int, default=1, metavar="N")
     parser.add_argument("--seconds", type=float, metavar="S", help="length of the run")
@@ -179,25 +182,47 @@
 
 def _overridden(scenario: Scenario, options: argparse.Namespace) -> Scenario:
     """The scenario with what the command line says otherwise, held to the same limits as the file."""
-    limits = [("--seconds", options.seconds, 1, 3600), ("--rate", options.rate, 0.1, 5000),
-              ("--balancers", options.balancers, 1, MAX_BALANCERS), ("--boxes", options.boxes, 1, MAX_BOXES)]
-    faults = [f"{name}: {value:g} is not from {low:g} to {high:g}" for name, value, low, high in limits
-              if value is not None and not low <= value <= high]
+    limits = [
+        ("--seconds", options.seconds, 1, 3600),
+        ("--rate", options.rate, 0.1, 5000),
+        ("--balancers", options.balancers, 1, MAX_BALANCERS),
+        ("--boxes", options.boxes, 1, MAX_BOXES),
+    ]
+    faults = [
+        f"{name}: {value:g} is not from {low:g} to {high:g}"
+        for name, value, low, high in limits
+        if value is not None and not low <= value <= high
+    ]
     if faults:
         raise Faulty(faults)
-    fleet = dataclasses.replace(scenario.fleet, balancers=options.balancers or scenario.fleet.balancers,
-                                boxes=options.boxes or scenario.fleet.boxes)
+    fleet = dataclasses.replace(
+        scenario.fleet,
+        balancers=options.balancers or scenario.fleet.balancers,
+        boxes=options.boxes or scenario.fleet.boxes,
+    )
     load_ = dataclasses.replace(scenario.load, rate=options.rate or scenario.load.rate)
     callers = scenario.callers
     if options.honour:
         callers = dataclasses.replace(callers, honour=HONOUR[options.honour])
     given = options.balancers_operators
-    return checked(dataclasses.replace(
-        scenario, fleet=fleet, load=load_, callers=callers, seconds=options.seconds or scenario.seconds,
-        operators=scenario.operators if given is None else read_text(Path(given))), "command line")
+    return checked(
+        dataclasses.replace(
+            scenario,
+            fleet=fleet,
+            load=load_,
+            callers=callers,
+            seconds=options.seconds or scenario.seconds,
+            operators=scenario.operators if given is None else read_text(Path(given)),
+        ),
+        "command line",
+    )
 
 
 def _progress(at_s: float, callers: Callers) -> None:
     whole = callers.plan.scenario.seconds
-    print(f"\r{min(at_s, whole):5.0f} of {whole:.0f} s   {callers.asked} asks   "
-          f"{len(callers.books.tries)} tries ", end="", file=sys.stderr, flush=True)
+    print(
+        f"\r{min(at_s, whole):5.0f} of {whole:.0f} s   {callers.asked} asks   {len(callers.books.tries)} tries ",
+        end="",
+        file=sys.stderr,
+        flush=True,
+    )
--- a/lanemux/rehearsal/etcd/agent.py
+++ b/lanemux/rehearsal/etcd/agent.py
@@ -23,8 +23,15 @@
 class EtcdAgent:
     """The member that one balancer follows."""
 
-    def __init__(self, balancer: int, now: Callable[[], int], wall_zero_ms: int, book: list[Told],
-                 store: Store, listen: Listen = socket.create_server) -> None:
+    def __init__(
+        self,
+        balancer: int,
+        now: Callable[[], int],
+        wall_zero_ms: int,
+        book: list[Told],
+        store: Store,
+        listen: Listen = socket.create_server,
+    ) -> None:
         self.balancer, self._now, self._book, self._wall_zero_ms = balancer, now, book, wall_zero_ms
         self.prefix = f"/rehearsal/{balancer}/"
         self._store = store
@@ -51,8 +58,15 @@
     def tell(self, box: Box, dial: Address, notice: Notice, first: bool = False) -> None:
         """The store has news; those who watch hear it at once."""
         born_ms = 0 if not notice.born_ns else self._wall_zero_ms + notice.born_ns // MS
-        row: dict[str, object] = {"dial": f"{dial[0]}:{dial[1]}", "site": box.room, "class": box.kind,
-                                  "block": box.cell, "health": notice.health, "share": 1.0, "born_ms": born_ms}
+        row: dict[str, object] = {
+            "dial": f"{dial[0]}:{dial[1]}",
+            "site": box.room,
+            "class": box.kind,
+            "block": box.cell,
+            "health": notice.health,
+            "share": 1.0,
+            "born_ms": born_ms,
+        }
         gone = notice.health == "removed"
         self._rows.pop(box.host, None)
         if not gone:
--- a/lanemux/rehearsal/etcd/mangler.py
+++ b/lanemux/rehearsal/etcd/mangler.py
@@ -54,8 +54,10 @@
         except OSError:
             writer.transport.abort()
             return
-        ways = [asyncio.create_task(self._pass_on(reader, there_writer, False)),
-                asyncio.create_task(self._pass_on(there_reader, writer, True))]
+        ways = [
+            asyncio.create_task(self._pass_on(reader, there_writer, False)),
+            asyncio.create_task(self._pass_on(there_reader, writer, True)),
+        ]
         ends = {writer, there_writer}
         self._writers |= ends
         self._tasks.update(ways)
--- a/lanemux/rehearsal/etcd/server.py
+++ b/lanemux/rehearsal/etcd/server.py
@@ -105,9 +105,11 @@
 
     def __mapping__(self) -> dict[str, Handler]:
         unary = Cardinality.UNARY_UNARY
-        return {"/etcdserverpb.KV/Range": Handler(self._range, unary, bytes, bytes),
-                "/etcdserverpb.Auth/Authenticate": Handler(self._authenticate, unary, bytes, bytes),
-                "/etcdserverpb.Watch/Watch": Handler(self._watch, Cardinality.STREAM_STREAM, bytes, bytes)}
+        return {
+            "/etcdserverpb.KV/Range": Handler(self._range, unary, bytes, bytes),
+            "/etcdserverpb.Auth/Authenticate": Handler(self._authenticate, unary, bytes, bytes),
+            "/etcdserverpb.Watch/Watch": Handler(self._watch, Cardinality.STREAM_STREAM, bytes, bytes),
+        }
 
     # -- calls --
 
@@ -178,8 +180,13 @@
     async def _asked(self, stream: Any, asked: dict[int, int | bytes], watchers: list[Watcher]) -> None:
         if 1 in asked:
             create = wire.parse(wire.octets(asked, 1))
-            watcher = Watcher(len(watchers), wire.octets(create, 1), wire.octets(create, 2),
-                              wire.whole(create, 3) or self.store.revision + 1, bool(wire.whole(create, 8)))
+            watcher = Watcher(
+                len(watchers),
+                wire.octets(create, 1),
+                wire.octets(create, 2),
+                wire.whole(create, 3) or self.store.revision + 1,
+                bool(wire.whole(create, 8)),
+            )
             self.starts.append(watcher.next)
             if len(watchers) >= MAX_WATCHERS:
                 raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many watchers")
@@ -215,16 +222,21 @@
             return
         most = self.faults.fragment if watcher.fragments and self.faults.fragment else len(changes)
         for start in range(0, len(changes), most):
-            part = changes[start:start + most]
+            part = changes[start : start + most]
             last = start + most >= len(changes)
-            await stream.send_message(head + wire.field(7, int(not last)) + _events(part)
-                                      + wire.field(99, b"x" * self.faults.huge))
+            await stream.send_message(
+                head + wire.field(7, int(not last)) + _events(part) + wire.field(99, b"x" * self.faults.huge)
+            )
             self.wrote(part, 0)
 
 
 def _kv(change: Change) -> bytes:
-    return (wire.field(1, change.key) + wire.field(2, change.created) + wire.field(3, change.revision)
-            + wire.field(5, change.value or b""))
+    return (
+        wire.field(1, change.key)
+        + wire.field(2, change.created)
+        + wire.field(3, change.revision)
+        + wire.field(5, change.value or b"")
+    )
 
 
 def _kvs(tag: int, rows: Sequence[Change]) -> bytes:
--- a/lanemux/rehearsal/etcd/store.py
+++ b/lanemux/rehearsal/etcd/store.py
@@ -89,11 +89,14 @@
             raise Compacted(self.compacted) if revision <= self.compacted else Future(revision)
         self.compacted = revision
         # Of the revision itself, deletions are lost too: up to etcd 3.4.31 and 3.5.12 a watch from it misses them.
-        self._log = [c for c in self._log[bisect_left(self._log, revision, key=_revision):]
-                     if c.revision > revision or c.value is not None]
+        self._log = [
+            c
+            for c in self._log[bisect_left(self._log, revision, key=_revision) :]
+            if c.revision > revision or c.value is not None
+        ]
         for key, versions in list(self._versions.items()):
             at = bisect_right(versions, revision, key=_revision)
-            kept = versions[max(0, at - 1):]
+            kept = versions[max(0, at - 1) :]
             if kept and kept[0].value is None and kept[0].revision <= revision:
                 kept = kept[1:]
             if kept:
@@ -124,7 +127,7 @@
         if 0 < revision < self.compacted:
             raise Compacted(self.compacted)
         found: list[Change] = []
-        for key in self._keys[bisect_left(self._keys, begin):bisect_left(self._keys, end)]:
+        for key in self._keys[bisect_left(self._keys, begin) : bisect_left(self._keys, end)]:
             versions = self._versions[key]
             at = bisect_right(versions, revision, key=_revision) if revision else len(versions)
             if at and versions[at - 1].value is not None:
@@ -137,7 +140,7 @@
         """The changes in [begin, end) from a revision on, in their order."""
         if revision < self.compacted:
             raise Compacted(self.compacted)
-        return [c for c in self._log[bisect_left(self._log, revision, key=_revision):] if begin <= c.key < end]
+        return [c for c in self._log[bisect_left(self._log, revision, key=_revision) :] if begin <= c.key < end]
 
     # -- within --
 
--- a/lanemux/rehearsal/etcd/wire.py
+++ b/lanemux/rehearsal/etcd/wire.py
@@ -56,7 +56,7 @@
             size, at = _number(data, at)
             if at + size > len(data):
                 raise Unreadable("cut off")
-            found[head >> 3], at = data[at:at + size], at + size
+            found[head >> 3], at = data[at : at + size], at + size
         else:
             raise Unreadable(f"wire type {head & 7}")
     return found
--- a/lanemux/rehearsal/framing.py
+++ b/lanemux/rehearsal/framing.py
@@ -78,7 +78,7 @@
                     raise Unreadable("a head without end")
                 return None
             self._head = _read_head(bytes(self._data[:end]))
-            del self._data[:end + 4]
+            del self._data[: end + 4]
         head = self._head
         body = self._chunks() if _chunked(head) else self._counted(head)
         if body is None:
@@ -121,11 +121,11 @@
                 end = self._data.find(b"\r\n", at)
                 if end < 0:
                     return None
-                del self._data[:end + 2]
+                del self._data[: end + 2]
                 return bytes(body)
             if len(self._data) < at + size + 2:
                 return None
-            body += self._data[at:at + size]
+            body += self._data[at : at + size]
             at += size + 2
 
 
@@ -156,6 +156,11 @@
 
 def answer(status: int, body: bytes = b"", headers: Mapping[str, str] | None = None) -> bytes:
     """An answer with its length."""
-    lines = [f"HTTP/1.1 {status} {'OK' if status == 200 else 'Answer'}",
-             *(f"{k}: {v}" for k, v in (headers or {}).items()), f"Content-Length: {len(body)}", "", ""]
+    lines = [
+        f"HTTP/1.1 {status} {'OK' if status == 200 else 'Answer'}",
+        *(f"{k}: {v}" for k, v in (headers or {}).items()),
+        f"Content-Length: {len(body)}",
+        "",
+        "",
+    ]
     return "\r\n".join(lines).encode("latin-1") + body
--- a/lanemux/rehearsal/injection.py
+++ b/lanemux/rehearsal/injection.py
@@ -119,7 +119,7 @@
         def send(self, data: Any, flags: int = 0) -> int:
             injector.hold_up()
             if self.type == socket.SOCK_STREAM:
-                data = memoryview(data)[:injector.shortened(len(data))]
+                data = memoryview(data)[: injector.shortened(len(data))]
             return int(super().send(data, flags))
 
         def recv(self, size: int, flags: int = 0) -> bytes:
--- a/lanemux/rehearsal/page.py
+++ b/lanemux/rehearsal/page.py
@@ -17,10 +17,24 @@
 from lanemux.rehearsal.run import Run
 from lanemux.rehearsal.service import over_time
 
-STATES = {"frozen": "#2b6cb0", "shared": "#b7b7b7", "cold": "#38b2ac", "draining": "#dd9b1f", "vanished": "#805ad5",
-          "down": "#4a4a4a", "fallen": "#c53030"}
-MEANING = {"frozen": "frozen", "shared": "shared with another program", "cold": "cold", "draining": "draining",
-           "vanished": "vanished", "down": "down", "fallen": "pushed over"}
+STATES = {
+    "frozen": "#2b6cb0",
+    "shared": "#b7b7b7",
+    "cold": "#38b2ac",
+    "draining": "#dd9b1f",
+    "vanished": "#805ad5",
+    "down": "#4a4a4a",
+    "fallen": "#c53030",
+}
+MEANING = {
+    "frozen": "frozen",
+    "shared": "shared with another program",
+    "cold": "cold",
+    "draining": "draining",
+    "vanished": "vanished",
+    "down": "down",
+    "fallen": "pushed over",
+}
 SMOOTH = 4  # half seconds over which the service is averaged: single ones hold a few asks of a class
 SAMPLE_NS = int(SAMPLE_S * SECOND)
 ROW_PX = 16  # of a box
@@ -36,28 +50,47 @@
 def as_html(run: Run, name: str) -> str:
     """The page: table, plots, violations. No part of it is loaded from elsewhere."""
     plots = [
-        ("Service by class", "Worth answered within the aim over worth asked, two seconds together, by when it was "
-         "asked.", _service(run)),
-        ("Boxes", "What each box held (darker: more) and its states; a cross is a broken rule, at its box or, where "
-         "it has none, on top.", _boxes(run)),
+        (
+            "Service by class",
+            "Worth answered within the aim over worth asked, two seconds together, by when it was asked.",
+            _service(run),
+        ),
+        (
+            "Boxes",
+            "What each box held (darker: more) and its states; a cross is a broken rule, at its box or, where "
+            "it has none, on top.",
+            _boxes(run),
+        ),
         ("How tries ended", "Tries of callers that were not served, each half second, by cause.", _ends(run)),
-        ("Attempts", "What the boxes were sent, beside what callers asked for, a second.", _attempts(run))]
+        ("Attempts", "What the boxes were sent, beside what callers asked for, a second.", _attempts(run)),
+    ]
     parts = []
     for i, (title, text, figure) in enumerate(plots):
-        figure.update_layout(template="plotly_white", showlegend=True, margin={"l": 8, "r": 14, "t": 8, "b": 8},
-                             legend={"orientation": "h", "y": 1.01, "yanchor": "bottom"}, font={"size": 12})
+        figure.update_layout(
+            template="plotly_white",
+            showlegend=True,
+            margin={"l": 8, "r": 14, "t": 8, "b": 8},
+            legend={"orientation": "h", "y": 1.01, "yanchor": "bottom"},
+            font={"size": 12},
+        )
         figure.update_xaxes(ticksuffix=" s", range=[0, run.plan.scenario.seconds], automargin=True)
         figure.update_yaxes(automargin=True)
-        plot = figure.to_html(full_html=False, include_plotlyjs=not i,
-                              config={"responsive": True, "displayModeBar": False})
+        plot = figure.to_html(
+            full_html=False, include_plotlyjs=not i, config={"responsive": True, "displayModeBar": False}
+        )
         parts.append(f"<h2>{title}</h2>\n<p>{text}</p>\n{plot}")
-    rows = "\n".join(f"<li><b>{v.rule}</b> at {v.at_ns / SECOND:.3f} s, request {html.escape(v.request or '-')}, box "
-                     f"{html.escape(v.box or '-')}: {html.escape(v.proof)}</li>" for v in run.violations[:MARKED])
+    rows = "\n".join(
+        f"<li><b>{v.rule}</b> at {v.at_ns / SECOND:.3f} s, request {html.escape(v.request or '-')}, box "
+        f"{html.escape(v.box or '-')}: {html.escape(v.proof)}</li>"
+        for v in run.violations[:MARKED]
+    )
     title = html.escape(f"{name}, seed {run.plan.seed}")
-    return (f'<!doctype html>\n<html lang="en"><head><meta charset="utf-8"><title>{title}</title>\n'
-            f'<meta name="viewport" content="width=device-width, initial-scale=1"><style>{STYLE}</style></head>\n'
-            f"<body><h1>{title}</h1>\n<pre>{html.escape(as_text(run, name))}</pre>\n{''.join(parts)}\n"
-            f"<h2>Broken rules: {len(run.violations)}</h2>\n<ol>{rows}</ol>\n</body></html>\n")
+    return (
+        f'<!doctype html>\n<html lang="en"><head><meta charset="utf-8"><title>{title}</title>\n'
+        f'<meta name="viewport" content="width=device-width, initial-scale=1"><style>{STYLE}</style></head>\n'
+        f"<body><h1>{title}</h1>\n<pre>{html.escape(as_text(run, name))}</pre>\n{''.join(parts)}\n"
+        f"<h2>Broken rules: {len(run.violations)}</h2>\n<ol>{rows}</ol>\n</body></html>\n"
+    )
 
 
 def _service(run: Run) -> Any:
@@ -66,10 +99,10 @@
     for cls in run.plan.scenario.classes:
         xs, ys = [], []
         for i in range(len(points) - SMOOTH + 1):
-            asked = sum(p.asked[cls.name] for p in points[i:i + SMOOTH])
+            asked = sum(p.asked[cls.name] for p in points[i : i + SMOOTH])
             if asked:
                 xs.append(points[i].at_s + SMOOTH / 4)
-                ys.append(sum(p.earned[cls.name] for p in points[i:i + SMOOTH]) / asked)
+                ys.append(sum(p.earned[cls.name] for p in points[i : i + SMOOTH]) / asked)
         figure.add_scatter(x=xs, y=ys, name=cls.name, mode="lines")
     figure.update_yaxes(range=[0, 1.03])
     figure.update_layout(height=320)
@@ -84,10 +117,19 @@
     for at, box, count in run.boxes.held:
         if 0 <= at // SAMPLE_NS < columns:
             held[box][at // SAMPLE_NS] = count
-    figure = go.Figure(go.Heatmap(
-        x0=SAMPLE_NS / SECOND / 2, dx=SAMPLE_NS / SECOND, y=list(range(len(names))), z=held, colorscale="Greys", zmin=0,
-        zmax=max((count for _, _, count in run.boxes.held), default=1) or 1, showscale=False,
-        hovertemplate="held %{z} at %{x:.1f} s<extra></extra>"))
+    figure = go.Figure(
+        go.Heatmap(
+            x0=SAMPLE_NS / SECOND / 2,
+            dx=SAMPLE_NS / SECOND,
+            y=list(range(len(names))),
+            z=held,
+            colorscale="Greys",
+            zmin=0,
+            zmax=max((count for _, _, count in run.boxes.held), default=1) or 1,
+            showscale=False,
+            hovertemplate="held %{z} at %{x:.1f} s<extra></extra>",
+        )
+    )
     spans: dict[str, list[tuple[int, float, float]]] = defaultdict(list)
     for life in run.boxes.lives:
         whole_ns = int(run.plan.scenario.seconds * SECOND)
@@ -98,21 +140,36 @@
         if spans[state]:
             # A thin bar for what lasts and a full one for a freeze, so that none hides another.
             figure.add_bar(
-                y=[n for n, _, _ in spans[state]], base=[a for _, a, _ in spans[state]],
-                x=[b - a for _, a, b in spans[state]], orientation="h", name=MEANING[state], marker={"color": colour},
-                width=0.85 if state in ("frozen", "fallen") else 0.3, opacity=0.85,
-                hovertemplate=f"{MEANING[state]} from %{{base:.2f}} s<extra></extra>")
+                y=[n for n, _, _ in spans[state]],
+                base=[a for _, a, _ in spans[state]],
+                x=[b - a for _, a, b in spans[state]],
+                orientation="h",
+                name=MEANING[state],
+                marker={"color": colour},
+                width=0.85 if state in ("frozen", "fallen") else 0.3,
+                opacity=0.85,
+                hovertemplate=f"{MEANING[state]} from %{{base:.2f}} s<extra></extra>",
+            )
     marks = run.violations[:MARKED]
     rows = {name: i for i, name in enumerate(names)}  # numbers, as a category without data stops the drawing
     if marks:
         figure.add_scatter(
-            x=[v.at_ns / SECOND for v in marks], y=[rows.get(v.box, len(names)) for v in marks], mode="markers",
-            name="broken rule", text=[f"{v.rule}: {html.escape(v.proof)}" for v in marks],
+            x=[v.at_ns / SECOND for v in marks],
+            y=[rows.get(v.box, len(names)) for v in marks],
+            mode="markers",
+            name="broken rule",
+            text=[f"{v.rule}: {html.escape(v.proof)}" for v in marks],
             hovertemplate="%{text}<extra></extra>",
-            marker={"symbol": "x", "size": 11, "color": "#e53e3e", "line": {"color": "#ffffff", "width": 1}})
+            marker={"symbol": "x", "size": 11, "color": "#e53e3e", "line": {"color": "#ffffff", "width": 1}},
+        )
     figure.update_layout(barmode="overlay", height=140 + ROW_PX * (len(names) + 1))
-    figure.update_yaxes(tickvals=list(range(len(names) + 1)), ticktext=[*names, "no box"], tickfont={"size": 10},
-                        range=[-0.6, len(names) + 0.6], showgrid=False)
+    figure.update_yaxes(
+        tickvals=list(range(len(names) + 1)),
+        ticktext=[*names, "no box"],
+        tickfont={"size": 10},
+        range=[-0.6, len(names) + 0.6],
+        showgrid=False,
+    )
     return figure
 
 
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -108,8 +108,16 @@
     def digest(self) -> str:
         """A hash over every arrival, fault and notice: the same seed gives the same."""
         h = hashlib.blake2b(digest_size=12)
-        for part in (self.boxes, self.first, self.asks, self.happenings, self.notices, self.upsets, self.spread_ns,
-                     [self.fronts_notice_ns, self.cancels_queued]):
+        for part in (
+            self.boxes,
+            self.first,
+            self.asks,
+            self.happenings,
+            self.notices,
+            self.upsets,
+            self.spread_ns,
+            [self.fronts_notice_ns, self.cancels_queued],
+        ):
             h.update(repr(part).encode())
         return h.hexdigest()
 
@@ -169,14 +177,27 @@
     name = hashlib.blake2b(f"{plan.seed}/box {number}".encode(), digest_size=4).hexdigest()
     cold_ns = _ns(rng, fleet.cold_s, SECOND)
     speed = max(0.3, rng.gauss(1.0, rng.uniform(*fleet.speed_cv)))
-    plan.boxes.append(Box(
-        f"q-{name}", fleet.rooms[place % len(fleet.rooms)], place // fleet.cell_size,
-        "box-a" if rng.random() < 0.52 else "box-b", slot, speed,
-        round(rng.uniform(*fleet.queue_per_core) * fleet.cores), rng.uniform(*fleet.thrash),
-        rng.uniform(*fleet.thrash_at) * fleet.cores, rng.uniform(*fleet.cold_from), cold_ns,
-        int(cold_ns * speed * fleet.cores * 0.5), rng.uniform(*fleet.error_rate),
-        _ns(rng, fleet.report_ms, MS), _ns(rng, fleet.probe_us, 1000), _ns(rng, fleet.handshake_us, 1000),
-        rng.getrandbits(32)))
+    plan.boxes.append(
+        Box(
+            f"q-{name}",
+            fleet.rooms[place % len(fleet.rooms)],
+            place // fleet.cell_size,
+            "box-a" if rng.random() < 0.52 else "box-b",
+            slot,
+            speed,
+            round(rng.uniform(*fleet.queue_per_core) * fleet.cores),
+            rng.uniform(*fleet.thrash),
+            rng.uniform(*fleet.thrash_at) * fleet.cores,
+            rng.uniform(*fleet.cold_from),
+            cold_ns,
+            int(cold_ns * speed * fleet.cores * 0.5),
+            rng.uniform(*fleet.error_rate),
+            _ns(rng, fleet.report_ms, MS),
+            _ns(rng, fleet.probe_us, 1000),
+            _ns(rng, fleet.handshake_us, 1000),
+            rng.getrandbits(32),
+        )
+    )
     return number
 
 
@@ -210,7 +231,7 @@
     discovery = plan.scenario.discovery
     slots = _some(rng, current, fault.part)
     size = max(1, round(rng.uniform(*fault.batch) * len(current)))
-    batches = [slots[i:i + size] for i in range(0, len(slots), size)]
+    batches = [slots[i : i + size] for i in range(0, len(slots), size)]
     for i, batch in enumerate(batches):
         at = int((fault.at_s + fault.for_s * i / len(batches)) * SECOND)
         for slot in batch:
@@ -220,10 +241,11 @@
             dies = rng.random() < fault.die_in_drain
             end = drain + int((leave - drain) * BEFORE_DEATH) if dies else leave
             told = drain + _ns(rng, discovery.notice_s, SECOND)
-            plan.happenings += [Happening(drain, "drain", old),
-                                Happening(end, "die" if dies else "leave", old)]
-            plan.notices += [Notice(told, old, "draining", 0),
-                             Notice(max(told, end) + _ns(rng, discovery.notice_s, SECOND), old, "removed", 0)]
+            plan.happenings += [Happening(drain, "drain", old), Happening(end, "die" if dies else "leave", old)]
+            plan.notices += [
+                Notice(told, old, "draining", 0),
+                Notice(max(told, end) + _ns(rng, discovery.notice_s, SECOND), old, "removed", 0),
+            ]
             slot_of_new = slot if rng.random() < SAME_ADDRESS else _free_slot(plan)
             new = _new_box(plan, rng, slot_of_new, slot)
             start = leave + 50 * MS
@@ -257,8 +279,10 @@
         box, told = current[slot], at + _ns(rng, discovery.silent_notice_s, SECOND)
         plan.happenings += [Happening(at, "vanish", box), Happening(back, "return", box)]
         if told < back:
-            plan.notices += [Notice(told, box, "removed", 0),
-                             Notice(back + _ns(rng, discovery.add_s, SECOND), box, "up", 0)]
+            plan.notices += [
+                Notice(told, box, "removed", 0),
+                Notice(back + _ns(rng, discovery.add_s, SECOND), box, "up", 0),
+            ]
 
 
 def _kill(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
@@ -266,8 +290,7 @@
     count = plan.scenario.fleet.balancers
     at = int(fault.at_s * SECOND)
     for who in rng.sample(range(count), min(count, max(1, round(rng.uniform(*fault.part) * count)))):
-        plan.happenings += [Happening(at, "kill", who),
-                            Happening(at + _ns(rng, fault.down_s, SECOND), "revive", who)]
+        plan.happenings += [Happening(at, "kill", who), Happening(at + _ns(rng, fault.down_s, SECOND), "revive", who)]
 
 
 def _restart(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
@@ -276,8 +299,10 @@
     at = int(fault.at_s * SECOND)
     for who in rng.sample(range(count), min(count, max(1, round(rng.uniform(*fault.part) * count)))):
         kill = at + earliest_kill_ns(plan.scenario)
-        plan.happenings += [Happening(at, "restart", who, kill, float(fault.signals)),
-                            Happening(kill + _ns(rng, fault.down_s, SECOND), "revive", who)]
+        plan.happenings += [
+            Happening(at, "restart", who, kill, float(fault.signals)),
+            Happening(kill + _ns(rng, fault.down_s, SECOND), "revive", who),
+        ]
         at = kill + int(fault.for_s * SECOND)
 
 
@@ -290,8 +315,10 @@
 def _flood(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
     """Connections come up at every balancer at once, and say nothing."""
     at, end = int(fault.at_s * SECOND), int((fault.at_s + fault.for_s) * SECOND)
-    plan.happenings += [Happening(at, "flood", who, end, float(fault.connections), fault.sources)
-                        for who in range(plan.scenario.fleet.balancers)]
+    plan.happenings += [
+        Happening(at, "flood", who, end, float(fault.connections), fault.sources)
+        for who in range(plan.scenario.fleet.balancers)
+    ]
 
 
 def _draw_upsets(plan: Plan, rng: random.Random) -> None:
@@ -308,8 +335,16 @@
     plan.upsets.sort(key=lambda h: (h.at_ns, h.who))
 
 
-DRAW = {"freeze": _freeze, "neighbour": _neighbour, "deploy": _deploy, "crash": _crash, "vanish": _vanish,
-        "kill": _kill, "flood": _flood, "restart": _restart}
+DRAW = {
+    "freeze": _freeze,
+    "neighbour": _neighbour,
+    "deploy": _deploy,
+    "crash": _crash,
+    "vanish": _vanish,
+    "kill": _kill,
+    "flood": _flood,
+    "restart": _restart,
+}
 
 
 # ---- asks ----------------------------------------------------------------------------------------------
@@ -361,8 +396,10 @@
         ask = _ask(plan, rng, int(at), cls, name, _lognormal(rng, cls.work_ms * MS, cls.cv))
         plan.asks.append(replace(ask, wait_ns=0, honours=False))
     # Requests name their asks by number, which is their place in the list.
-    plan.asks = [replace(a, number=i, ids=tuple(request_id(plan.seed, i, k) for k in range(len(a.ids))))
-                 for i, a in enumerate(sorted([*usual, *plan.asks], key=lambda a: a.at_ns))]
+    plan.asks = [
+        replace(a, number=i, ids=tuple(request_id(plan.seed, i, k) for k in range(len(a.ids))))
+        for i, a in enumerate(sorted([*usual, *plan.asks], key=lambda a: a.at_ns))
+    ]
 
 
 def _ask(plan: Plan, rng: random.Random, at: int, cls: RequestClass, partner: str, work: float) -> Ask:
@@ -373,12 +410,22 @@
     try_ns = int(rng.uniform(*s.callers.try_share) * cls.deadline_ms * MS)
     leaves = rng.random() < s.callers.impatient
     return Ask(
-        number, at, cls.name, partner, f"{rng.getrandbits(40):010x}", cls.effect, int(work),
-        max(1, int(_lognormal(rng, work, s.load.hint_noise) / 1000)), room,
+        number,
+        at,
+        cls.name,
+        partner,
+        f"{rng.getrandbits(40):010x}",
+        cls.effect,
+        int(work),
+        max(1, int(_lognormal(rng, work, s.load.hint_noise) / 1000)),
+        room,
         tuple(request_id(plan.seed, number, k) for k in range(tries)),
-        tuple(rng.random() for _ in range(tries)), try_ns,
+        tuple(rng.random() for _ in range(tries)),
+        try_ns,
         0 if rng.random() < s.callers.at_once else _ns(rng, s.callers.backoff_ms, MS),
-        rng.random() < s.callers.honour, int(rng.random() * try_ns) if leaves else 0)
+        rng.random() < s.callers.honour,
+        int(rng.random() * try_ns) if leaves else 0,
+    )
 
 
 def request_id(seed: int, ask: int, number: int) -> str:
@@ -401,29 +448,74 @@
 def settings(plan: Plan, me: int) -> dict[str, object]:
     """What balancer `me` is told, in the form of the platform's settings."""
     s, fleet = plan.scenario, plan.scenario.fleet
-    capacity = fleet.boxes * fleet.cores / (sum(c.share * c.work_ms for c in s.classes)
-                                            / sum(c.share for c in s.classes) / 1000)
+    capacity = (
+        fleet.boxes
+        * fleet.cores
+        / (sum(c.share * c.work_ms for c in s.classes) / sum(c.share for c in s.classes) / 1000)
+    )
     whole = sum(p.share for p in s.partners)
     return {
-        "me": me, "replicas_of_me": fleet.balancers, "locality": room_of(fleet, me), "zones": list(fleet.rooms),
-        "registry_mode": "push", "weight_source": "none", "over_share_worth": 0.05,
-        "kinds": ["box-a", "box-b"], "clients": {"marks_retry": s.callers.marks},
+        "me": me,
+        "replicas_of_me": fleet.balancers,
+        "locality": room_of(fleet, me),
+        "zones": list(fleet.rooms),
+        "registry_mode": "push",
+        "weight_source": "none",
+        "over_share_worth": 0.05,
+        "kinds": ["box-a", "box-b"],
+        "clients": {"marks_retry": s.callers.marks},
         "load_report": {"columns": ["inflight", "queue"], "how": "probe"},
-        "profiles": [{"name": c.name, "repeat": REPEATS[c.effect], "dedup_scope": c.scope, "stream": False,
-                      "aim_ns": int(c.aim_ms * MS), "hard_limit_ns": int(c.deadline_ms * MS),
-                      "late_worth": 0.0, "window_ns": int(c.window_ms * MS), "worth": c.worth} for c in s.classes],
-        "realms": [{"name": p.name, "share": p.share / whole,
-                    "quota_per_s": 0.8 * capacity * p.share / whole} for p in s.partners],
-        "limits": {"conn_idle_ns": int(fleet.idle_s * SECOND), "connect_timeout_ns": 200 * MS,
-                   "max_open": 20_000, "max_retry_after_ns": 2 * SECOND, "max_streams": 1,
-                   "may_cancel": True, "peers": True, "probes": fleet.looks, "retry_after": True,
-                   "second_copies": False, "send_cap": 5},
-        "prices": {"cross_zone": 0.005, "waste": 0.02, "probe": 0.002, "peer": 0.01, "late_fail": 0.08,
-                   "connection": 0.0, "handshake": 0.0, "registry_mode": 0.0},
-        "rules": {"stop_sending_within_ns": int(fleet.drain_grace_ms * MS), "ask_within_ns": 10 * SECOND,
-                  "cold_from": fleet.cold_worst_from, "cold_ns": int(fleet.cold_worst_s * SECOND),
-                  "fall_multiple": fleet.fall_multiple, "overload_for_ns": int(fleet.fall_ms * MS),
-                  "grace_to_answer_ns": 5 * MS}}
+        "profiles": [
+            {
+                "name": c.name,
+                "repeat": REPEATS[c.effect],
+                "dedup_scope": c.scope,
+                "stream": False,
+                "aim_ns": int(c.aim_ms * MS),
+                "hard_limit_ns": int(c.deadline_ms * MS),
+                "late_worth": 0.0,
+                "window_ns": int(c.window_ms * MS),
+                "worth": c.worth,
+            }
+            for c in s.classes
+        ],
+        "realms": [
+            {"name": p.name, "share": p.share / whole, "quota_per_s": 0.8 * capacity * p.share / whole}
+            for p in s.partners
+        ],
+        "limits": {
+            "conn_idle_ns": int(fleet.idle_s * SECOND),
+            "connect_timeout_ns": 200 * MS,
+            "max_open": 20_000,
+            "max_retry_after_ns": 2 * SECOND,
+            "max_streams": 1,
+            "may_cancel": True,
+            "peers": True,
+            "probes": fleet.looks,
+            "retry_after": True,
+            "second_copies": False,
+            "send_cap": 5,
+        },
+        "prices": {
+            "cross_zone": 0.005,
+            "waste": 0.02,
+            "probe": 0.002,
+            "peer": 0.01,
+            "late_fail": 0.08,
+            "connection": 0.0,
+            "handshake": 0.0,
+            "registry_mode": 0.0,
+        },
+        "rules": {
+            "stop_sending_within_ns": int(fleet.drain_grace_ms * MS),
+            "ask_within_ns": 10 * SECOND,
+            "cold_from": fleet.cold_worst_from,
+            "cold_ns": int(fleet.cold_worst_s * SECOND),
+            "fall_multiple": fleet.fall_multiple,
+            "overload_for_ns": int(fleet.fall_ms * MS),
+            "grace_to_answer_ns": 5 * MS,
+        },
+    }
 
 
 def room_of(fleet: Fleet, balancer: int) -> str:
--- a/lanemux/rehearsal/registry.py
+++ b/lanemux/rehearsal/registry.py
@@ -103,9 +103,23 @@
         if first:
             told.written_ns = -1  # it stands in the balancer's configuration
         self._book.append(told)
-        self._take(Row(self._seq, notice.box, told, {
-            "host": box.host, "dial": f"{dial[0]}:{dial[1]}", "site": box.room, "class": box.kind,
-            "block": box.cell, "health": notice.health, "share": 1.0, "born_ms": born_ms}))
+        self._take(
+            Row(
+                self._seq,
+                notice.box,
+                told,
+                {
+                    "host": box.host,
+                    "dial": f"{dial[0]}:{dial[1]}",
+                    "site": box.room,
+                    "class": box.kind,
+                    "block": box.cell,
+                    "health": notice.health,
+                    "share": 1.0,
+                    "born_ms": born_ms,
+                },
+            )
+        )
 
     def _take(self, row: Row) -> None:
         self._seq, self._rows[row.box] = row.seq, row
@@ -138,7 +152,8 @@
             self._answer(watcher, after)
         else:
             timer = asyncio.get_running_loop().call_later(
-                min(wait_ms, MAX_WAIT_MS) / 1000, self._answer, watcher, after)
+                min(wait_ms, MAX_WAIT_MS) / 1000, self._answer, watcher, after
+            )
             self._watches[watcher] = (after, timer)
 
     def forget(self, watcher: Watcher) -> None:
--- a/lanemux/rehearsal/relay.py
+++ b/lanemux/rehearsal/relay.py
@@ -82,7 +82,8 @@
             delay_s = self._rng.uniform(*self._network.peer_ms) / 1000
             self._count += 1
             self._on_way[self._count] = loop.call_later(
-                delay_s, self._deliver, self._count, self._ports[other, sender], data)
+                delay_s, self._deliver, self._count, self._ports[other, sender], data
+            )
 
     def _deliver(self, number: int, port: Port, data: bytes) -> None:
         del self._on_way[number]
--- a/lanemux/rehearsal/report.py
+++ b/lanemux/rehearsal/report.py
@@ -12,14 +12,22 @@
 def as_json(run: Run, name: str) -> dict[str, object]:
     """The report as an object; the names in it are fixed."""
     return {
-        "scenario": name, "title": run.plan.scenario.title, "seed": run.plan.seed, "digest": run.digest,
-        "valid": run.validity.valid, "rules": counts(run.violations), "crashes": run.crashes,
+        "scenario": name,
+        "title": run.plan.scenario.title,
+        "seed": run.plan.seed,
+        "digest": run.digest,
+        "valid": run.validity.valid,
+        "rules": counts(run.violations),
+        "crashes": run.crashes,
         "expectations_missed": run.missed,
         **run.figures.table(),
         "validity": {k: getattr(run.validity, k) for k in run.validity.__dataclass_fields__},
-        "violations": [{"rule": v.rule, "at_s": v.at_ns / 1e9, "request": v.request, "box": v.box, "proof": v.proof}
-                       for v in run.violations[:MAX_LISTED]],
-        "wall_s": run.wall_s}
+        "violations": [
+            {"rule": v.rule, "at_s": v.at_ns / 1e9, "request": v.request, "box": v.box, "proof": v.proof}
+            for v in run.violations[:MAX_LISTED]
+        ],
+        "wall_s": run.wall_s,
+    }
 
 
 def rows(run: Run) -> list[tuple[str, str]]:
@@ -28,16 +36,28 @@
     return [
         ("service", f"{f.service:.3f}   worst 10 s {f.worst_10_s:.3f}   heaviest tenth {f.heavy:.3f}"),
         ("by class", "   ".join(f"{c} {v:.3f}" for c, v in f.by_class.items())),
-        ("by partner", f"worst {min(f.by_partner.values(), default=0.0):.3f} "
-                       f"({min(f.by_partner, key=lambda p: f.by_partner[p], default='-')})"),
-        ("frozen", f"blindness {f.blindness:.2f} (1: as by chance)   connections {f.connections_most}   "
-                   f"refusals at {f.refusal_p50_share:.2f} of their time, held for {f.refusal_held_share:.2f}"),
+        (
+            "by partner",
+            f"worst {min(f.by_partner.values(), default=0.0):.3f} "
+            f"({min(f.by_partner, key=lambda p: f.by_partner[p], default='-')})",
+        ),
+        (
+            "frozen",
+            f"blindness {f.blindness:.2f} (1: as by chance)   connections {f.connections_most}   "
+            f"refusals at {f.refusal_p50_share:.2f} of their time, held for {f.refusal_held_share:.2f}",
+        ),
         ("asks", f"{f.asked}   in time {f.answered_in_time}   late {f.answered_late}   tries {f.tries}"),
         ("tries", f"refused {f.refused}   failed {f.failed}   no balancer {f.unreached}"),
-        ("attempts", f"{f.attempts_per_ask:.2f} an ask   turned away {f.declined}   given up {f.cancelled}   "
-                     f"probes {f.probes_per_ask:.2f} an ask"),
-        ("times, ms", f"first attempt p50 {f.first_attempt_p50_ms:.1f} p99 {f.first_attempt_p99_ms:.1f}   "
-                      f"answer p50 {f.answer_p50_ms:.0f} p99 {f.answer_p99_ms:.0f}"),
+        (
+            "attempts",
+            f"{f.attempts_per_ask:.2f} an ask   turned away {f.declined}   given up {f.cancelled}   "
+            f"probes {f.probes_per_ask:.2f} an ask",
+        ),
+        (
+            "times, ms",
+            f"first attempt p50 {f.first_attempt_p50_ms:.1f} p99 {f.first_attempt_p99_ms:.1f}   "
+            f"answer p50 {f.answer_p50_ms:.0f} p99 {f.answer_p99_ms:.0f}",
+        ),
         ("rules", "   ".join(f"{rule} {n}" for rule, n in rules.items())),
         ("expected", "; ".join(run.missed) or "met"),
         ("valid", "yes" if run.validity.valid else "NO: " + "; ".join(run.validity.reasons)),
@@ -47,8 +67,10 @@
 
 def faults(run: Run) -> list[str]:
     """The first broken rules with their proofs, and the crashes."""
-    lines = [f"{v.rule} at {v.at_ns / 1e9:.3f} s, request {v.request or '-'}, box {v.box or '-'}: {v.proof}"
-             for v in run.violations[:SHOWN]]
+    lines = [
+        f"{v.rule} at {v.at_ns / 1e9:.3f} s, request {v.request or '-'}, box {v.box or '-'}: {v.proof}"
+        for v in run.violations[:SHOWN]
+    ]
     if len(run.violations) > SHOWN:
         lines.append(f"and {len(run.violations) - SHOWN} more")
     return lines + run.crashes
@@ -56,5 +78,10 @@
 
 def as_text(run: Run, name: str) -> str:
     """The table in plain lines."""
-    return "\n".join([f"{name}: {run.plan.scenario.title}", *(f"  {label:<11}{text}" for label, text in rows(run)),
-                      *(f"  {line}" for line in faults(run))])
+    return "\n".join(
+        [
+            f"{name}: {run.plan.scenario.title}",
+            *(f"  {label:<11}{text}" for label, text in rows(run)),
+            *(f"  {line}" for line in faults(run)),
+        ]
+    )
--- a/lanemux/rehearsal/rules.py
+++ b/lanemux/rehearsal/rules.py
@@ -41,11 +41,20 @@
         by_id[attempt.id].append(attempt)
     held_up_ns = int(plan.scenario.hold_up_ms * MS)
     drain_grace_ns = int(plan.scenario.fleet.drain_grace_ms * MS) + LIMIT_GRACE_NS
-    found = [*lost(callers, by_id, names, callers.tries), *twice(by_id, names), *repeats(plan, by_id, callers.tries),
-             *begun_for_nobody(by_id, names, callers.tries, LEFT_GRACE_NS + held_up_ns),
-             *deadlines(by_id, names, callers.tries, DEADLINE_SLACK_NS + held_up_ns),
-             *drains(boxes.attempts, callers.told, callers.balancers_down, names,
-                     max(drain_grace_ns, LIMIT_GRACE_NS + held_up_ns))]
+    found = [
+        *lost(callers, by_id, names, callers.tries),
+        *twice(by_id, names),
+        *repeats(plan, by_id, callers.tries),
+        *begun_for_nobody(by_id, names, callers.tries, LEFT_GRACE_NS + held_up_ns),
+        *deadlines(by_id, names, callers.tries, DEADLINE_SLACK_NS + held_up_ns),
+        *drains(
+            boxes.attempts,
+            callers.told,
+            callers.balancers_down,
+            names,
+            max(drain_grace_ns, LIMIT_GRACE_NS + held_up_ns),
+        ),
+    ]
     for oddity in (*boxes.oddities, *callers.oddities):
         box = names[oddity.box] if oddity.box >= 0 else ""
         found.append(Violation(oddity.rule, oddity.at_ns, oddity.id, box, oddity.what))
@@ -64,55 +73,93 @@
     return f"{at_ns / 1e9:.4f} s"
 
 
-def lost(callers: CallerBooks, by_id: Mapping[str, list[Attempt]], names: list[str],
-         tries: Iterable[Try]) -> Iterable[Violation]:
+def lost(
+    callers: CallerBooks, by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try]
+) -> Iterable[Violation]:
     """These tries, where they had no answer in time, or one that no box made for them."""
     for entry in tries:
         if not entry.sent_ns or _was_down(entry, callers.balancers_down):
             continue
         where = f"sent to balancer {entry.balancer} at {_s(entry.sent_ns)}"
         if entry.how == "lost":
-            yield Violation("lost", entry.end_ns, entry.id, "", f"{where}; its connection ended at "
-                            f"{_s(entry.end_ns)} with no whole answer")
+            yield Violation(
+                "lost",
+                entry.end_ns,
+                entry.id,
+                "",
+                f"{where}; its connection ended at {_s(entry.end_ns)} with no whole answer",
+            )
         elif entry.how == "silent":
-            yield Violation("lost", entry.end_ns, entry.id, "", f"{where}, to be answered by "
-                            f"{_s(entry.deadline_ns)}; nothing had come at {_s(entry.end_ns)}")
+            yield Violation(
+                "lost",
+                entry.end_ns,
+                entry.id,
+                "",
+                f"{where}, to be answered by {_s(entry.deadline_ns)}; nothing had come at {_s(entry.end_ns)}",
+            )
         elif entry.how == "answered" and entry.status == 200:
             made = [a for a in by_id.get(entry.id, []) if a.digest]
             if entry.digest not in {a.digest for a in made}:
                 boxes = ", ".join(f"{names[a.box]} at {_s(a.end_ns)}" for a in made) or "no box"
-                yield Violation("lost", entry.end_ns, entry.id, "", f"{where}; the body served at "
-                                f"{_s(entry.end_ns)} was made by no box for it (made for it by {boxes})")
+                yield Violation(
+                    "lost",
+                    entry.end_ns,
+                    entry.id,
+                    "",
+                    f"{where}; the body served at "
+                    f"{_s(entry.end_ns)} was made by no box for it (made for it by {boxes})",
+                )
 
 
 def _was_down(entry: Try, down: list[Life]) -> bool:
     """Its balancer was killed while it held the request: that is the caller's to retry."""
-    return any(life.who == entry.balancer and life.state == "down" and life.from_ns <= entry.end_ns
-               and entry.sent_ns <= life.to_ns for life in down)
-
-
-def begun_for_nobody(by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try],
-                     grace_ns: int) -> Iterable[Violation]:
+    return any(
+        life.who == entry.balancer
+        and life.state == "down"
+        and life.from_ns <= entry.end_ns
+        and entry.sent_ns <= life.to_ns
+        for life in down
+    )
+
+
+def begun_for_nobody(
+    by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try], grace_ns: int
+) -> Iterable[Violation]:
     """Attempts that began so long after their client had closed its connection."""
     for entry in tries:
         if entry.how != "left":
             continue
         for attempt in by_id.get(entry.id, ()):
             if attempt.first_lo_ns > entry.end_ns + grace_ns:
-                yield Violation("lost", attempt.first_lo_ns, entry.id, names[attempt.box], (
-                    f"its client left at {_s(entry.end_ns)}; balancer {entry.balancer} began this no sooner than "
-                    f"{_s(attempt.first_lo_ns)}"))
-
-
-def deadlines(by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try],
-              slack_ns: int) -> Iterable[Violation]:
+                yield Violation(
+                    "lost",
+                    attempt.first_lo_ns,
+                    entry.id,
+                    names[attempt.box],
+                    (
+                        f"its client left at {_s(entry.end_ns)}; balancer {entry.balancer} began this no sooner than "
+                        f"{_s(attempt.first_lo_ns)}"
+                    ),
+                )
+
+
+def deadlines(
+    by_id: Mapping[str, list[Attempt]], names: list[str], tries: Iterable[Try], slack_ns: int
+) -> Iterable[Violation]:
     """Attempts that told their upstream of more time than their client had left."""
     for entry in tries:
         for attempt in by_id.get(entry.id, ()):
             if attempt.told_ms and attempt.first_lo_ns + attempt.told_ms * MS > entry.deadline_ns + slack_ns:
-                yield Violation("deadline", attempt.first_lo_ns, entry.id, names[attempt.box], (
-                    f"told {attempt.told_ms} ms no sooner than {_s(attempt.first_lo_ns)}; its client waits until "
-                    f"{_s(entry.deadline_ns)}"))
+                yield Violation(
+                    "deadline",
+                    attempt.first_lo_ns,
+                    entry.id,
+                    names[attempt.box],
+                    (
+                        f"told {attempt.told_ms} ms no sooner than {_s(attempt.first_lo_ns)}; its client waits until "
+                        f"{_s(entry.deadline_ns)}"
+                    ),
+                )
 
 
 def twice(by_id: Mapping[str, list[Attempt]], names: list[str]) -> Iterable[Violation]:
@@ -120,12 +167,19 @@
     for name, attempts in by_id.items():
         ordered = sorted(attempts, key=lambda a: a.whole_ns)
         for i, first in enumerate(ordered):
-            for second in ordered[i + 1:]:
+            for second in ordered[i + 1 :]:
                 # The first was still open when the second had come whole.
                 if first.open_ns > second.whole_ns and second.open_ns >= second.whole_ns:
-                    yield Violation("twice", second.whole_ns, name, names[second.box], (
-                        f"out at {names[first.box]} from {_s(first.whole_ns)} until after {_s(first.open_ns)} "
-                        f"({first.how}), and at {names[second.box]} from {_s(second.whole_ns)} ({second.how})"))
+                    yield Violation(
+                        "twice",
+                        second.whole_ns,
+                        name,
+                        names[second.box],
+                        (
+                            f"out at {names[first.box]} from {_s(first.whole_ns)} until after {_s(first.open_ns)} "
+                            f"({first.how}), and at {names[second.box]} from {_s(second.whole_ns)} ({second.how})"
+                        ),
+                    )
                     break
 
 
@@ -143,15 +197,30 @@
         where = f"taken by {plan.boxes[ran.box].host} at {_s(ran.whole_ns)} ({ran.how})"
         refusable = cls.effect == "keyed" and cls.scope == "all"
         if entry.how == "answered" and entry.status in (429, 503) and not refusable:
-            yield Violation("twice", entry.end_ns, entry.id, plan.boxes[ran.box].host,
-                            f"{cls.effect}: {where}, and refused at {_s(entry.end_ns)}, as if it had not run")
-        for later in attempts[attempts.index(ran) + 1:]:
-            allowed = (cls.effect == "keyed" and _same_group(plan, cls.scope, ran, later)
-                       and later.first_lo_ns - ran.whole_ns <= cls.window_ms * MS + LIMIT_GRACE_NS)
+            yield Violation(
+                "twice",
+                entry.end_ns,
+                entry.id,
+                plan.boxes[ran.box].host,
+                f"{cls.effect}: {where}, and refused at {_s(entry.end_ns)}, as if it had not run",
+            )
+        for later in attempts[attempts.index(ran) + 1 :]:
+            allowed = (
+                cls.effect == "keyed"
+                and _same_group(plan, cls.scope, ran, later)
+                and later.first_lo_ns - ran.whole_ns <= cls.window_ms * MS + LIMIT_GRACE_NS
+            )
             if not allowed:
-                yield Violation("twice", later.whole_ns, entry.id, plan.boxes[later.box].host, (
-                    f"{cls.effect}, scope {cls.scope}: {where}, and sent again to {plan.boxes[later.box].host} at "
-                    f"{_s(later.whole_ns)}"))
+                yield Violation(
+                    "twice",
+                    later.whole_ns,
+                    entry.id,
+                    plan.boxes[later.box].host,
+                    (
+                        f"{cls.effect}, scope {cls.scope}: {where}, and sent again to {plan.boxes[later.box].host} at "
+                        f"{_s(later.whole_ns)}"
+                    ),
+                )
 
 
 def _same_group(plan: Plan, scope: str, first: Attempt, second: Attempt) -> bool:
@@ -160,8 +229,9 @@
     return scope == "all" or (a.room == b.room and (scope == "zone" or a.cell == b.cell))
 
 
-def drains(attempts: list[Attempt], told: Iterable[Told], down: list[Life], names: list[str],
-            grace_ns: int) -> Iterable[Violation]:
+def drains(
+    attempts: list[Attempt], told: Iterable[Told], down: list[Life], names: list[str], grace_ns: int
+) -> Iterable[Violation]:
     """Attempts that began so long after their box was told to drain or to be gone."""
     closed: dict[tuple[int, int], list[tuple[int, int, str]]] = defaultdict(list)
     for entry in sorted(told, key=lambda t: told_at(t)):
@@ -176,9 +246,16 @@
             # A balancer that was started again since begins with the list that it was given then.
             new = any(life.who == attempt.balancer and from_ns < life.to_ns <= attempt.first_lo_ns for life in down)
             if from_ns + grace_ns < attempt.first_lo_ns < to_ns and not new:
-                yield Violation("drain", attempt.first_lo_ns, attempt.id, names[attempt.box], (
-                    f"balancer {attempt.balancer} was told {health!r} at {_s(from_ns)} and sent this no sooner than "
-                    f"{_s(attempt.first_lo_ns)}, {(attempt.first_lo_ns - from_ns) / 1e6:.0f} ms later"))
+                yield Violation(
+                    "drain",
+                    attempt.first_lo_ns,
+                    attempt.id,
+                    names[attempt.box],
+                    (
+                        f"balancer {attempt.balancer} was told {health!r} at {_s(from_ns)} and sent this no sooner "
+                        f"than {_s(attempt.first_lo_ns)}, {(attempt.first_lo_ns - from_ns) / 1e6:.0f} ms later"
+                    ),
+                )
 
 
 def told_at(told: Told) -> int:
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -65,8 +65,9 @@
 Progress = Callable[[float, Callers], None]
 
 
-async def rehearse(scenario: Scenario, seed: int, command: Sequence[str], progress: Progress | None = None,
-                   folder: Path | None = None) -> Run:
+async def rehearse(
+    scenario: Scenario, seed: int, command: Sequence[str], progress: Progress | None = None, folder: Path | None = None
+) -> Run:
     """Play a scenario against balancers that `command` starts; CannotRun if one does not start.
 
     Their configurations and logs go to `folder`, if one is given."""
@@ -132,8 +133,9 @@
             place.peers, place.peers_all = peers[number], everyone[number]
             for box in self.plan.first:
                 self._notice(agent, Notice(0, box, "up", 0), first=True)
-            self._balancers.append(Balancer(number, self._command, place, self._folder,
-                                            settings(self.plan, number), self.plan.seed))
+            self._balancers.append(
+                Balancer(number, self._command, place, self._folder, settings(self.plan, number), self.plan.seed)
+            )
         for balancer in self._balancers:
             balancer.start(self._agents[balancer.number].listing())
         for balancer in self._balancers:
@@ -143,8 +145,9 @@
     async def _start_boxes(self) -> None:
         context = multiprocessing.get_context("spawn")
         self._pipe, theirs = context.Pipe()
-        self._boxes = context.Process(target=boxes_process.main, daemon=True, args=(
-            theirs, self.plan.scenario, self.plan.seed, self._prefix))
+        self._boxes = context.Process(
+            target=boxes_process.main, daemon=True, args=(theirs, self.plan.scenario, self.plan.seed, self._prefix)
+        )
         self._boxes.start()
         theirs.close()
         _, self._addresses, digest = await boxes_process.receive(self._loop, self._pipe)
@@ -190,8 +193,10 @@
         scenario = self.plan.scenario
         self._zero_ns = int((self._loop.time() + LEAD_S) * 1e9)
         self._pipe.send(("start", self._zero_ns))
-        front = Front([room_of(scenario.fleet, b) for b in range(scenario.fleet.balancers)],
-                      [b.place.listen for b in self._balancers])
+        front = Front(
+            [room_of(scenario.fleet, b) for b in range(scenario.fleet.balancers)],
+            [b.place.listen for b in self._balancers],
+        )
         grace_ns = int(scenario.callers.grace_ms * MS)
         callers = self._callers = Callers(self.plan, front, self.books, self._zero_ns, grace_ns)
         for notice in self.plan.notices:
@@ -219,8 +224,17 @@
         for life in self._down.values():
             life.to_ns = self.now()
         found = figures(self.plan, boxes, self.books)
-        return Run(self.plan, self.plan.digest(), boxes, self.books, found, check(self.plan, boxes, self.books),
-                   judge(boxes, self.books), self.books.crashes, missed(self.plan, found))
+        return Run(
+            self.plan,
+            self.plan.digest(),
+            boxes,
+            self.books,
+            found,
+            check(self.plan, boxes, self.books),
+            judge(boxes, self.books),
+            self.books.crashes,
+            missed(self.plan, found),
+        )
 
     def _at(self, at_ns: int, do: Callable[..., object], *args: object) -> None:
         self._timers.append(self._loop.call_at((self._zero_ns + at_ns) / 1e9, do, *args))
@@ -278,8 +292,16 @@
         listen = self._balancers[happening.who].place.listen
         seconds = (happening.until_ns - happening.at_ns) / SECOND
         flood = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lanemux.rehearsal.flood", *map(str, listen), str(int(happening.size)),
-            f"{self._prefix}.210", str(happening.sources), str(seconds), stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "lanemux.rehearsal.flood",
+            *map(str, listen),
+            str(int(happening.size)),
+            f"{self._prefix}.210",
+            str(happening.sources),
+            str(seconds),
+            stdout=asyncio.subprocess.PIPE,
+        )
         try:
             told, _ = await flood.communicate()
             self.books.flooded.append(json.loads(told))
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -189,12 +189,20 @@
     RequestClass("rate-history", 0.24, 76.0, 0.63, 0.32, worth=3.0),
     RequestClass("corridor-list", 0.13, 81.0, 0.66, 0.35, worth=1.0),
 )
-USUAL_PARTNERS = tuple(Partner(name, share, usage) for name, share, usage in (
-    ("brooklyn-desk", 0.20, (0.63, 1.4)), ("toronto-desk", 0.16, (0.78, 1.4)),
-    ("miami-desk", 0.13, (0.5, 1.2)), ("london-desk", 0.13, (0.57, 1.0)),
-    ("fort-lauderdale", 0.13, (0.83, 1.3)), ("montreal-desk", 0.10, (0.57, 1.1)),
-    ("caracas-desk", 0.09, (0.63, 1.2)), ("bridgetown-desk", 0.03, (0.73, 1.4)),
-    ("halifax-desk", 0.03, (0.6, 1.2))))
+USUAL_PARTNERS = tuple(
+    Partner(name, share, usage)
+    for name, share, usage in (
+        ("brooklyn-desk", 0.20, (0.63, 1.4)),
+        ("toronto-desk", 0.16, (0.78, 1.4)),
+        ("miami-desk", 0.13, (0.5, 1.2)),
+        ("london-desk", 0.13, (0.57, 1.0)),
+        ("fort-lauderdale", 0.13, (0.83, 1.3)),
+        ("montreal-desk", 0.10, (0.57, 1.1)),
+        ("caracas-desk", 0.09, (0.63, 1.2)),
+        ("bridgetown-desk", 0.03, (0.73, 1.4)),
+        ("halifax-desk", 0.03, (0.6, 1.2)),
+    )
+)
 
 
 def read_scenario(text: str, where: str) -> Scenario:
@@ -202,24 +210,33 @@
 
     Where it names no classes or no partners, those of the quote service hold."""
     scenario = build(Scenario, parse(text, where), where)
-    scenario = dataclasses.replace(scenario, classes=scenario.classes or USUAL_CLASSES,
-                                   partners=scenario.partners or USUAL_PARTNERS)
+    scenario = dataclasses.replace(
+        scenario, classes=scenario.classes or USUAL_CLASSES, partners=scenario.partners or USUAL_PARTNERS
+    )
     return checked(scenario, where)
 
 
 def checked(scenario: Scenario, where: str) -> Scenario:
     """The same scenario, if its parts fit together; else Faulty."""
-    faults = [f"{where}: {name}: the low end lies above the high end"
-              for name, value in _ranges(scenario) if value[0] > value[1]]
+    faults = [
+        f"{where}: {name}: the low end lies above the high end"
+        for name, value in _ranges(scenario)
+        if value[0] > value[1]
+    ]
     names = {c.name for c in scenario.classes}
-    faults += [f"{where}: faults[{i}].class_name: no class {f.class_name!r}; there are {', '.join(sorted(names))}"
-               for i, f in enumerate(scenario.faults) if f.class_name and f.class_name not in names]
+    faults += [
+        f"{where}: faults[{i}].class_name: no class {f.class_name!r}; there are {', '.join(sorted(names))}"
+        for i, f in enumerate(scenario.faults)
+        if f.class_name and f.class_name not in names
+    ]
     if len(names) < len(scenario.classes) or len({p.name for p in scenario.partners}) < len(scenario.partners):
         faults.append(f"{where}: two classes or two partners of the same name")
     partners = {p.name for p in scenario.partners}
-    faults += [f"{where}: faults[{i}].partner_name: no partner {f.partner_name!r}; "
-               f"there are {', '.join(sorted(partners))}"
-               for i, f in enumerate(scenario.faults) if f.partner_name and f.partner_name not in partners]
+    faults += [
+        f"{where}: faults[{i}].partner_name: no partner {f.partner_name!r}; there are {', '.join(sorted(partners))}"
+        for i, f in enumerate(scenario.faults)
+        if f.partner_name and f.partner_name not in partners
+    ]
     if not scenario.fleet.rooms or not all(scenario.fleet.rooms):
         faults.append(f"{where}: fleet.rooms: at least one, and none without a name")
     if sum(c.share for c in scenario.classes) <= 0 or sum(p.share for p in scenario.partners) <= 0:
@@ -233,9 +250,14 @@
 
 def _ranges(scenario: Scenario) -> list[tuple[str, Range]]:
     found = []
-    parts = [("fleet.", scenario.fleet), ("callers.", scenario.callers), ("discovery.", scenario.discovery),
-             ("network.", scenario.network), *((f"faults[{i}].", f) for i, f in enumerate(scenario.faults)),
-             *((f"partners[{i}].", p) for i, p in enumerate(scenario.partners))]
+    parts = [
+        ("fleet.", scenario.fleet),
+        ("callers.", scenario.callers),
+        ("discovery.", scenario.discovery),
+        ("network.", scenario.network),
+        *((f"faults[{i}].", f) for i, f in enumerate(scenario.faults)),
+        *((f"partners[{i}].", p) for i, p in enumerate(scenario.partners)),
+    ]
     for prefix, part in parts:
         for f in dataclasses.fields(part):  # type: ignore[arg-type]
             value = getattr(part, f.name)
