--- a/lanemux/rehearsal/service.py
+++ b/lanemux/rehearsal/service.py
@@ -132,8 +132,10 @@
     """The lowest share of any ten seconds (the whole run, if it is shorter)."""
     first, last = int(plan.scenario.warm_up_s), int(plan.scenario.seconds)
     seconds = _grouped(rows, lambda r: str(r.ask.at_ns // SECOND))
-    shares = [_share(r for s in range(at, at + WORST_S) for r in seconds.get(str(s), ()))
-              for at in range(first, max(first, last - WORST_S) + 1)]
+    shares = [
+        _share(r for s in range(at, at + WORST_S) for r in seconds.get(str(s), ()))
+        for at in range(first, max(first, last - WORST_S) + 1)
+    ]
     return min(shares, default=0.0)
 
 
@@ -157,8 +159,10 @@
     spans: dict[int, list[Life]] = defaultdict(list)
     for life in frozen:
         spans[life.who].append(life)
-    met = sum(any(s.from_ns <= a.first_lo_ns and a.first_lo_ns < s.to_ns <= a.whole_ns for s in spans[a.box])
-              for a in attempts)
+    met = sum(
+        any(s.from_ns <= a.first_lo_ns and a.first_lo_ns < s.to_ns <= a.whole_ns for s in spans[a.box])
+        for a in attempts
+    )
     chance = sum(min(s.to_ns, end) - s.from_ns for s in frozen) / (end * plan.scenario.fleet.boxes)
     return met / len(attempts) / chance if attempts and chance > 0 else 0.0
 
@@ -209,8 +213,11 @@
     ended: dict[str, int] = {}
     for a in attempts:
         ended[a.id] = max(ended.get(a.id, 0), a.open_ns)
-    held = [(t.end_ns - max(t.sent_ns, ended.get(t.id, 0))) / (t.deadline_ns - t.sent_ns) for t in refused
-            if t.deadline_ns - t.sent_ns >= HELD_FROM_NS]
+    held = [
+        (t.end_ns - max(t.sent_ns, ended.get(t.id, 0))) / (t.deadline_ns - t.sent_ns)
+        for t in refused
+        if t.deadline_ns - t.sent_ns >= HELD_FROM_NS
+    ]
     asks = max(1, len(rows))
     span = outage(plan)
     away = (span[0], span[1] + AFTER_RETURN_NS) if span is not None else (0, 0)
@@ -218,36 +225,52 @@
         outage_service=_share(r for r in rows if away[0] <= r.ask.at_ns < away[1]),
         recovery_s=_recovery_s(plan, rows, span) if span is not None else -1.0,
         returns_peak=_returns_peak(tries, span) if span is not None else 0.0,
-        service=_share(rows), worst_10_s=_worst(plan, rows),
+        service=_share(rows),
+        worst_10_s=_worst(plan, rows),
         by_class={c: _share(own) for c, own in sorted(_grouped(rows, lambda r: r.ask.class_name).items())},
         by_partner=dict(sorted(_partners(plan, rows).items())),
         heavy=_share(r for r in rows if r.ask.hint_us >= hints),
-        asked=len(rows), answered_in_time=sum(r.in_time for r in rows),
+        asked=len(rows),
+        answered_in_time=sum(r.in_time for r in rows),
         answered_late=sum(r.served_ns >= 0 and not r.in_time for r in rows),
-        tries=len(tries), refused=len(refused),
+        tries=len(tries),
+        refused=len(refused),
         failed=sum(t.how == "answered" and t.status not in (200, 429, 503) for t in tries),
         unreached=sum(t.how == "refused" for t in tries),
-        attempts=len(attempts), attempts_per_ask=len(attempts) / asks, probes_per_ask=boxes.probes / asks,
-        declined=how["declined"], cancelled=how["cancelled"],
-        first_attempt_p50_ms=quantile(waits, 0.5), first_attempt_p99_ms=quantile(waits, 0.99),
-        answer_p50_ms=quantile(took, 0.5), answer_p99_ms=quantile(took, 0.99),
-        refusal_p50_share=quantile(waited, 0.5), refusal_p90_share=quantile(waited, 0.9),
+        attempts=len(attempts),
+        attempts_per_ask=len(attempts) / asks,
+        probes_per_ask=boxes.probes / asks,
+        declined=how["declined"],
+        cancelled=how["cancelled"],
+        first_attempt_p50_ms=quantile(waits, 0.5),
+        first_attempt_p99_ms=quantile(waits, 0.99),
+        answer_p50_ms=quantile(took, 0.5),
+        answer_p99_ms=quantile(took, 0.99),
+        refusal_p50_share=quantile(waited, 0.5),
+        refusal_p90_share=quantile(waited, 0.9),
         refusal_held_share=quantile(held, HELD_PART),
         blindness=_blindness(plan, boxes, attempts),
-        connections_most=boxes.open_most, cold_budget_most=boxes.pushed_most,
-        descriptors_most=callers.descriptors_most, memory_most_mb=callers.memory_most_mb)
+        connections_most=boxes.open_most,
+        cold_budget_most=boxes.pushed_most,
+        descriptors_most=callers.descriptors_most,
+        memory_most_mb=callers.memory_most_mb,
+    )
 
 
 def missed(plan: Plan, found: Figures) -> list[str]:
     """The scenario's expectations that the figures do not meet, each in one line."""
     expect, boxes = plan.scenario.expect, plan.scenario.fleet.boxes
     least = [("service", found.service, expect.service_least), ("heavy", found.heavy, expect.heavy_least)]
-    most = [("refusal_held_share", found.refusal_held_share, expect.refusal_held_share_most),
-            ("blindness", found.blindness, expect.blindness_most),
-            ("given_up_share", found.cancelled / max(1, found.attempts), expect.given_up_share_most),
-            ("connections_per_box", found.connections_most / boxes, expect.connections_per_box_most)]
-    return [*(f"{name} {value:.3f} is under {bound:g}" for name, value, bound in least if value < bound),
-            *(f"{name} {value:.3f} is over {bound:g}" for name, value, bound in most if value > bound)]
+    most = [
+        ("refusal_held_share", found.refusal_held_share, expect.refusal_held_share_most),
+        ("blindness", found.blindness, expect.blindness_most),
+        ("given_up_share", found.cancelled / max(1, found.attempts), expect.given_up_share_most),
+        ("connections_per_box", found.connections_most / boxes, expect.connections_per_box_most),
+    ]
+    return [
+        *(f"{name} {value:.3f} is under {bound:g}" for name, value, bound in least if value < bound),
+        *(f"{name} {value:.3f} is over {bound:g}" for name, value, bound in most if value > bound),
+    ]
 
 
 def over_time(plan: Plan, boxes: BoxBooks, callers: CallerBooks) -> list[Point]:
--- a/lanemux/rehearsal/soak/command.py
+++ b/lanemux/rehearsal/soak/command.py
@@ -94,8 +94,9 @@
         logs.mkdir()
         began = time.monotonic()
         try:
-            outcome = _judged(run.seed, asyncio.run(rehearse(run.scenario, run.seed, command, folder=logs)),
-                              evidence / str(run.seed))
+            outcome = _judged(
+                run.seed, asyncio.run(rehearse(run.scenario, run.seed, command, folder=logs)), evidence / str(run.seed)
+            )
         except CannotRun as error:
             outcome = Outcome(run.seed, valid=True, kept=False, crashes=[str(error)])
         outcome.wall_s = time.monotonic() - began
@@ -108,8 +109,17 @@
     if run.callers.busiest_share > BUSY_SHARE:
         run.crashes.append(f"a balancer kept a processor busy for {run.callers.busiest_share:.0%} of a second")
     outcome = Outcome(
-        seed, run.validity.valid, run.kept, counts(run.violations), run.crashes, report.faults(run),
-        run.figures.service, run.callers.busiest_share, run.callers.descriptors_most, run.callers.memory_most_mb)
+        seed,
+        run.validity.valid,
+        run.kept,
+        counts(run.violations),
+        run.crashes,
+        report.faults(run),
+        run.figures.service,
+        run.callers.busiest_share,
+        run.callers.descriptors_most,
+        run.callers.memory_most_mb,
+    )
     if outcome.failed:
         evidence.mkdir(parents=True, exist_ok=True)
         (evidence / "report.json").write_text(json.dumps(report.as_json(run, f"soak {seed}"), indent=1) + "\n")
@@ -122,26 +132,43 @@
     accused = {violation.request for violation in run.violations}
     lines = [(h.at_ns, f"{h.what} {h.who}") for h in run.plan.happenings]
     lines += [(v.at_ns, f"RULE {v.rule}: {v.proof}") for v in run.violations]
-    lines += [(t.sent_ns, f"request {t.id} to balancer {t.balancer}: {t.how} {t.status or ''} at {t.end_ns / 1e9:.3f}, "
-               f"due {t.deadline_ns / 1e9:.3f}") for t in run.callers.tries if t.id in accused]
-    lines += [(a.first_lo_ns, f"attempt of {a.id} at box {a.box}: {a.how} at {a.end_ns / 1e9:.3f}")
-              for a in run.boxes.attempts if a.id in accused]
+    lines += [
+        (
+            t.sent_ns,
+            f"request {t.id} to balancer {t.balancer}: {t.how} {t.status or ''} at {t.end_ns / 1e9:.3f}, "
+            f"due {t.deadline_ns / 1e9:.3f}",
+        )
+        for t in run.callers.tries
+        if t.id in accused
+    ]
+    lines += [
+        (a.first_lo_ns, f"attempt of {a.id} at box {a.box}: {a.how} at {a.end_ns / 1e9:.3f}")
+        for a in run.boxes.attempts
+        if a.id in accused
+    ]
     return (f"{at / 1e9:8.3f} {what}" for at, what in sorted(lines))
 
 
 def _line(outcome: Outcome) -> str:
     state = "FAILED" if outcome.failed else "kept" if outcome.valid else "not valid"
     broken = {rule: n for rule, n in outcome.rules.items() if n}
-    figures = [f"service {outcome.service:.3f}", f"busiest {outcome.busiest_share:.2f}",
-               f"descriptors {outcome.descriptors_most}", f"memory {outcome.memory_most_mb:.0f} MB",
-               f"{outcome.wall_s:.0f} s"]
+    figures = [
+        f"service {outcome.service:.3f}",
+        f"busiest {outcome.busiest_share:.2f}",
+        f"descriptors {outcome.descriptors_most}",
+        f"memory {outcome.memory_most_mb:.0f} MB",
+        f"{outcome.wall_s:.0f} s",
+    ]
     proofs = "; ".join([*outcome.faults, *outcome.crashes])[:MAX_PROOF]
     return "  ".join([f"seed {outcome.seed}: {state}", *figures, str(broken or ""), proofs]).rstrip()
 
 
 def _options(argv: Sequence[str]) -> argparse.Namespace:
-    parser = argparse.ArgumentParser("lanemux soak", allow_abbrev=False, description=(
-        "Play short runs drawn from seeds against balancers with failing system calls, and judge them."))
+    parser = argparse.ArgumentParser(
+        "lanemux soak",
+        allow_abbrev=False,
+        description=("Play short runs drawn from seeds against balancers with failing system calls, and judge them."),
+    )
     parser.add_argument("--seeds", default=DEFAULT_SEEDS, metavar="A-B")
     parser.add_argument("--replay", type=int, metavar="SEED", help="one seed; its evidence is kept in any case")
     parser.add_argument("--minutes", type=float, metavar="M", help="begin no further seed after so long")
--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -25,8 +25,15 @@
 WORK_MS = 40.0  # mean work of a request
 LOAD = (0.2, 0.8)  # of what all boxes can do
 SERVICE_LEAST = 0.5  # of what was asked: half, as the operators' gate wants it
-START_ERRORS = (("socket", "ENOBUFS"), ("socket", "EMFILE"), ("socket", "ENFILE"), ("bind", "EADDRINUSE"),
-                ("bind", "EADDRNOTAVAIL"), ("listen", "EADDRINUSE"), ("read_file", "EIO"))
+START_ERRORS = (
+    ("socket", "ENOBUFS"),
+    ("socket", "EMFILE"),
+    ("socket", "ENFILE"),
+    ("bind", "EADDRINUSE"),
+    ("bind", "EADDRNOTAVAIL"),
+    ("listen", "EADDRINUSE"),
+    ("read_file", "EIO"),
+)
 START_FAILS_S = (0.3, 1.5)
 OUTAGE_S = (0.8, 2.0)  # no socket to be had, in service
 ACCEPT_OUTAGE_S = 0.2  # no connection can be accepted, in service, for so long at the least
@@ -61,44 +68,87 @@
     if rng.random() < 0.3:
         from_s = rng.uniform(2.0, 5.0)
         accept_s = rng.uniform(ACCEPT_OUTAGE_S, ANSWERABLE * deadline_ms / 1000 + FINAL_ANSWER_GRACE_MS / 2000)
-        windows += [Window("socket", "EMFILE", from_s + rng.uniform(*OUTAGE_S), from_s),
-                    Window("accept", "EMFILE", from_s + accept_s, from_s)]
+        windows += [
+            Window("socket", "EMFILE", from_s + rng.uniform(*OUTAGE_S), from_s),
+            Window("accept", "EMFILE", from_s + accept_s, from_s),
+        ]
     steps = [ClockStep(rng.uniform(1.0, 6.0), rng.choice(WALL_STEPS_S)) for _ in range(rng.choice((0, 0, 1, 3)))]
     return Plan(
-        seed=seed, windows=windows, clock_steps=steps,
+        seed=seed,
+        windows=windows,
+        clock_steps=steps,
         wall_offset_s=rng.choice((0.0, 0.0, *WALL_STEPS_S)),
-        accept_share=rng.choice((0.0, 0.1, 0.33)), connect_share=rng.choice((0.0, 0.1, 0.3)),
-        socket_share=rng.choice((0.0, 0.0, 0.05)), short_share=rng.choice((0.0, 0.1, 0.33)),
-        hold_up_share=rng.choice((0.0, 0.0, 0.002)), broken_share=rng.choice((0.0, 1.0)))
+        accept_share=rng.choice((0.0, 0.1, 0.33)),
+        connect_share=rng.choice((0.0, 0.1, 0.3)),
+        socket_share=rng.choice((0.0, 0.0, 0.05)),
+        short_share=rng.choice((0.0, 0.1, 0.33)),
+        hold_up_share=rng.choice((0.0, 0.0, 0.002)),
+        broken_share=rng.choice((0.0, 1.0)),
+    )
 
 
 def _draw_scenario(seed: int, rng: random.Random, seconds: float, deadline_ms: float, injection: Plan) -> Scenario:
     aim_ms = deadline_ms * rng.uniform(0.4, 0.8)
     classes = tuple(
-        RequestClass(name, share, work_ms=WORK_MS, aim_ms=aim_ms, deadline_ms=deadline_ms, worth=3.0,
-                     effect=effect, scope=rng.choice(("all", "zone", "cell")), window_ms=rng.choice((400.0, 5000.0)))
-        for name, share, effect in (("quote", 0.4, "safe"), ("booking", 0.3, "keyed"), ("payout", 0.3, "unsafe")))
+        RequestClass(
+            name,
+            share,
+            work_ms=WORK_MS,
+            aim_ms=aim_ms,
+            deadline_ms=deadline_ms,
+            worth=3.0,
+            effect=effect,
+            scope=rng.choice(("all", "zone", "cell")),
+            window_ms=rng.choice((400.0, 5000.0)),
+        )
+        for name, share, effect in (("quote", 0.4, "safe"), ("booking", 0.3, "keyed"), ("payout", 0.3, "unsafe"))
+    )
     boxes = rng.randint(5, 9)
     balancers = MANY_BALANCERS if rng.random() < 0.1 else rng.randint(3, 5)
-    return checked(Scenario(
-        title=f"soak, seed {seed}", seconds=seconds, classes=classes, partners=USUAL_PARTNERS,
-        fleet=Fleet(boxes=boxes, balancers=balancers, cold_s=(2.0, 4.0), cold_worst_s=4.0),
-        load=Load(rate=rng.uniform(*LOAD) * boxes * 1000 / WORK_MS),
-        callers=Callers(grace_ms=FINAL_ANSWER_GRACE_MS, use_ending=USE_ENDING, impatient=rng.choice((0.01, 0.3)),
-                        at_once=rng.choice((0.5, 1.0))),
-        discovery=Discovery(notice_s=(0.2, 2.0), add_s=(0.2, 1.0)),
-        hold_up_ms=HOLD_UP_S * 1000 if injection.hold_up_share else 0.0,
-        expect=Expect(service_least=SERVICE_LEAST),
-        faults=tuple(_draw_faults(rng, seconds))), f"seed {seed}")
+    return checked(
+        Scenario(
+            title=f"soak, seed {seed}",
+            seconds=seconds,
+            classes=classes,
+            partners=USUAL_PARTNERS,
+            fleet=Fleet(boxes=boxes, balancers=balancers, cold_s=(2.0, 4.0), cold_worst_s=4.0),
+            load=Load(rate=rng.uniform(*LOAD) * boxes * 1000 / WORK_MS),
+            callers=Callers(
+                grace_ms=FINAL_ANSWER_GRACE_MS,
+                use_ending=USE_ENDING,
+                impatient=rng.choice((0.01, 0.3)),
+                at_once=rng.choice((0.5, 1.0)),
+            ),
+            discovery=Discovery(notice_s=(0.2, 2.0), add_s=(0.2, 1.0)),
+            hold_up_ms=HOLD_UP_S * 1000 if injection.hold_up_share else 0.0,
+            expect=Expect(service_least=SERVICE_LEAST),
+            faults=tuple(_draw_faults(rng, seconds)),
+        ),
+        f"seed {seed}",
+    )
 
 
 def _draw_faults(rng: random.Random, seconds: float) -> list[Fault]:
     """One release of the balancers on every seed, and two or three troubles beside it."""
-    faults = [Fault("restart", at_s=rng.uniform(1.0, seconds * 0.4), for_s=rng.uniform(0.1, 1.0), part=(0.25, 0.7),
-                    down_s=(0.3, 0.8), signals=rng.random() < 0.5)]
+    faults = [
+        Fault(
+            "restart",
+            at_s=rng.uniform(1.0, seconds * 0.4),
+            for_s=rng.uniform(0.1, 1.0),
+            part=(0.25, 0.7),
+            down_s=(0.3, 0.8),
+            signals=rng.random() < 0.5,
+        )
+    ]
     others = [
-        Fault("deploy", at_s=rng.uniform(0.5, 2.0), for_s=seconds * 0.6, part=(0.3, 0.6), drain_s=(0.5, 1.5),
-              batch=(0.2, 0.4)),
+        Fault(
+            "deploy",
+            at_s=rng.uniform(0.5, 2.0),
+            for_s=seconds * 0.6,
+            part=(0.3, 0.6),
+            drain_s=(0.5, 1.5),
+            batch=(0.2, 0.4),
+        ),
         Fault("freeze", at_s=1.0, for_s=seconds - 2.0, part=(0.2, 0.4)),
         Fault("crash", at_s=rng.uniform(2.0, seconds - 2.0), part=(0.1, 0.3), down_s=(0.5, 1.5)),
         Fault("vanish", at_s=rng.uniform(2.0, seconds - 3.0), for_s=2.0, part=(0.1, 0.3)),
--- a/lanemux/rehearsal/terminal.py
+++ b/lanemux/rehearsal/terminal.py
@@ -17,8 +17,11 @@
 
 def show(run: Run, name: str, console: Console) -> None:
     """The table; what is wrong is red."""
-    wrong = {"rules": any(counts(run.violations).values()), "expected": bool(run.missed),
-             "valid": not run.validity.valid}
+    wrong = {
+        "rules": any(counts(run.violations).values()),
+        "expected": bool(run.missed),
+        "valid": not run.validity.valid,
+    }
     table = Table(title=f"{name}: {run.plan.scenario.title}", title_justify="left", show_header=False, box=None)
     for label, text in report.rows(run):
         style = "" if label not in wrong else "bold red" if wrong[label] else "green"
@@ -32,16 +35,22 @@
     """How far a run is; told once a second."""
 
     def __init__(self, console: Console) -> None:
-        self._bar = Progress(TextColumn("{task.completed:.0f} of {task.total:.0f} s"), BarColumn(),
-                             TextColumn("{task.description}"), console=console, auto_refresh=False)
+        self._bar = Progress(
+            TextColumn("{task.completed:.0f} of {task.total:.0f} s"),
+            BarColumn(),
+            TextColumn("{task.description}"),
+            console=console,
+            auto_refresh=False,
+        )
         self._task: TaskID | None = None
 
     def __enter__(self) -> Bar:
         self._bar.start()
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> None:
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         self._bar.stop()
 
     def tell(self, at_s: float, callers: Callers) -> None:
--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -157,5 +157,13 @@
         served = gauge.served * SECOND / FADE_NS
         self._capacity = max(self._capacity * CAPACITY_FADE ** min(looks, 1000), served)
         self._returns.bear(max(1.0, served if self.phase is Phase.STORM else self._capacity), gauge.rate)
-        return [api.Note(f"storm: {was.value} -> {self.phase.value}; of what comes {gauge.retries:.0%} are retries, of "
-                         f"what ends {gauge.unmet:.0%} is not served")] if changed else []
+        return (
+            [
+                api.Note(
+                    f"storm: {was.value} -> {self.phase.value}; of what comes {gauge.retries:.0%} are retries, of "
+                    f"what ends {gauge.unmet:.0%} is not served"
+                )
+            ]
+            if changed
+            else []
+        )
--- a/lanemux/virtual/command.py
+++ b/lanemux/virtual/command.py
@@ -100,8 +100,15 @@
 def run_seed(seed: int, storm: bool = False) -> Played:
     """One seed's run as drawn."""
     result = play(draw(seed, storm))
-    return Played(seed, result.digest, [_line(v.rule, v.at_ns, v.request, v.box, v.proof) for v in result.violations],
-                  result.steps, result.virtual_s, result.figures.service, result.covered)
+    return Played(
+        seed,
+        result.digest,
+        [_line(v.rule, v.at_ns, v.request, v.box, v.proof) for v in result.violations],
+        result.steps,
+        result.virtual_s,
+        result.figures.service,
+        result.covered,
+    )
 
 
 def digest_of(played: Iterable[Played]) -> str:
@@ -114,13 +121,21 @@
 
 def as_json(played: Sequence[Played], wall_s: float, jobs: int) -> dict[str, object]:
     covered: Counter[tuple[str, str]] = sum((p.covered for p in played), Counter())
-    return {"seeds": [p.seed for p in played], "failed": [p.seed for p in played if p.violations],
-            "digest": digest_of(played), "digests": {p.seed: p.digest for p in played},
-            "violations": {p.seed: p.violations for p in played if p.violations},
-            "wall_s": round(wall_s, 3), "jobs": jobs, "virtual_s": round(sum(p.virtual_s for p in played), 3),
-            "steps": sum(p.steps for p in played),
-            "covered": {what: {event: covered[what, event] for event in (*EVENTS, "time") if covered[what, event]}
-                        for what in FAULTS}}
+    return {
+        "seeds": [p.seed for p in played],
+        "failed": [p.seed for p in played if p.violations],
+        "digest": digest_of(played),
+        "digests": {p.seed: p.digest for p in played},
+        "violations": {p.seed: p.violations for p in played if p.violations},
+        "wall_s": round(wall_s, 3),
+        "jobs": jobs,
+        "virtual_s": round(sum(p.virtual_s for p in played), 3),
+        "steps": sum(p.steps for p in played),
+        "covered": {
+            what: {event: covered[what, event] for event in (*EVENTS, "time") if covered[what, event]}
+            for what in FAULTS
+        },
+    }
 
 
 def _line(rule: str, at_ns: int, request: str, box: str, proof: str) -> str:
@@ -138,8 +153,10 @@
     virtual = sum(p.virtual_s for p in played)
     faults = sum(sum(p.covered.values()) for p in played)
     print(f"{len(played)} seeds, {sum(bool(p.violations) for p in played)} failed, digest {digest_of(played)}")
-    print(f"{wall_s:.1f} s on {jobs} processes: {len(played) / wall_s / jobs:.2f} seeds a second each, "
-          f"{virtual / wall_s:.0f} virtual seconds a second; {sum(p.steps for p in played)} steps, {faults} faults")
+    print(
+        f"{wall_s:.1f} s on {jobs} processes: {len(played) / wall_s / jobs:.2f} seeds a second each, "
+        f"{virtual / wall_s:.0f} virtual seconds a second; {sum(p.steps for p in played)} steps, {faults} faults"
+    )
 
 
 def _cut_down(seed: int, storm: bool = False, most: int = MOST_TRIES) -> None:
@@ -151,8 +168,10 @@
         return any(v.rule in rules for v in play(script).violations)
 
     least, tries = shrink(result.script, result.asks, fails, most)
-    print(f"\n# seed {seed}: {len(result.script.faults)} faults and {result.asks} asks cut down to "
-          f"{len(least.faults)} and {result.asks if least.asks is None else len(least.asks)} in {tries} runs")
+    print(
+        f"\n# seed {seed}: {len(result.script.faults)} faults and {result.asks} asks cut down to "
+        f"{len(least.faults)} and {result.asks if least.asks is None else len(least.asks)} in {tries} runs"
+    )
     print(as_test(least))
 
 
@@ -173,26 +192,36 @@
     """What each party saw, in order of time."""
     said = [(float(line.split()[0]), line) for line in result.timeline]
     for entry in result.books.tries:
-        for at, what in ((entry.sent_ns, f"asks balancer {entry.balancer}: {entry.target}"),
-                         (entry.end_ns, f"{entry.how} {entry.status or ''} by balancer {entry.balancer}")):
+        for at, what in (
+            (entry.sent_ns, f"asks balancer {entry.balancer}: {entry.target}"),
+            (entry.end_ns, f"{entry.how} {entry.status or ''} by balancer {entry.balancer}"),
+        ):
             said.append((at / 1e9, f"{at / 1e9:12.6f}  caller {entry.id[:8]:<15} {what}"))
     for attempt in result.boxes.attempts:
-        for at, what in ((attempt.whole_ns, f"asked by balancer {attempt.balancer} for {attempt.id[:8]}"),
-                         (attempt.end_ns, f"{attempt.how} {attempt.id[:8]}, open until {attempt.open_ns / 1e9:.6f}")):
+        for at, what in (
+            (attempt.whole_ns, f"asked by balancer {attempt.balancer} for {attempt.id[:8]}"),
+            (attempt.end_ns, f"{attempt.how} {attempt.id[:8]}, open until {attempt.open_ns / 1e9:.6f}"),
+        ):
             said.append((at / 1e9, f"{at / 1e9:12.6f}  {'box ' + str(attempt.box):<22} {what}"))
     for told in result.books.told:
         if told.written_ns > 0:
             at_s = told.written_ns / 1e9
-            said.append((at_s, f"{at_s:12.6f}  {'discovery':<22} tells balancer {told.balancer}: box {told.box} is "
-                               f"{told.health}"))
+            said.append(
+                (
+                    at_s,
+                    f"{at_s:12.6f}  {'discovery':<22} tells balancer {told.balancer}: box {told.box} is {told.health}",
+                )
+            )
     for v in result.violations:
         said.append((v.at_ns / 1e9, f"{v.at_ns / 1e9:12.6f}  {'VIOLATION':<22} {v.rule} {v.request} {v.box} {v.proof}"))
     return [line for _, line in sorted(said, key=lambda pair: pair[0])]
 
 
 def _summarize(result: Result) -> None:
-    print(f"seed {result.script.seed}: digest {result.digest}, {result.steps} steps, "
-          f"{result.virtual_s:.3f} virtual seconds, service {result.figures.service:.3f}")
+    print(
+        f"seed {result.script.seed}: digest {result.digest}, {result.steps} steps, "
+        f"{result.virtual_s:.3f} virtual seconds, service {result.figures.service:.3f}"
+    )
     for fault in result.script.faults:
         print(f"  {fault}")
     for v in result.violations:
@@ -210,17 +239,28 @@
 
 
 def _options(argv: Sequence[str]) -> argparse.Namespace:
-    parser = argparse.ArgumentParser("lanemux simulate", allow_abbrev=False, description=(
-        "The balancer's real code on a virtual clock, against faults drawn from seeds; the four rules are checked "
-        "after every step. Exit status 0: no seed failed; 1: some did."))
-    parser.add_argument("--seeds", metavar="A-B", type=_range, default=_range(DEFAULT_SEEDS),
-                        help=f"which seeds (default {DEFAULT_SEEDS})")
+    parser = argparse.ArgumentParser(
+        "lanemux simulate",
+        allow_abbrev=False,
+        description=(
+            "The balancer's real code on a virtual clock, against faults drawn from seeds; the four rules are checked "
+            "after every step. Exit status 0: no seed failed; 1: some did."
+        ),
+    )
+    parser.add_argument(
+        "--seeds",
+        metavar="A-B",
+        type=_range,
+        default=_range(DEFAULT_SEEDS),
+        help=f"which seeds (default {DEFAULT_SEEDS})",
+    )
     parser.add_argument("--json", metavar="FILE", help="write the figures there")
     parser.add_argument("--jobs", metavar="N", type=int, default=os.cpu_count() or 1, help="processes (default: cores)")
     parser.add_argument("--replay", metavar="SEED", type=int, help="play one seed again")
     parser.add_argument("--trace", metavar="FILE", help="with --replay: write what each party saw there")
-    parser.add_argument("--storm", action="store_true",
-                        help="boxes die together, callers retry at once, and [storm] is on")
+    parser.add_argument(
+        "--storm", action="store_true", help="boxes die together, callers retry at once, and [storm] is on"
+    )
     parser.add_argument("--first", action="store_true", help="stop at the first seed that fails")
     parser.add_argument("--no-shrink", dest="shrink", action="store_false", help="do not cut a failing seed down")
     options = parser.parse_args(argv)
--- a/lanemux/virtual/disk.py
+++ b/lanemux/virtual/disk.py
@@ -35,7 +35,7 @@
         if part is not None:
             self.files[path] = data[:part]
             raise failure(errno.EIO, path)
-        self.files[path] = data[:max(0, room)]
+        self.files[path] = data[: max(0, room)]
         if len(data) > room:
             raise failure(errno.ENOSPC, path)
 
@@ -55,4 +55,4 @@
         """The files of a folder; OSError where reading fails."""
         if self.unreadable:
             raise failure(errno.EIO, folder)
-        return [path[len(folder) + 1:] for path in self.files if path.startswith(folder + "/")]
+        return [path[len(folder) + 1 :] for path in self.files if path.startswith(folder + "/")]
--- a/lanemux/virtual/judge.py
+++ b/lanemux/virtual/judge.py
@@ -71,24 +71,36 @@
             refused[entry.balancer].append((entry.end_ns, entry.end_ns + int(float(entry.retry_after) * 1e9)))
     for balancer, pairs in refused.items():
         for first in range(0, len(pairs) - HERD + 1, HERD // 2):
-            herd = sorted(pairs[first:first + HERD])
+            herd = sorted(pairs[first : first + HERD])
             if herd[-1][0] - herd[0][0] > REFUSED_WITHIN_NS:
                 continue
             back = sorted(at for _, at in herd)
             width = min(back[i + HERD // 2] - back[i] for i in range(HERD // 2))
             if width < HERD_NS:
-                yield Violation("herd", herd[0][0], "", "", f"balancer {balancer} refused {HERD} within "
-                                f"{(herd[-1][0] - herd[0][0]) / MS:.0f} ms and called half of them back within "
-                                f"{width / MS:.1f} ms")
+                yield Violation(
+                    "herd",
+                    herd[0][0],
+                    "",
+                    "",
+                    f"balancer {balancer} refused {HERD} within "
+                    f"{(herd[-1][0] - herd[0][0]) / MS:.0f} ms and called half of them back within "
+                    f"{width / MS:.1f} ms",
+                )
                 break
 
 
 class Judge:
     """Looks at the books after each step; `violations` grows."""
 
-    def __init__(self, plan: Plan, boxes: BoxBooks, callers: CallerBooks, excuses: Excuses,
-                 closed: Callable[[int, int], list[list[int]]] = lambda balancer, box: [],
-                 placed: Callable[[int, int], bool] = lambda balancer, box: True) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        boxes: BoxBooks,
+        callers: CallerBooks,
+        excuses: Excuses,
+        closed: Callable[[int, int], list[list[int]]] = lambda balancer, box: [],
+        placed: Callable[[int, int], bool] = lambda balancer, box: True,
+    ) -> None:
         """`closed`: the spans in which a balancer had read that a box drains or is gone; `placed`: has it read where
         the box is?"""
         self._closed, self._placed = closed, placed
@@ -110,7 +122,7 @@
         """What is new since the last look."""
         if len(self._names) != len(self._plan.boxes):
             self._names = [box.host for box in self._plan.boxes]
-        new = self._boxes.attempts[self._attempts:]
+        new = self._boxes.attempts[self._attempts :]
         self._attempts += len(new)
         for number, attempt in enumerate(new, self._attempts - len(new)):
             self._by_id[attempt.id].append(attempt)
@@ -120,7 +132,7 @@
         for number, attempt in [(n, a) for n, a in self._open_attempts.items() if a.how]:
             del self._open_attempts[number]
             self._judge_request(attempt.id)
-        fresh = self._callers.tries[self._tries:]
+        fresh = self._callers.tries[self._tries :]
         for number, entry in enumerate(fresh, self._tries):
             self._try_of[entry.id] = entry
             self._open_tries[number] = entry
@@ -147,27 +159,50 @@
         by = entry.deadline_ns + LIMIT_GRACE_NS
         by += self._excuses.late_ns(entry.balancer, entry.sent_ns, entry.end_ns)
         if entry.end_ns > by:
-            yield Violation("lost", entry.end_ns, entry.id, "", f"answered {(entry.end_ns - by) / MS:.3f} ms too late "
-                            f"by balancer {entry.balancer}, with {entry.status}")
+            yield Violation(
+                "lost",
+                entry.end_ns,
+                entry.id,
+                "",
+                f"answered {(entry.end_ns - by) / MS:.3f} ms too late "
+                f"by balancer {entry.balancer}, with {entry.status}",
+            )
 
     def _drain(self, attempt: Attempt) -> Iterable[Violation]:
         if not self._placed(attempt.balancer, attempt.box):
             return ()  # it was sent to another, which the balancer still believes where this one came up
         # What was told to an earlier process of the balancer is in the list that this one was given.
-        began = max((life.to_ns for life in self._callers.balancers_down
-                     if life.who == attempt.balancer and life.to_ns <= attempt.first_lo_ns), default=-NEVER)
-        rows = [t for t in self._callers.told
-                if (t.balancer, t.box) == (attempt.balancer, attempt.box) and told_at(t) >= began]
-        return drains([attempt], self._counted(rows), self._callers.balancers_down, self._names,
-                      self._grace_ns + LIMIT_GRACE_NS)
+        began = max(
+            (
+                life.to_ns
+                for life in self._callers.balancers_down
+                if life.who == attempt.balancer and life.to_ns <= attempt.first_lo_ns
+            ),
+            default=-NEVER,
+        )
+        rows = [
+            t
+            for t in self._callers.told
+            if (t.balancer, t.box) == (attempt.balancer, attempt.box) and told_at(t) >= began
+        ]
+        return drains(
+            [attempt], self._counted(rows), self._callers.balancers_down, self._names, self._grace_ns + LIMIT_GRACE_NS
+        )
 
     def _at_once(self, attempt: Attempt) -> Iterable[Violation]:
         """Drains are acted on the moment they are read: no first byte in a later instant."""
         for start, end in self._closed(attempt.balancer, attempt.box):
             if start < attempt.first_lo_ns < end:
-                yield Violation("drain", attempt.first_lo_ns, attempt.id, self._names[attempt.box], (
-                    f"balancer {attempt.balancer} sent this {(attempt.first_lo_ns - start) / MS:.3f} ms after it had "
-                    "read that the box drains or is gone"))
+                yield Violation(
+                    "drain",
+                    attempt.first_lo_ns,
+                    attempt.id,
+                    self._names[attempt.box],
+                    (
+                        f"balancer {attempt.balancer} sent this {(attempt.first_lo_ns - start) / MS:.3f} ms after it "
+                        "had read that the box drains or is gone"
+                    ),
+                )
 
     @staticmethod
     def close(spans: list[list[int]], now: int) -> None:
@@ -191,13 +226,15 @@
                 yield row
                 continue
             counted = dataclasses.replace(
-                row, written_ns=self._excuses.told_ns(row.balancer, row.written_ns, self._grace_ns, True),
-                due_ns=self._excuses.told_ns(row.balancer, row.due_ns, self._grace_ns, False))
+                row,
+                written_ns=self._excuses.told_ns(row.balancer, row.written_ns, self._grace_ns, True),
+                due_ns=self._excuses.told_ns(row.balancer, row.due_ns, self._grace_ns, False),
+            )
             if told_at(counted) < next_up:
                 yield counted
 
     def _odd(self) -> None:
-        for oddity in (*self._boxes.oddities[self._odd_boxes:], *self._callers.oddities[self._odd_callers:]):
+        for oddity in (*self._boxes.oddities[self._odd_boxes :], *self._callers.oddities[self._odd_callers :]):
             box = self._names[oddity.box] if oddity.box >= 0 else ""
             self._hold([Violation(oddity.rule, oddity.at_ns, oddity.id, box, oddity.what)])
         self._odd_boxes, self._odd_callers = len(self._boxes.oddities), len(self._callers.oddities)
--- a/lanemux/virtual/loop.py
+++ b/lanemux/virtual/loop.py
@@ -63,8 +63,11 @@
         found = []
         for number in list(self._hot):
             key, made = self._keys[number], self._process.sockets.get(number)
-            mask = 0 if made is None else (
-                (selectors.EVENT_READ if made.readable else 0) | (selectors.EVENT_WRITE if made.writable else 0))
+            mask = (
+                0
+                if made is None
+                else ((selectors.EVENT_READ if made.readable else 0) | (selectors.EVENT_WRITE if made.writable else 0))
+            )
             if mask & key.events:
                 found.append((key, mask & key.events))
             else:
@@ -138,8 +141,13 @@
         self._process.stir()
         return super().call_soon(callback, *args, context=context)
 
-    def call_at(self, when: float, callback: Any, *args: Any,  # type: ignore[override]
-                context: Any = None) -> asyncio.TimerHandle:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Any,
+        *args: Any,
+        context: Any = None,
+    ) -> asyncio.TimerHandle:
         handle = super().call_at(when + self._process.world.rng.random() * TIE_S, callback, *args, context=context)
         self._timers += 1
         self._process.stir()
@@ -182,8 +190,12 @@
             more["sock"] = made
         return await super().create_server(protocol_factory, **more)
 
-    async def create_datagram_endpoint(self, protocol_factory: Any, local_addr: Address | None = None,  # type: ignore[override]
-                                       **more: Any) -> Any:
+    async def create_datagram_endpoint(  # type: ignore[override]
+        self,
+        protocol_factory: Any,
+        local_addr: Address | None = None,
+        **more: Any,
+    ) -> Any:
         made = DatagramSocket(self._process)
         made.bind(local_addr or ("127.0.0.1", 0))
         return await super().create_datagram_endpoint(protocol_factory, sock=cast(Any, made))
--- a/lanemux/virtual/network.py
+++ b/lanemux/virtual/network.py
@@ -99,7 +99,7 @@
         parts: list[bytes] = []
         while pipe.here and size < most:
             segment = pipe.here[0]
-            part = segment.data[:most - size]
+            part = segment.data[: most - size]
             if not parts:
                 self.read_from_ns = segment.sent_ns
             self.read_to_ns = segment.sent_ns
@@ -108,7 +108,7 @@
             if len(part) == len(segment.data):
                 pipe.here.popleft()
             else:
-                pipe.here[0] = Segment(segment.data[len(part):], segment.sent_ns)
+                pipe.here[0] = Segment(segment.data[len(part) :], segment.sent_ns)
         if parts:
             pipe.used -= size
             if self.peer is not None:
@@ -122,10 +122,10 @@
         """How many bytes were taken; 0: there is no room. BrokenPipeError after a reset or an end of its own."""
         if self.broken or self._out().ended:
             raise BrokenPipeError
-        taken = bytes(data[:max(0, self.weather.room - self._out().used)])
+        taken = bytes(data[: max(0, self.weather.room - self._out().used)])
         start = 0
         for size in self._cuts(len(taken)):
-            self._send(Segment(taken[start:start + size], self.network.now_ns))
+            self._send(Segment(taken[start : start + size], self.network.now_ns))
             start += size
         return len(taken)
 
@@ -260,8 +260,13 @@
 class Network:
     """All links, listeners and mailboxes."""
 
-    def __init__(self, agenda: Agenda, rng: random.Random, weather: dict[str, Weather],
-                 seen: Seen = lambda kind, what, label, about: None) -> None:
+    def __init__(
+        self,
+        agenda: Agenda,
+        rng: random.Random,
+        weather: dict[str, Weather],
+        seen: Seen = lambda kind, what, label, about: None,
+    ) -> None:
         self.agenda, self.rng, self.weather = agenda, rng, weather
         self.places: dict[Address, tuple[str, int]] = {}  # what is at an address: kind of link and number
         self.seen = seen  # told of all that arrives: kind, what, label, end or data
@@ -328,8 +333,15 @@
         self.agenda.at(self.arrival(label, weather), lambda: knock(0))
         return call_off
 
-    def _come_up(self, queue: Queue, label: Label, weather: Weather, own: Address, up: Callable[[End | None], None],
-                 off: list[bool]) -> None:
+    def _come_up(
+        self,
+        queue: Queue,
+        label: Label,
+        weather: Weather,
+        own: Address,
+        up: Callable[[End | None], None],
+        off: list[bool],
+    ) -> None:
         mine, theirs = End(self, label, weather, True), End(self, label, weather, False)
         mine.peer, theirs.peer = theirs, mine
         queue.waiting.append(theirs)
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -22,8 +22,19 @@
 )
 from lanemux.virtual.network import MS, Weather
 
-EVENTS = ("box up", "box ask", "box answer", "box look ask", "box look answer", "box gone", "client up", "client ask",
-          "client answer", "list answer", "peer message")
+EVENTS = (
+    "box up",
+    "box ask",
+    "box answer",
+    "box look ask",
+    "box look answer",
+    "box gone",
+    "client up",
+    "client ask",
+    "client answer",
+    "list answer",
+    "peer message",
+)
 # What can go wrong, how often it is drawn, and how long it lasts in milliseconds (from, to).
 FAULTS: dict[str, tuple[float, float, float]] = {
     "drain": (4, 800, 2500),  # a box: told at once; it leaves after that time, and comes back cold
@@ -123,15 +134,20 @@
         rng = random.Random(f"{seed}/storm")
         boxes, s = rng.randint(3, 6), made.scenario
         made.scenario = dataclasses.replace(
-            s, seconds=STORM_SECONDS, fleet=dataclasses.replace(s.fleet, boxes=boxes, balancers=rng.randint(2, 4)),
+            s,
+            seconds=STORM_SECONDS,
+            fleet=dataclasses.replace(s.fleet, boxes=boxes, balancers=rng.randint(2, 4)),
             load=Load(rate=rng.uniform(10.0, 16.0) * boxes),
             callers=Callers(at_once=rng.choice((0.5, 1.0)), impatient=0.01, honour=rng.choice((0.0, 0.5, 1.0))),
-            discovery=dataclasses.replace(s.discovery, notice_s=(0.05, 3.0), add_s=(0.05, 2.0)))
+            discovery=dataclasses.replace(s.discovery, notice_s=(0.05, 3.0), add_s=(0.05, 2.0)),
+        )
         # Few sockets would leave callers unaccepted, and writes cut to bytes take most of a run's steps: both are the
         # usual worlds' matter.
         made.sockets = 1024
-        made.weather = {kind: w if rng.random() < CUT_IN_STORM else dataclasses.replace(w, cut=0.0, room=65_536)
-                        for kind, w in made.weather.items()}
+        made.weather = {
+            kind: w if rng.random() < CUT_IN_STORM else dataclasses.replace(w, cut=0.0, room=65_536)
+            for kind, w in made.weather.items()
+        }
     return made
 
 
@@ -145,14 +161,26 @@
     boxes, balancers = rng.randint(2, 5), rng.choice((1, 2, 2, 3))
     source = "etcd" if rng.random() < 0.35 else "agent"
     scenario = Scenario(
-        "a virtual run", SECONDS, 0.0,
-        Fleet(boxes=boxes, balancers=balancers, cell_size=2, connections=64, idle_s=rng.choice((3.0, 15.0)),
-              error_rate=(0.0, 0.02), cold_s=(1.0, 3.0), looks=random.Random(f"{seed}/looks").random() >= BLIND),
+        "a virtual run",
+        SECONDS,
+        0.0,
+        Fleet(
+            boxes=boxes,
+            balancers=balancers,
+            cell_size=2,
+            connections=64,
+            idle_s=rng.choice((3.0, 15.0)),
+            error_rate=(0.0, 0.02),
+            cold_s=(1.0, 3.0),
+            looks=random.Random(f"{seed}/looks").random() >= BLIND,
+        ),
         Load(rate=rng.uniform(3.0, 7.0) * boxes),
         Callers(impatient=0.05, honour=0.5),
         Discovery(source=source, notice_s=(0.05, 0.6), add_s=(0.05, 0.6), spread_ms=(0.0, 20.0)),
         Network(peer_ms=(1.0, 33.0), peer_loss=0.05),
-        classes=CLASSES, partners=PARTNERS)
+        classes=CLASSES,
+        partners=PARTNERS,
+    )
     made = Setting(scenario, sockets=rng.choice((1024, 1024, 96)))
     if not calm:
         made.weather = {kind: _weather(rng, kind) for kind in ("client", "box", "list", "peer")}
@@ -165,8 +193,14 @@
     latency = rng.choice((0, 50_000, 50_000, 1_000_000, 3_000_000))
     jitter = rng.choice((0, 0, 100_000, 2_000_000))
     if kind == "peer":
-        return Weather(latency, jitter, loss=rng.choice((0.0, 0.1, 0.5)), twice=rng.choice((0.0, 0.2)),
-                       late=rng.choice((0.0, 0.1)), late_ns=rng.choice((500, LATE_MS)) * MS)
+        return Weather(
+            latency,
+            jitter,
+            loss=rng.choice((0.0, 0.1, 0.5)),
+            twice=rng.choice((0.0, 0.2)),
+            late=rng.choice((0.0, 0.1)),
+            late_ns=rng.choice((500, LATE_MS)) * MS,
+        )
     return Weather(latency, jitter, cut=rng.choice((0.0, 0.0, 0.5, 0.9)), room=rng.choice((700, 4096, 65_536)))
 
 
@@ -176,25 +210,40 @@
     faults: list[Fault] = []
     if storm:
         first = rng.uniform(300, 1200)
-        faults = [Fault("outage", rng.randrange(world.scenario.fleet.boxes), at_ms=round(at, 3),
-                        for_ms=round(rng.uniform(*FAULTS["outage"][1:]), 1))
-                  for at in (first, first + rng.uniform(500, 3000))[:rng.choice((1, 1, 2))]]
+        faults = [
+            Fault(
+                "outage",
+                rng.randrange(world.scenario.fleet.boxes),
+                at_ms=round(at, 3),
+                for_ms=round(rng.uniform(*FAULTS["outage"][1:]), 1),
+            )
+            for at in (first, first + rng.uniform(500, 3000))[: rng.choice((1, 1, 2))]
+        ]
     for _ in range(rng.randint(1, MOST_FAULTS)):
         fault = _fault(rng, world)
         faults.append(fault)
         if rng.random() < TWIN:
             twin = _fault(rng, world)
-            faults.append(dataclasses.replace(
-                twin, at_ms=fault.at_ms, on=fault.on, nth=fault.nth,
-                lag_us=rng.choice((fault.lag_us, fault.lag_us, fault.lag_us + 1000)),
-                who=twin.who if fault.on or twin.who != ABOUT_EVENT else 0))
+            faults.append(
+                dataclasses.replace(
+                    twin,
+                    at_ms=fault.at_ms,
+                    on=fault.on,
+                    nth=fault.nth,
+                    lag_us=rng.choice((fault.lag_us, fault.lag_us, fault.lag_us + 1000)),
+                    who=twin.who if fault.on or twin.who != ABOUT_EVENT else 0,
+                )
+            )
     return Script(seed, tuple(faults), storm=storm)
 
 
 def _fault(rng: random.Random, world: Setting) -> Fault:
     source = world.scenario.discovery.source
-    kinds = [k for k in FAULTS if k not in STORM_ONLY
-             and (source == "etcd" or k not in ETCD) and (source == "agent" or k != "move")]
+    kinds = [
+        k
+        for k in FAULTS
+        if k not in STORM_ONLY and (source == "etcd" or k not in ETCD) and (source == "agent" or k != "move")
+    ]
     what = rng.choices(kinds, [FAULTS[k][0] for k in kinds])[0]
     low, high = FAULTS[what][1:]
     lasts = round(rng.uniform(low, high), 1) if high > low else 0.0
@@ -204,8 +253,14 @@
         return Fault(what, who, at_ms=round(rng.uniform(0, SECONDS * 1000), 3), for_ms=lasts)
     on = rng.choice(EVENTS)
     lag = rng.choice((0, 0, 0, 1, 1000, rng.randrange(20_000)))
-    return Fault(what, ABOUT_EVENT if rng.random() < 0.7 else who, on=on, nth=int(rng.paretovariate(0.6)) % 200 + 1,
-                 lag_us=lag, for_ms=lasts)
+    return Fault(
+        what,
+        ABOUT_EVENT if rng.random() < 0.7 else who,
+        on=on,
+        nth=int(rng.paretovariate(0.6)) % 200 + 1,
+        lag_us=lag,
+        for_ms=lasts,
+    )
 
 
 def as_test(script: Script) -> str:
--- a/lanemux/virtual/shrink.py
+++ b/lanemux/virtual/shrink.py
@@ -49,7 +49,7 @@
         for number in range(len(self.best.faults)):
             for simplify in SIMPLER:
                 simpler = simplify(self.best.faults[number])
-                faults = (*self.best.faults[:number], simpler, *self.best.faults[number + 1:])
+                faults = (*self.best.faults[:number], simpler, *self.best.faults[number + 1 :])
                 self._try(dataclasses.replace(self.best, faults=faults))
         self._fewer_faults()
 
@@ -78,7 +78,7 @@
     while size and items:
         start = 0
         while start < len(items):
-            part = items[:start] + items[start + size:]
+            part = items[:start] + items[start + size :]
             if part and fails(part):
                 items = part
             else:
--- a/lanemux/virtual/sockets.py
+++ b/lanemux/virtual/sockets.py
@@ -177,7 +177,7 @@
 
     def recv_into(self, buffer: memoryview) -> int:
         data = self.recv(len(buffer))
-        buffer[:len(data)] = data
+        buffer[: len(data)] = data
         return len(data)
 
     def send(self, data: bytes | bytearray | memoryview) -> int:
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -96,10 +96,17 @@
 class Observed:
     """The module between the node and its decisions: it holds that every Send has one Outcome, and one is out."""
 
-    def __init__(self, settings_told: api.Settings, seed: int, now: int, around: Round | None,
-                 accuse: Callable[[str, str], None], excused: Callable[[int, int], bool],
-                 listed: Callable[[int, api.ListUpdate], None],
-                 sending: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        settings_told: api.Settings,
+        seed: int,
+        now: int,
+        around: Round | None,
+        accuse: Callable[[str, str], None],
+        excused: Callable[[int, int], bool],
+        listed: Callable[[int, api.ListUpdate], None],
+        sending: Callable[[], None],
+    ) -> None:
         self.decides = Balancer(settings_told, seed, now)
         self.inner: Module = around(self.decides, settings_told, seed, now) if around is not None else self.decides
         self.out: dict[tuple[str, int], int] = {}  # attempt -> when it is to time out; 0: not told
@@ -196,8 +203,9 @@
 class Stage:
     """All parties of one virtual run."""
 
-    def __init__(self, script: Script, traced: bool = False, made: Setting | None = None,
-                 around: Round | None = None) -> None:
+    def __init__(
+        self, script: Script, traced: bool = False, made: Setting | None = None, around: Round | None = None
+    ) -> None:
         """`around`: round the decisions; None: the storm's module in storms, else nothing."""
         self.script = script
         self._around = around or (_storm if script.storm else None)
@@ -214,8 +222,14 @@
         self.books, self.boxes_books, self.excuses = CallerBooks(), BoxBooks(), Excuses()
         self.closed: dict[int, dict[int, list[list[int]]]] = {}  # balancer -> upstream -> spans from read news to news
         self._ids = Membership(0)  # numbers hosts as every balancer does
-        self.judge = Judge(self.plan, self.boxes_books, self.books, self.excuses, self._closed_at,
-                           lambda balancer, box: box not in self._traded.values() or (balancer, box) in self._placed)
+        self.judge = Judge(
+            self.plan,
+            self.boxes_books,
+            self.books,
+            self.excuses,
+            self._closed_at,
+            lambda balancer, box: box not in self._traded.values() or (balancer, box) in self._placed,
+        )
         self.timeline: list[str] = []
         self.covered: Counter[tuple[str, str]] = Counter()
         self._traced = traced
@@ -266,8 +280,20 @@
         for part in (self.books.tries, self.boxes_books.attempts, self.books.told, self.judge.violations):
             self.world.note(part)
         found = figures(self.plan, self.boxes_books, self.books)
-        return Result(self.script, self.judge.violations, self.world.digest(), self.drawn, found, self.plan, self.books,
-                      self.boxes_books, self.world.steps, self.now() / SECOND, self.covered, self.timeline)
+        return Result(
+            self.script,
+            self.judge.violations,
+            self.world.digest(),
+            self.drawn,
+            found,
+            self.plan,
+            self.books,
+            self.boxes_books,
+            self.world.steps,
+            self.now() / SECOND,
+            self.covered,
+            self.timeline,
+        )
 
     def _play(self) -> None:
         for fault in self.script.faults:
@@ -279,8 +305,7 @@
             if happening.what in PLANNED:
                 self.world.agenda.at(ZERO_NS + happening.at_ns, lambda h=happening: self._planned(h))  # type: ignore[misc]
         for notice in self.plan.notices:
-            self.world.agenda.at(ZERO_NS + notice.at_ns,
-                                 lambda n=notice: self._tell(n.box, n.health, n.born_ns))  # type: ignore[misc]
+            self.world.agenda.at(ZERO_NS + notice.at_ns, lambda n=notice: self._tell(n.box, n.health, n.born_ns))  # type: ignore[misc]
         callers = self._callers
         assert callers is not None
         last = self.plan.asks[-1].at_ns if self.plan.asks else 0
@@ -293,8 +318,10 @@
             if seat.process is not None and not seat.ending:
                 seat.ending = True
                 seat.process.signal(signal.SIGTERM)
-        gone = self._until(lambda: all(s.process is None or not s.process.alive for s in self._seats),
-                           self.world.agenda.now_ns + LEAVE_NS)
+        gone = self._until(
+            lambda: all(s.process is None or not s.process.alive for s in self._seats),
+            self.world.agenda.now_ns + LEAVE_NS,
+        )
         if not gone:
             self._blame("end", "a balancer did not end by its drain")
         if self._boxes is not None:
@@ -316,8 +343,10 @@
         """In the kit's process: bring everybody up."""
         fleet = self.plan.scenario.fleet
         self._open_boxes()
-        places = [Place((f"127.0.200.{b + 1}", 8000), ("", 0), (f"127.0.200.{b + 1}", 8001), [], ("", 0))
-                  for b in range(fleet.balancers)]
+        places = [
+            Place((f"127.0.200.{b + 1}", 8000), ("", 0), (f"127.0.200.{b + 1}", 8001), [], ("", 0))
+            for b in range(fleet.balancers)
+        ]
         network = self.world.network
         for b, place in enumerate(places):
             network.places[place.listen], network.places[place.peer_listen] = ("client", b), ("peer", b)
@@ -348,8 +377,9 @@
         process = self._boxes_process
         asks = {name: ask for ask in self.plan.asks for name in ask.ids}
         make = cast(Any, process.socket)
-        world = BoxWorld(process.loop, self.plan, NoLooks(), self.boxes_books, ZERO_NS, asks, self._fell,
-                         ExactSight(process), make)
+        world = BoxWorld(
+            process.loop, self.plan, NoLooks(), self.boxes_books, ZERO_NS, asks, self._fell, ExactSight(process), make
+        )
         self._addresses = reserve(self.plan, "127.0", make)
         for slot, row in enumerate(self._addresses):
             self.world.network.places.update({address: ("box", slot) for address in row})
@@ -454,8 +484,14 @@
 
     def _write(self, seat: Seat) -> None:
         assert seat.process is not None
-        told = configuration(f"n{seat.number}", seat.place, f"{self.plan.seed:x}-{seat.number}-{seat.starts}",
-                             seat.agent.listing(), seat.settings, self._sockets)
+        told = configuration(
+            f"n{seat.number}",
+            seat.place,
+            f"{self.plan.seed:x}-{seat.number}-{seat.starts}",
+            seat.agent.listing(),
+            seat.settings,
+            self._sockets,
+        )
         seat.process.disk.write(CONFIG, json.dumps(told).encode())
 
     # -- at the end --
@@ -478,11 +514,15 @@
     def _check_list(self, seat: Seat, node: Node) -> None:
         """What the balancer believes of each box is what it was told last."""
         hosts = [self.plan.boxes[box].host for box in self._said]
-        told = {host: health for host, (health, _) in zip(hosts, self._said.values(), strict=True)
-                if health != "removed"}
+        told = {
+            host: health for host, (health, _) in zip(hosts, self._said.values(), strict=True) if health != "removed"
+        }
         words = {api.State.READY: "up", api.State.DRAINING: "draining"}
-        believed = {host: words.get(last.upstream.state, "?") for host in sorted(node.roster.membership.hosts)
-                    if (last := node.roster.membership.last(host)) is not None}
+        believed = {
+            host: words.get(last.upstream.state, "?")
+            for host in sorted(node.roster.membership.hosts)
+            if (last := node.roster.membership.last(host)) is not None
+        }
         if told != believed:
             self._blame("list", f"balancer {seat.number} believes {believed}, told was {told}")
 
@@ -493,9 +533,12 @@
         tasks = [t for t in asyncio.all_tasks(process.loop) if t is not process.main]
         timers = process.loop.timers()
         if tasks or timers or process.sockets:
-            self._blame("left", f"{process.name} ended with {len(tasks)} tasks {[_name(t) for t in tasks]}, "
-                        f"{len(timers)} timers {sorted({_callback(t) for t in timers})}, "
-                        f"{len(process.sockets)} descriptors")
+            self._blame(
+                "left",
+                f"{process.name} ended with {len(tasks)} tasks {[_name(t) for t in tasks]}, "
+                f"{len(timers)} timers {sorted({_callback(t) for t in timers})}, "
+                f"{len(process.sockets)} descriptors",
+            )
 
     # -- faults --
 
@@ -506,8 +549,10 @@
         if self._traced:
             size = len(about) if isinstance(about, bytes) else len(about[1].data) if isinstance(about, tuple) else 0
             first = about[1].data[:FIRST_BYTES].split(b"\r\n")[0] if isinstance(about, tuple) else b""
-            self.trace(f"{label.opener} > {kind} {label.to}",
-                       f"{what} #{self._events[event]} {size} bytes {ascii(first)[2:-1]}")
+            self.trace(
+                f"{label.opener} > {kind} {label.to}",
+                f"{what} #{self._events[event]} {size} bytes {ascii(first)[2:-1]}",
+            )
         for fault in self._waiting.pop((event, self._events[event]), ()):
             self.world.agenda.after(fault.lag_us * 1000, lambda f=fault: self._do(f, event, (label, about)))  # type: ignore[misc]
 
@@ -837,8 +882,11 @@
         end = about[0] if isinstance(about, tuple) else about
         if isinstance(end, End) and end.label.kind == "client":
             mine = end if end.opener else end.peer
-            lines = [line for line in lines if line.transport is not None
-                     and getattr(self._kit.loop.socket_of(line.transport), "end", None) is mine]
+            lines = [
+                line
+                for line in lines
+                if line.transport is not None and getattr(self._kit.loop.socket_of(line.transport), "end", None) is mine
+            ]
         return self._rng.choice(lines) if lines else None
 
     def _leave(self, seat: Seat, lasts: int, about: object) -> None:
@@ -901,8 +949,11 @@
 
 def held_by(module: Balancer) -> dict[str, int]:
     """What the decisions keep of requests."""
-    return {"requests": len(module.requests), "held back": sum(len(t.held) for t in module.throttles.values()),
-            "in line": sum(len(p.line) for p in module.fleet.pools.values())}
+    return {
+        "requests": len(module.requests),
+        "held back": sum(len(t.held) for t in module.throttles.values()),
+        "in line": sum(len(p.line) for p in module.fleet.pools.values()),
+    }
 
 
 def _name(task: asyncio.Task[Any]) -> str:
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -40,18 +40,34 @@
     return got
 
 
-@pytest.mark.parametrize(("line", "status"), [
-    ("GET /admin/health", 200), ("GET /admin/stats", 200), ("PUT /admin/cordon/s0", 200),
-    ("PUT /admin/cordon/%730", 200),
-    ("PUT /admin/uncordon/s0", 200), ("PUT /admin/cordon/none", 404), ("PUT /admin/uncordon/none", 404),
-    ("PUT /admin/cordon/", 404), ("PUT /admin/cordon/%ff", 404), ("GET /admin/cordon/s0", 405),
-    ("PUT /admin/health", 405), ("POST /admin/quiesce", 405), ("GET /admin/none", 404), ("GET /stats", 404),
-    ("GET /admin/health/x", 404), ("PUT /admin/cordon/" + "x" * 2000, 404), ("NONSENSE", 400)])
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        ("GET /admin/health", 200),
+        ("GET /admin/stats", 200),
+        ("PUT /admin/cordon/s0", 200),
+        ("PUT /admin/cordon/%730", 200),
+        ("PUT /admin/uncordon/s0", 200),
+        ("PUT /admin/cordon/none", 404),
+        ("PUT /admin/uncordon/none", 404),
+        ("PUT /admin/cordon/", 404),
+        ("PUT /admin/cordon/%ff", 404),
+        ("GET /admin/cordon/s0", 405),
+        ("PUT /admin/health", 405),
+        ("POST /admin/quiesce", 405),
+        ("GET /admin/none", 404),
+        ("GET /stats", 404),
+        ("GET /admin/health/x", 404),
+        ("PUT /admin/cordon/" + "x" * 2000, 404),
+        ("NONSENSE", 400),
+    ],
+)
 def test_each_call_has_its_answer(line: str, status: int) -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
         async with node(Script(), upstream) as client, door(client.node) as port:
             assert (await call(port, line)).status == status
+
     run(test())
 
 
@@ -68,8 +84,11 @@
         def react(event: api.Event) -> Iterable[api.Action]:
             if isinstance(event, api.Arrival):
                 kind = event.cost_hint_ns // 1000
-                ways: list[api.Action] = [api.Send(event.request, script.ids()[0]), api.Refuse(event.request),
-                                          api.Fail(event.request)]
+                ways: list[api.Action] = [
+                    api.Send(event.request, script.ids()[0]),
+                    api.Refuse(event.request),
+                    api.Fail(event.request),
+                ]
                 return [ways[kind]]
             return ()
 
@@ -88,11 +107,13 @@
             await until(lambda: len(upstream.got) == 4)
             assert (await call(port, "PUT /admin/cordon/s0")).status == 200
             assert (await stats(port))["ejected"] == 1
+
     run(test())
 
 
 def test_a_request_that_waits_for_its_connection_is_called_off_by_a_cordon() -> None:
     """The cordon comes in the turn in which the attempt has begun and its connection is not up."""
+
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
         script = Script()
@@ -111,6 +132,7 @@
             assert script.of(api.Outcome)[0].result is api.Result.MOOT
             assert upstream.got == []
             assert script.of(api.ListUpdate)[-1].upstreams[0].state is api.State.DRAINING
+
     run(test())
 
 
@@ -128,6 +150,7 @@
             while not one.got:
                 assert (await client.ask(request())).status == 200
                 assert len(two.got) < 3000, "it is left alone for good"
+
     run(test())
 
 
@@ -142,6 +165,7 @@
             assert all(e == b"" or isinstance(e, ConnectionError) for e in ends)
             for _, writer in silent:
                 writer.close()
+
     run(test())
 
 
@@ -170,6 +194,7 @@
             assert (await call(port, "GET /admin/health")).status == 200
             back = client.another()
             assert (await back.ask(request())).status == 200 and (await back.ask(request())).status == 200
+
     run(test())
 
 
@@ -182,6 +207,7 @@
             assert (await call(port, "PUT /admin/resume")).status == 409
             assert (await call(port, "GET /admin/health")).status == 503
             await ending
+
     run(test())
 
 
@@ -200,4 +226,5 @@
             assert (await call(port, "PUT /admin/cordon/s0")).status == 507
             assert (await call(port, "PUT /admin/cordon/s0")).status == 200
             assert told[0] == told[1] and told[0].out
+
     run(test())
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -19,8 +19,9 @@
 CELL = api.RequestClass("cell", api.Effect.KEYED, api.Scope.CELL, window_ns=400 * MS, aim_ns=300 * MS)
 ANY = api.RequestClass("any", api.Effect.KEYED, api.Scope.ALL, window_ns=400 * MS, aim_ns=300 * MS)
 NEAR = api.RequestClass("near", api.Effect.SAFE, aim_ns=300 * MS, zones=frozenset({"east"}))
-BIG = api.RequestClass("big", api.Effect.KEYED, api.Scope.ZONE, window_ns=400 * MS, aim_ns=300 * MS,
-                       kinds=frozenset({"large"}))
+BIG = api.RequestClass(
+    "big", api.Effect.KEYED, api.Scope.ZONE, window_ns=400 * MS, aim_ns=300 * MS, kinds=frozenset({"large"})
+)
 
 
 def settings(**changes: object) -> api.Settings:
@@ -40,12 +41,20 @@
 
 def mixed_fleet(count: int, started_ns: int = 0) -> list[api.Upstream]:
     """Upstreams over two zones and two kinds."""
-    return [u._replace(zone=("east", "west")[i % 2], kind=("large", "small")[i // 2 % 2])
-            for i, u in enumerate(upstreams(count, 1, started_ns))]
-
-
-def arrival(number: int | str, now: int, cls: api.RequestClass = READ, tenant: str = "ash",
-            wait_ns: int = 500 * MS, retry: bool = False) -> api.Arrival:
+    return [
+        u._replace(zone=("east", "west")[i % 2], kind=("large", "small")[i // 2 % 2])
+        for i, u in enumerate(upstreams(count, 1, started_ns))
+    ]
+
+
+def arrival(
+    number: int | str,
+    now: int,
+    cls: api.RequestClass = READ,
+    tenant: str = "ash",
+    wait_ns: int = 500 * MS,
+    retry: bool = False,
+) -> api.Arrival:
     return api.Arrival(f"r{number}", cls.name, tenant, now + wait_ns, retry=retry)
 
 
@@ -99,8 +108,7 @@
         return seen
 
     def out(self) -> list[tuple[str, int]]:
-        return [(r, i) for r, sent in self.sends.items() for i in range(len(sent))
-                if (r, i) not in self.results]
+        return [(r, i) for r, sent in self.sends.items() for i in range(len(sent)) if (r, i) not in self.results]
 
     def result(self, request: str, number: int, result: api.Result) -> api.Outcome:
         upstream, sent = self.sends[request][number]
@@ -135,16 +143,18 @@
         proofs = set(api.NEVER_RAN)
         if self.config.rules.full_unproven:
             proofs.discard(api.Result.FULL)
-        return [s for i, s in enumerate(self.sends.get(request, []))
-                if self.results.get((request, i)) not in proofs]
+        return [s for i, s in enumerate(self.sends.get(request, [])) if self.results.get((request, i)) not in proofs]
 
     def _action(self, a: api.Action) -> None:
         if isinstance(a, api.Send):
             self._send(a)
         elif isinstance(a, api.Refuse):
             cls, risky = self.cls[a.request], self._risky(a.request)
-            harmless = cls.effect is api.Effect.SAFE or not risky or (
-                cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL)
+            harmless = (
+                cls.effect is api.Effect.SAFE
+                or not risky
+                or (cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL)
+            )
             assert harmless, f"{a.request} refused though it may have run"
             self._final(a.request, "refused")
             assert 0 <= a.retry_after_ns <= self.config.limits.max_retry_after_ns
--- a/tests/cluster/explore.py
+++ b/tests/cluster/explore.py
@@ -42,10 +42,23 @@
         now, known = self.now, []
         for s in self.seats:
             ours = s._round
-            known.append((max(0, s.silent_ns - now), s.promised, s.accepted if s.accepted_ns > now else -1,
-                          max(0, s.accepted_ns - now), max(0, s.held_ns - now),
-                          ours and (ours.ballot, now - ours.begun_ns if now - ours.begun_ns <= TERM else TERM,
-                                    frozenset(ours.promised), frozenset(ours.accepted), ours.proposed)))
+            known.append(
+                (
+                    max(0, s.silent_ns - now),
+                    s.promised,
+                    s.accepted if s.accepted_ns > now else -1,
+                    max(0, s.accepted_ns - now),
+                    max(0, s.held_ns - now),
+                    ours
+                    and (
+                        ours.ballot,
+                        now - ours.begun_ns if now - ours.begun_ns <= TERM else TERM,
+                        frozenset(ours.promised),
+                        frozenset(ours.accepted),
+                        ours.proposed,
+                    ),
+                )
+            )
         return tuple(known), self.on_way, self.crashes
 
     def copy(self) -> State:
@@ -133,8 +146,9 @@
     return state
 
 
-def explore(depth: int, make: MakeSeat = seat, begin: Callable[[MakeSeat], State] = quiet,
-            most_crashes: int = 1) -> Explored:
+def explore(
+    depth: int, make: MakeSeat = seat, begin: Callable[[MakeSeat], State] = quiet, most_crashes: int = 1
+) -> Explored:
     """All states up to so many steps from a beginning."""
     first = begin(make)
     level: list[tuple[State, tuple[str, ...]]] = [(first, ())]
--- a/tests/cluster/rig.py
+++ b/tests/cluster/rig.py
@@ -58,7 +58,8 @@
             return
         for _ in range(1 + (self._chance.random() < way.twice)):
             handle = asyncio.get_running_loop().call_later(
-                self._chance.uniform(*way.late_s), super().carry, sender, to, data)
+                self._chance.uniform(*way.late_s), super().carry, sender, to, data
+            )
             self._late.add(handle)
         self._late = {h for h in self._late if not h.cancelled() and h.when() > asyncio.get_running_loop().time()}
 
@@ -104,14 +105,26 @@
         """Start one, blank; it is up when its second address answers."""
         path = self.folder / f"{i}.json"
         settings = {**SETTINGS, "me": i, "replicas_of_me": self.count}
-        path.write_text(json.dumps(config(
-            name=f"n{i}", settings=settings, admin_addr=f"{HOST}:{self.admin[i]}",
-            peer_listen=f"{HOST}:{self.listens[i][1]}", peers=[f"{h}:{p}" for h, p in self._peers[i]])))
+        path.write_text(
+            json.dumps(
+                config(
+                    name=f"n{i}",
+                    settings=settings,
+                    admin_addr=f"{HOST}:{self.admin[i]}",
+                    peer_listen=f"{HOST}:{self.listens[i][1]}",
+                    peers=[f"{h}:{p}" for h, p in self._peers[i]],
+                )
+            )
+        )
         with (self.folder / f"{i}.log").open("ab") as log:
             self.processes[i] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lanemux", stdout=DEVNULL, stderr=log,
-                env={**os.environ, "RELAY_CONFIG": str(path),
-                     "LANEMUX_OPERATORS": str(self.folder / "operators.toml")})
+                sys.executable,
+                "-m",
+                "lanemux",
+                stdout=DEVNULL,
+                stderr=log,
+                env={**os.environ, "RELAY_CONFIG": str(path), "LANEMUX_OPERATORS": str(self.folder / "operators.toml")},
+            )
         async with asyncio.timeout(START_S):
             while await self.view(i) is None:
                 assert self.processes[i].returncode is None, (self.folder / f"{i}.log").read_text()
@@ -133,8 +146,9 @@
         head, _, body = answer.partition(b"\r\n\r\n")
         return json.loads(body) if b" 200 " in head.partition(b"\r\n")[0] else None
 
-    async def until(self, what: Callable[[dict[int, dict[int, tuple[str, int]]]], bool], of: list[int],
-                    limit_s: float) -> float:
+    async def until(
+        self, what: Callable[[dict[int, dict[int, tuple[str, int]]]], bool], of: list[int], limit_s: float
+    ) -> float:
         """Wait until this holds of the views of these; how long that took. TimeoutError with the views."""
         loop = asyncio.get_running_loop()
         begun = loop.time()
--- a/tests/cluster/test_election.py
+++ b/tests/cluster/test_election.py
@@ -23,8 +23,9 @@
 
 
 @pytest.mark.parametrize(("begin", "depth"), [(quiet, 7), (proposed, 6), (led, 6)])
-def test_no_order_of_lateness_doubling_crash_amnesia_and_expiry_makes_two_leaders(begin: explorer.MakeSeat,
-                                                                                  depth: int) -> None:
+def test_no_order_of_lateness_doubling_crash_amnesia_and_expiry_makes_two_leaders(
+    begin: explorer.MakeSeat, depth: int
+) -> None:
     found = explore(depth, begin=begin)  # type: ignore[arg-type]
     assert found.path is None and found.states > 1000
 
@@ -74,11 +75,20 @@
         return ours.begun_ns + 2 * TERM
 
 
-@pytest.mark.parametrize(("broken", "begin", "depth", "crashes"), [
-    (BlankVotes, led, 6, 1), (HalfSilent, led, 7, 1), (Forgetful, led, 5, 0), (TakesAny, proposed, 7, 0),
-    (OneIsEnough, quiet, 2, 0), (HoldsLonger, led, 8, 0)])
-def test_each_planted_fault_makes_two_leaders(broken: type[Seat], begin: explorer.MakeSeat, depth: int,
-                                              crashes: int) -> None:
+@pytest.mark.parametrize(
+    ("broken", "begin", "depth", "crashes"),
+    [
+        (BlankVotes, led, 6, 1),
+        (HalfSilent, led, 7, 1),
+        (Forgetful, led, 5, 0),
+        (TakesAny, proposed, 7, 0),
+        (OneIsEnough, quiet, 2, 0),
+        (HoldsLonger, led, 8, 0),
+    ],
+)
+def test_each_planted_fault_makes_two_leaders(
+    broken: type[Seat], begin: explorer.MakeSeat, depth: int, crashes: int
+) -> None:
     def make(number: int, now: int, blank: bool) -> Seat:
         made = broken(number, (0, 1, 2), TERM, random.Random(0), now, blank=blank)
         made.boot = 0
@@ -139,9 +149,13 @@
     assert seat.out == [] and seat.promised == election.NONE
 
 
-WORDS = st.builds(Word, st.sampled_from(Step), st.builds(Ballot, *[st.integers(0, 2**32 - 1), st.integers(0, 2**16 - 1),
-                                                                  st.integers(0, 2**32 - 1)]),
-                  st.just(election.NONE), st.integers(-1, 2**16 - 2))
+WORDS = st.builds(
+    Word,
+    st.sampled_from(Step),
+    st.builds(Ballot, *[st.integers(0, 2**32 - 1), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)]),
+    st.just(election.NONE),
+    st.integers(-1, 2**16 - 2),
+)
 
 
 @settings(derandomize=True, deadline=None)
@@ -182,4 +196,5 @@
             third = await leader([i for i in (0, 1, 2, 3) if i != second], but=second)
             await fleet.start(second)  # blank: it votes for nobody as long as its former word may count
             assert third != second and await leader([0, 1, 2]) != second
+
     asyncio.run(asyncio.wait_for(test(), 60))
--- a/tests/cluster/test_following.py
+++ b/tests/cluster/test_following.py
@@ -41,9 +41,17 @@
         return int(true_ns * self._rates[member])
 
 
-def play(seed: int, kind: type[Follower] = Follower, *, steps: int = 3000, lose: float = 0.1, late_ms: float = 25,
-         crashes: float = 0.001, drift: float = 0.0,
-         term: int = TERM) -> Played:
+def play(
+    seed: int,
+    kind: type[Follower] = Follower,
+    *,
+    steps: int = 3000,
+    lose: float = 0.1,
+    late_ms: float = 25,
+    crashes: float = 0.001,
+    drift: float = 0.0,
+    term: int = TERM,
+) -> Played:
     """Three seats and three without one, whose words are lost, doubled and late; any may start again blank."""
     rng, now, played = random.Random(seed), 0, Played()
     clocks = Clocks(rng, drift)
@@ -163,8 +171,9 @@
             Follower(0, council, TERM, random.Random(1), 0)
 
 
-WORDS = st.builds(Word, st.sampled_from(Kind), st.integers(0, 2**32 - 1), st.integers(-1, 2**16 - 2),
-                  st.integers(0, 2**32 - 1))
+WORDS = st.builds(
+    Word, st.sampled_from(Kind), st.integers(0, 2**32 - 1), st.integers(-1, 2**16 - 2), st.integers(0, 2**32 - 1)
+)
 
 
 @settings(derandomize=True, deadline=None)
--- a/tests/cluster/test_who_is_there.py
+++ b/tests/cluster/test_who_is_there.py
@@ -25,8 +25,9 @@
             for way in fleet.links.ways.values():
                 way.lose, way.twice, way.late_s = 0.05, 0.1, (0.0, 0.05)
             others = [0, 1, 3, 4]
-            await fleet.until(lambda views: all(s == "up" for v in views.values() for s, _ in v.values()),
-                              list(range(5)), 5.0)
+            await fleet.until(
+                lambda views: all(s == "up" for v in views.values() for s, _ in v.values()), list(range(5)), 5.0
+            )
             await fleet.kill(2)
             await fleet.until(all_say("gone", 2), others, KNOWN_S)  # type: ignore[arg-type]
             views = [await fleet.view(i) for i in others]
@@ -37,9 +38,14 @@
             back = await fleet.view(2)
             assert back is not None and back[2][1] > was
             shown = await asyncio.to_thread(
-                subprocess.run, [sys.executable, "-m", "lanemux", "fleet", "show", f"{HOST}:{fleet.admin[2]}"],
-                capture_output=True, text=True, check=True)
+                subprocess.run,
+                [sys.executable, "-m", "lanemux", "fleet", "show", f"{HOST}:{fleet.admin[2]}"],
+                capture_output=True,
+                text=True,
+                check=True,
+            )
             assert len(shown.stdout.splitlines()) == 6 and "(asked)" in shown.stdout.splitlines()[3]
+
     asyncio.run(asyncio.wait_for(test(), LIMIT_S))
 
 
@@ -54,6 +60,7 @@
             fleet.signal(4, signal.SIGTERM)
             took = await fleet.until(all_say("leaving", 4), [0, 1, 2, 3], KNOWN_S)  # type: ignore[arg-type]
             assert took < 4.0
+
     asyncio.run(asyncio.wait_for(test(), LIMIT_S))
 
 
@@ -63,16 +70,24 @@
             for (a, b), way in fleet.links.ways.items():
                 if (a < 2) != (b < 2):
                     way.stalled = True
-            await fleet.until(lambda views: all((v[j][0] == "gone") is ((i < 2) != (j < 2))
-                                                for i, v in views.items() for j in range(5)), list(range(5)), 20.0)
+            await fleet.until(
+                lambda views: all(
+                    (v[j][0] == "gone") is ((i < 2) != (j < 2)) for i, v in views.items() for j in range(5)
+                ),
+                list(range(5)),
+                20.0,
+            )
             fleet.links.let_go()
-            await fleet.until(lambda views: all(s == "up" for v in views.values() for s, _ in v.values()),
-                              list(range(5)), 20.0)
+            await fleet.until(
+                lambda views: all(s == "up" for v in views.values() for s, _ in v.values()), list(range(5)), 20.0
+            )
+
     asyncio.run(asyncio.wait_for(test(), LIMIT_S))
 
 
 def test_a_balancer_without_fleet_among_others_harms_nobody(tmp_path: Path) -> None:
     """As one of the last version: it reads none of it."""
+
     async def test() -> None:
         async with cluster(tmp_path, 3, seed=4) as fleet:
             await fleet.kill(1)
@@ -85,4 +100,5 @@
             assert all(v is not None and v[0][0] == v[2][0] == "up" for v in views)
             start.cancel()
             assert "Traceback" not in (tmp_path / "1.log").read_text()
+
     asyncio.run(asyncio.wait_for(test(), LIMIT_S))
--- a/tests/etcd/test_drains.py
+++ b/tests/etcd/test_drains.py
@@ -57,6 +57,7 @@
         async def answer(got: Got, writer: Writer) -> None:
             self.came.append((number, time.monotonic()))
             writer.write(written(200))
+
         return answer
 
     async def start(self, monkeypatch: pytest.MonkeyPatch) -> Node:
@@ -126,7 +127,8 @@
 
 @pytest.mark.parametrize(("called_off", "rounds"), [(True, ROUNDS), (False, 1)])
 def test_no_request_goes_to_a_box_late_only_because_those_that_wait_are_called_off(
-        monkeypatch: pytest.MonkeyPatch, called_off: bool, rounds: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, called_off: bool, rounds: int
+) -> None:
     async def test() -> None:
         rolling = Rolling()
         node = await rolling.start(monkeypatch)
@@ -142,4 +144,5 @@
             for box in rolling.boxes:
                 box.stop()
         assert late == [0 if called_off else BOXES] * rounds
+
     asyncio.run(asyncio.wait_for(test(), 60))
--- a/tests/etcd/test_histories.py
+++ b/tests/etcd/test_histories.py
@@ -27,8 +27,17 @@
 
 
 def value(rng: random.Random) -> bytes:
-    return json.dumps({"dial": f"127.0.0.1:{rng.randint(1, 9)}", "site": rng.choice("ab"), "class": "m", "block": 0,
-                       "health": rng.choice(["up", "up", "draining"]), "share": 1.0, "born_ms": 0}).encode()
+    return json.dumps(
+        {
+            "dial": f"127.0.0.1:{rng.randint(1, 9)}",
+            "site": rng.choice("ab"),
+            "class": "m",
+            "block": 0,
+            "health": rng.choice(["up", "up", "draining"]),
+            "share": 1.0,
+            "born_ms": 0,
+        }
+    ).encode()
 
 
 class World:
@@ -103,8 +112,15 @@
                 self.lose(f.Cancelled("etcdserver: no leader"))
             case 7 if isinstance(self.call, f.List):
                 bad = [f.Pair(b"/boxes/b", b"", 1), f.Pair(b"/boxes/a", b"", 1)]
-                self.lose(rng.choice([f.Page(self.store.cluster, 0, [], False), f.Page(self.store.cluster, 9, [], True),
-                                      f.Page(self.store.cluster, 9, bad, False)]))
+                self.lose(
+                    rng.choice(
+                        [
+                            f.Page(self.store.cluster, 0, [], False),
+                            f.Page(self.store.cluster, 9, [], True),
+                            f.Page(self.store.cluster, 9, bad, False),
+                        ]
+                    )
+                )
 
     def heal(self) -> None:
         self.silent, self.behind = False, 0
@@ -144,11 +160,14 @@
 
     def changes(self, revision: int) -> list[list[f.Pair]]:
         """What is new on the watch, in fragments."""
-        new = [f.Pair(c.key, c.value, c.revision) for c in self.store.since(self.next, PREFIX, END)
-               if c.revision <= revision]
+        new = [
+            f.Pair(c.key, c.value, c.revision)
+            for c in self.store.since(self.next, PREFIX, END)
+            if c.revision <= revision
+        ]
         self.next = max(self.next, revision + 1)
         size = self.rng.randint(1, 4)
-        return [new[i:i + size] for i in range(0, len(new), size)]
+        return [new[i : i + size] for i in range(0, len(new), size)]
 
     def page(self, asked: f.List) -> f.Event:
         try:
@@ -215,12 +234,18 @@
     def right(self) -> bool:
         """Is what was told what the store holds, and nothing more?"""
         numbers = Membership(0)
-        stored = {c.key[len(PREFIX):].decode(): json.loads(c.value or b"") for c in self.store.rows(PREFIX, END)
-                  if c.key[len(PREFIX):].decode(errors="replace") in HOSTS}
+        stored = {
+            c.key[len(PREFIX) :].decode(): json.loads(c.value or b"")
+            for c in self.store.rows(PREFIX, END)
+            if c.key[len(PREFIX) :].decode(errors="replace") in HOSTS
+        }
         expected = {numbers.number(h): (r["health"], r["dial"], r["site"]) for h, r in stored.items()}
         states = {api.State.READY: "up", api.State.DRAINING: "draining"}
-        told = {i: (states[e.upstream.state], "{}:{}".format(*e.address), e.upstream.zone)
-                for i, e in self.told.items() if i != numbers.number(ODD)}
+        told = {
+            i: (states[e.upstream.state], "{}:{}".format(*e.address), e.upstream.zone)
+            for i, e in self.told.items()
+            if i != numbers.number(ODD)
+        }
         return told == expected and not self.board.pending
 
 
@@ -296,8 +321,14 @@
 def test_what_ends_or_drains_is_told_ahead_of_the_burst_around_it() -> None:
     board = known("a", "b", "c")
     burst = [f.Pair(b"/boxes/new-%04d" % i, row(), 3 + i) for i in range(5000)]
-    board.changed([*burst[:2500], f.Pair(b"/boxes/a", row(health="draining"), 9000),
-                   f.Pair(b"/boxes/b", None, 9001), *burst[2500:]])
+    board.changed(
+        [
+            *burst[:2500],
+            f.Pair(b"/boxes/a", row(health="draining"), 9000),
+            f.Pair(b"/boxes/b", None, 9001),
+            *burst[2500:],
+        ]
+    )
     first = board.cut(32, 1)
     assert [e.upstream.state for e in first] == [api.State.DRAINING, api.State.GONE]
     assert board.pending == 5000 and len(board.cut(32, 1)) == 32
@@ -316,8 +347,21 @@
     assert [(e.upstream.state, e.upstream.zone) for e in board.cut(100, 1)] == [(api.State.READY, "w")]
 
 
-@pytest.mark.parametrize("value", [b"", b"{", b"[]", b"7", b"\xff", b"[" * 50_000, row(health="odd"), row(dial="x:1"),
-                                   row(born_ms="x"), b'{"pad": "' + b"x" * 70_000 + b'"}'])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"7",
+        b"\xff",
+        b"[" * 50_000,
+        row(health="odd"),
+        row(dial="x:1"),
+        row(born_ms="x"),
+        b'{"pad": "' + b"x" * 70_000 + b'"}',
+    ],
+)
 def test_a_value_that_cannot_be_read_leaves_the_old_row(value: bytes) -> None:
     board = known("a", "b")
     board.changed([f.Pair(b"/boxes/a", value, 5), f.Pair(b"/boxes/b", row(health="draining"), 6)])
@@ -326,8 +370,9 @@
     assert board._membership.hosts == {"a", "b"}
 
 
-@pytest.mark.parametrize("key", [b"/boxes/", b"/boxes/a/b", b"/boxes/\xff", b"/other/a", b"/boxes/a\n",
-                                 b"/boxes/" + b"x" * 300])
+@pytest.mark.parametrize(
+    "key", [b"/boxes/", b"/boxes/a/b", b"/boxes/\xff", b"/other/a", b"/boxes/a\n", b"/boxes/" + b"x" * 300]
+)
 def test_a_key_outside_the_form_is_left_out(key: bytes) -> None:
     board = known("a")
     board.changed([f.Pair(key, row(dial="127.0.0.1:2"), 5), f.Pair(key, None, 6)])
--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -33,8 +33,18 @@
 
 
 def row(port: int = 1, health: str = "up", **more: object) -> bytes:
-    return json.dumps({"dial": f"127.0.0.1:{port}", "site": "a", "class": "m", "block": 0, "health": health,
-                       "share": 1.0, "born_ms": 0, **more}).encode()
+    return json.dumps(
+        {
+            "dial": f"127.0.0.1:{port}",
+            "site": "a",
+            "class": "m",
+            "block": 0,
+            "health": health,
+            "share": 1.0,
+            "born_ms": 0,
+            **more,
+        }
+    ).encode()
 
 
 def key(host: str) -> bytes:
@@ -75,13 +85,16 @@
     def ports(self) -> dict[int, int]:
         numbers = Membership(0)
         rows = self.standin.store.rows(key(""), key("")[:-1] + b"0")
-        return {numbers.number(c.key[len(PREFIX):].decode()): int(json.loads(c.value or b"")["dial"].split(":")[1])
-                for c in rows}
+        return {
+            numbers.number(c.key[len(PREFIX) :].decode()): int(json.loads(c.value or b"")["dial"].split(":")[1])
+            for c in rows
+        }
 
 
 @asynccontextmanager
-async def following(*standins: StandIn, relay: Mangler | None = None, user: str = "", password_file: str = "",
-                    known: object = None) -> AsyncIterator[tuple[Etcd, Told, EtcdSource]]:
+async def following(
+    *standins: StandIn, relay: Mangler | None = None, user: str = "", password_file: str = "", known: object = None
+) -> AsyncIterator[tuple[Etcd, Told, EtcdSource]]:
     for standin in standins:
         await standin.start()
     addresses = [s.address for s in standins]
@@ -159,6 +172,7 @@
             standin.changed()
             await until(same(etcd, told))
             assert len(told.now) == 401
+
     run(test())
 
 
@@ -170,6 +184,7 @@
                 etcd.put({"b00003": row(port), f"n{port}": row(port), "b00004": None})
                 await until(same(etcd, told))
             assert standin.lists == 1 and len(standin.starts) >= 3  # never listed anew
+
     run(test())
 
 
@@ -185,6 +200,7 @@
             await until(same(etcd, told))
             assert standin.lists >= 2
             assert {e.upstream.state for e in told.listings[-2].entries} == {api.State.GONE}  # first of all
+
     run(test())
 
 
@@ -204,6 +220,7 @@
                 standin.faults.silent = False
                 standin.changed()  # for a watch that came while it was silent: progress comes behind changes
                 await until(same(etcd, told))
+
     run(test())
 
 
@@ -217,6 +234,7 @@
             begun = following_._follower._opened_ns
             await until(lambda: following_._follower.due_ns > begun + 8 * follower.QUIET_NS)
             assert relay.opened == 1 and standin.watches == 1
+
     run(test())
 
 
@@ -231,6 +249,7 @@
             await until(same(etcd, told))
             etcd.put({"b00001": None, "b00002": row(5), **{f"x{i}": row(6) for i in range(8)}})
             await until(same(etcd, told))
+
     run(test())
 
 
@@ -248,6 +267,7 @@
                 await opened(relay, relay.opened + 2)
             relay.cut_after = -1
             await until(same(etcd, told))
+
     run(test())
 
 
@@ -264,6 +284,7 @@
             second.changed()
             await until(same(etcd, told))
             assert second.watches == 1
+
     run(test())
 
 
@@ -289,6 +310,7 @@
             second.changed()
             await until(same(etcd, told))
             assert not [e for told_ in told.listings for e in told_.entries if e.upstream.state is api.State.GONE]
+
     run(test())
 
 
@@ -309,6 +331,7 @@
             etcd.put({"c": row(6)})
             await until(same(etcd, told))
             assert not following_._board.due_ns
+
     run(test())
 
 
@@ -325,6 +348,7 @@
             await until(lambda: standin.watches >= 2)
             standin.faults.endless, standin.faults.huge = False, 0
             await until(same(etcd, told))
+
     monkeypatch.setattr(member, "MAX_MESSAGE", 100_000)
     run(test())
 
@@ -343,6 +367,7 @@
             await until(lambda: standin.logins >= 2 and standin.watches >= 3)
             etcd.put({"a": row(2)})
             await until(same(etcd, told))
+
     run(test())
 
 
@@ -358,6 +383,7 @@
             assert not told.listings and source_._membership.hosts == {"k"}
             password.write_text("s3cret")
             await until(lambda: 1 in told.ports().values())
+
     run(test())
 
 
@@ -369,13 +395,20 @@
         async with following(standin) as (etcd, told, _):
             await until(same(etcd, told))
             told.listings.clear()
-            etcd.put({**{f"n{i:05}": row(3) for i in range(2500)}, "b00007": row(health="draining"),
-                      **{f"m{i:05}": row(3) for i in range(2500)}})
+            etcd.put(
+                {
+                    **{f"n{i:05}": row(3) for i in range(2500)},
+                    "b00007": row(health="draining"),
+                    **{f"m{i:05}": row(3) for i in range(2500)},
+                }
+            )
             await until(same(etcd, told))
-            drained = next(i for i, told_ in enumerate(told.listings)
-                           if told_.entries[0].upstream.state is api.State.DRAINING)
+            drained = next(
+                i for i, told_ in enumerate(told.listings) if told_.entries[0].upstream.state is api.State.DRAINING
+            )
             before = sum(len(told_.entries) for told_ in told.listings[:drained])
             assert before < 3000 and max(len(told_.entries) for told_ in told.listings) <= source.SLICE
+
     run(test())
 
 
@@ -395,9 +428,8 @@
         async with following(standin) as (etcd, told, _):
             await until(same(etcd, told))
             assert not broken
-    run(test())
-
 
+    run(test())
 
 
 @asynccontextmanager
@@ -438,6 +470,7 @@
             assert set(pools) == {numbers.number(h) for h in "abd"}
             await until(lambda: not standin._handlers)
         await standin.stop()
+
     run(test())
 
 
@@ -452,6 +485,7 @@
             node.roster.replace_source(Make(Target((standin.address,), PREFIX)))
             await until(lambda: node.roster.source is not old and node.roster.successor is None)
         await standin.stop()
+
     run(test())
 
 
@@ -473,7 +507,8 @@
 
 
 def test_while_etcd_is_away_the_last_list_serves_on_and_its_age_is_logged(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     async def test() -> None:
         standin = StandIn(Store())
         standin.store.write([(key(h), v) for h, v in fleet(3).items()])
@@ -485,5 +520,6 @@
             assert len(told.now) == 3 and len(source_._membership.hosts) == 3
             aged = source_._aged_ns - source_._contact_ns
             assert aged >= source.AGE_LOG_NS and caplog.text.count("serves on") <= aged // source.AGE_LOG_NS + 1
+
     monkeypatch.setattr(source, "AGE_LOG_NS", 200 * MS)
     run(test())
--- a/tests/faults/program.py
+++ b/tests/faults/program.py
@@ -60,16 +60,23 @@
 
 
 @asynccontextmanager
-async def balancer(folder: Path, plan: Plan, configuration: dict[str, object] | None = None,
-                   **environment: str) -> AsyncIterator[Program]:
+async def balancer(
+    folder: Path, plan: Plan, configuration: dict[str, object] | None = None, **environment: str
+) -> AsyncIterator[Program]:
     """Started, not ready yet; killed at the end unless it has ended."""
     path, injected = folder / "config.json", folder / "plan.json"
     if not path.exists():
         path.write_text(json.dumps(configuration or config()))
     injected.write_text(plan.text())
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lanemux.rehearsal.injection", str(injected), "lanemux", stderr=PIPE,
-        env={**os.environ, "RELAY_CONFIG": str(path), **environment})
+        sys.executable,
+        "-m",
+        "lanemux.rehearsal.injection",
+        str(injected),
+        "lanemux",
+        stderr=PIPE,
+        env={**os.environ, "RELAY_CONFIG": str(path), **environment},
+    )
     program = Program(process)
     try:
         yield program
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -37,6 +37,7 @@
             assert (await client.ask(request())).status == 200  # the old one is still there
             assert not idle[0].at_eof()
             idle[1].close()
+
     run(test())
 
 
@@ -58,4 +59,5 @@
             await asyncio.sleep(0.5)
             assert calls[0] < 400 and time.process_time() - spent < 0.1
             writer.close()
+
     run(test())
--- a/tests/faults/test_connect.py
+++ b/tests/faults/test_connect.py
@@ -39,7 +39,8 @@
 
 @pytest.mark.parametrize("error", [*LOCAL, "ENETUNREACH"])
 def test_a_connect_that_this_machine_fails_for_a_moment_is_no_failure_of_the_upstream(
-        monkeypatch: pytest.MonkeyPatch, error: str) -> None:
+    monkeypatch: pytest.MonkeyPatch, error: str
+) -> None:
     async def test() -> None:
         upstream, script = await Upstream(answers(200)).start(), sends_once()
         async with node(script, upstream) as client:
@@ -48,18 +49,21 @@
             assert [outcome.result for outcome in script.of(api.Outcome)] == [api.Result.OK]
             assert 1 <= len(failed) < 60  # it pauses between two tries
             assert sum(client.node.tally.failed_calls["connection to an upstream"].values()) == len(failed)
+
     run(test())
 
 
 @pytest.mark.parametrize("error", LOCAL)
 def test_an_attempt_that_never_left_this_machine_is_not_held_against_the_upstream(
-        monkeypatch: pytest.MonkeyPatch, error: str) -> None:
+    monkeypatch: pytest.MonkeyPatch, error: str
+) -> None:
     async def test() -> None:
         upstream, script = await Upstream(answers(200)).start(), sends_once(100 * MS)
         async with node(script, upstream, connect_timeout_ns=50 * MS) as client:
             connect_fails(monkeypatch, upstream.port, error, FAILS_S)
             assert (await client.ask(request())).status == 503
             assert [outcome.result for outcome in script.of(api.Outcome)] == [api.Result.MOOT]
+
     run(test())
 
 
@@ -78,6 +82,7 @@
             program.process.send_signal(signal.SIGTERM)
             assert await program.ended() == 0
         upstream.stop()
+
     run(test())
 
 
@@ -94,4 +99,5 @@
             assert sorted(got.headers["req-id"] for got in upstream.got) == [f"{i:016x}" for i in range(12)]
             await until(lambda: upstream.got)
         upstream.stop()
+
     run(test())
--- a/tests/faults/test_deadlines.py
+++ b/tests/faults/test_deadlines.py
@@ -56,6 +56,7 @@
             upstream.sent_s = time.monotonic()
             assert (await client.ask(request(deadline_ms=DEADLINE_MS))).status == 200
             assert -SLACK_MS < upstream.over_ms[1] < SLACK_MS  # the next one did not wait
+
     run(test())
 
 
@@ -79,4 +80,5 @@
             assert all(-SLACK_MS < over < SLACK_MS for over in upstream.over_ms)
             writer.close()
         upstream.stop()
+
     run(test())
--- a/tests/faults/test_start_and_stop.py
+++ b/tests/faults/test_start_and_stop.py
@@ -29,9 +29,18 @@
         return program.lines
 
 
-@pytest.mark.parametrize(("call", "error"), [
-    ("socket", "ENOBUFS"), ("socket", "EMFILE"), ("socket", "ENFILE"), ("socket", "ENOMEM"),
-    ("bind", "EADDRINUSE"), ("bind", "EADDRNOTAVAIL"), ("listen", "EADDRINUSE")])
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        ("socket", "ENOBUFS"),
+        ("socket", "EMFILE"),
+        ("socket", "ENFILE"),
+        ("socket", "ENOMEM"),
+        ("bind", "EADDRINUSE"),
+        ("bind", "EADDRNOTAVAIL"),
+        ("listen", "EADDRINUSE"),
+    ],
+)
 def test_a_start_whose_sockets_cannot_be_had_for_a_while_comes_up(tmp_path: Path, call: str, error: str) -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
@@ -39,6 +48,7 @@
         assert sum("is tried again" in line for line in lines) >= 1
         assert len(lines) < 20  # each kind is told once, not at every try
         upstream.stop()
+
     run(test())
 
 
@@ -52,6 +62,7 @@
                 await program.until_said("is tried again")
                 holder.close()
                 assert await program.ready() == port
+
     run(test())
 
 
@@ -65,6 +76,7 @@
             program.process.send_signal(signal.SIGHUP)
             program.process.send_signal(told)
             assert await program.ended() == 0
+
     run(test())
 
 
@@ -87,6 +99,7 @@
                 program.process.send_signal(signal.SIGTERM)
                 assert await program.ended() == 0
         upstream.stop()
+
     run(test())
 
 
@@ -105,6 +118,7 @@
                         break
                 await asyncio.sleep(0.001)
             assert await program.ended() == 0
+
     run(test())
 
 
@@ -112,17 +126,19 @@
 def test_a_configuration_that_cannot_be_read_for_a_while_is_read_later(tmp_path: Path, error: str) -> None:
     async def test() -> None:
         await ends_in_order(tmp_path, Plan(windows=[Window("read_file", error, FOR_S)]))
+
     run(test())
 
 
 def test_a_configuration_that_is_half_written_is_read_when_it_is_whole(tmp_path: Path) -> None:
     async def test() -> None:
         text, path = json.dumps(config()), tmp_path / "config.json"
-        path.write_text(text[:len(text) // 2])
+        path.write_text(text[: len(text) // 2])
         async with balancer(tmp_path, Plan()) as program:
             await asyncio.sleep(FOR_S)
             path.write_text(text)
             await program.ready()
+
     run(test())
 
 
@@ -138,6 +154,7 @@
             program.process.send_signal(signal.SIGHUP)
             await until(lambda: registry.calls)
         registry.upstream.stop()
+
     run(test())
 
 
@@ -148,4 +165,5 @@
             assert await program.ended() == 2
             plain = [line for line in program.lines if " INFO " not in line]
             assert plain == ["lanemux: n0: listening socket: [Errno 13] EACCES\n"]
+
     run(test())
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,10 +26,14 @@
 
 def settings(me: int, proxies: int, **changes: object) -> api.Settings:
     base: dict[str, object] = {
-        "me": me, "replicas_of_me": proxies, "classes": {"quote": QUOTE}, "tenants": {"ash": api.Tenant("ash")},
+        "me": me,
+        "replicas_of_me": proxies,
+        "classes": {"quote": QUOTE},
+        "tenants": {"ash": api.Tenant("ash")},
         "limits": api.Limits(max_attempts=5, may_cancel=True, peers=True, probes=True, retry_after=True),
         "rules": api.Rules(cold_from=0.31, cold_ns=8 * SECOND, fall_multiple=2.5, overload_for_ns=3 * SECOND // 2),
-        "prices": api.Prices(peer=0.01, probe=0.12, handshake=0.12), "report_columns": ("inflight",),
+        "prices": api.Prices(peer=0.01, probe=0.12, handshake=0.12),
+        "report_columns": ("inflight",),
     }
     return api.Settings(**{**base, **changes})  # type: ignore[arg-type]
 
@@ -80,9 +84,18 @@
 class Fleet:
     """So many balancers over so many upstreams; `run` plays even traffic and counts how requests end."""
 
-    def __init__(self, proxies: int, boxes: int, seed: int, tell: bool = True, lose: float = 0.02,
-                 known: Callable[[int], Box] = lambda number: Box(), clients: Clients | None = None,
-                 work_ns: int = WORK_NS, told: Mapping[str, object] | None = None) -> None:
+    def __init__(
+        self,
+        proxies: int,
+        boxes: int,
+        seed: int,
+        tell: bool = True,
+        lose: float = 0.02,
+        known: Callable[[int], Box] = lambda number: Box(),
+        clients: Clients | None = None,
+        work_ns: int = WORK_NS,
+        told: Mapping[str, object] | None = None,
+    ) -> None:
         self.rng = random.Random(seed)
         self.tell, self.lose = tell, lose
         self.boxes = {n: known(n) for n in range(1, boxes + 1)}
@@ -141,7 +154,7 @@
         fleet, numbers = self.balancers[liar].fleet, itertools.count(1)
 
         def say() -> None:
-            for server in fleet.any.reach[:fleet.any.home]:
+            for server in fleet.any.reach[: fleet.any.home]:
                 word = struct.pack(">IBBB", server.id, next(numbers) % 256, held, 0)
                 for peer in fleet.place(server).peers:
                     self._tell(liar, api.Tell(word, peer))
@@ -280,6 +293,9 @@
             if key in self.fates:
                 self.fates[key] = self.fates[key][0], served
             self.served_by[i] += served
-            self.hand(i, api.Outcome(action.request, number, action.upstream, result, self.now - sent,
-                                     result is api.Result.OK))
+            self.hand(
+                i,
+                api.Outcome(action.request, number, action.upstream, result, self.now - sent, result is api.Result.OK),
+            )
+
         self.at(done, end)
--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -123,8 +123,11 @@
             assert all(t[i] == (me.incarnation, UP) for t in tables if i in t)
 
 
-NEWS = st.lists(st.builds(News, st.integers(1, 4), st.sampled_from(Standing), st.integers(0, 5), st.integers(0, 4)),
-                min_size=1, max_size=12)
+NEWS = st.lists(
+    st.builds(News, st.integers(1, 4), st.sampled_from(Standing), st.integers(0, 5), st.integers(0, 4)),
+    min_size=1,
+    max_size=12,
+)
 
 
 @settings(derandomize=True, deadline=None)
--- a/tests/members/test_wire.py
+++ b/tests/members/test_wire.py
@@ -11,8 +11,17 @@
 
 NUMBERS, WIDE = st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)
 NEWS = st.builds(News, NUMBERS, st.sampled_from(Standing), WIDE, NUMBERS)
-MESSAGES = st.builds(Message, st.sampled_from(Kind), WIDE, WIDE, st.sampled_from(Standing), WIDE, NUMBERS, NUMBERS,
-                     st.lists(NEWS, max_size=MOST_NEWS).map(tuple))
+MESSAGES = st.builds(
+    Message,
+    st.sampled_from(Kind),
+    WIDE,
+    WIDE,
+    st.sampled_from(Standing),
+    WIDE,
+    NUMBERS,
+    NUMBERS,
+    st.lists(NEWS, max_size=MOST_NEWS).map(tuple),
+)
 
 
 @settings(derandomize=True, deadline=None)
--- a/tests/rehearsal/broken/old_reports.py
+++ b/tests/rehearsal/broken/old_reports.py
@@ -14,8 +14,12 @@
 
 def remembered(self: Any, *events: api.Event) -> None:
     # What it held in that moment is left out: whom the run avoids for ever would be chance.
-    heard = [e._replace(report={**e.report, "inflight": 0.0, "queue": 0.0})
-             if isinstance(e, api.ProbeResult) and e.report is not None else e for e in events]
+    heard = [
+        e._replace(report={**e.report, "inflight": 0.0, "queue": 0.0})
+        if isinstance(e, api.ProbeResult) and e.report is not None
+        else e
+        for e in events
+    ]
     for event in heard:
         if isinstance(event, api.ProbeResult) and event.report is not None:
             first.setdefault(event.upstream, event)
--- a/tests/rehearsal/test_boxes.py
+++ b/tests/rehearsal/test_boxes.py
@@ -53,8 +53,15 @@
     loop = asyncio.get_running_loop()
     plan = draw(dataclasses.replace(find("calm-short"), seconds=1.0), 1)
     plan.asks[0] = dataclasses.replace(plan.asks[0], work_ns=20 * MS)
-    world = World(loop, plan, looks, BoxBooks(), int(loop.time() * 1e9),
-                  {name: ask for ask in plan.asks for name in ask.ids}, lambda box, at: None)
+    world = World(
+        loop,
+        plan,
+        looks,
+        BoxBooks(),
+        int(loop.time() * 1e9),
+        {name: ask for ask in plan.asks for name in ask.ids},
+        lambda box, at: None,
+    )
     addresses = reserve(plan, "127.61")
     boxes = Boxes(world, addresses)
     boxes.open()
@@ -96,6 +103,7 @@
         assert attempt.first_lo_ns <= began + 5 * MS and attempt.whole_ns >= began + FREEZE_NS
         for writer in (old_writer, new_writer):
             writer.close()
+
     on_boxes(test)
 
 
@@ -110,6 +118,7 @@
         (attempt,) = yard.world.books.attempts
         assert attempt.end_ns - attempt.whole_ns >= FREEZE_NS + 5 * MS
         writer.close()
+
     on_boxes(test)
 
 
@@ -129,6 +138,7 @@
         _, again = await asyncio.open_connection(*yard.address)
         again.close()
         assert [life.state for life in yard.world.books.lives] == ["draining", "down", "cold"]
+
     on_boxes(test)
 
 
@@ -144,6 +154,7 @@
             await reader.read()
         assert yard.world.books.attempts[0].how == "died"
         writer.close()
+
     on_boxes(test)
 
 
@@ -158,18 +169,23 @@
             await asyncio.wait_for(asyncio.shield(asyncio.ensure_future(reader.read(1))), SHORT_S)
         assert yard.world.books.attempts == []
         writer.close()
+
     on_boxes(test)
 
 
 def test_what_no_caller_sent_is_turned_away_and_noted() -> None:
     async def test(yard: Yard) -> None:
-        for target, name, status in (("/rate-lookup/0", "0" * 16, 400), ("/other", yard.world.plan.asks[0].ids[0], 400),
-                                     ("/rate-lookup/0", "", 404)):
+        for target, name, status in (
+            ("/rate-lookup/0", "0" * 16, 400),
+            ("/other", yard.world.plan.asks[0].ids[0], 400),
+            ("/rate-lookup/0", "", 404),
+        ):
             reader, writer = await asyncio.open_connection(*yard.address)
             writer.write(framing.request(target, {"Req-Id": name} if name else {}))
             assert (await answer(reader)).status == status
             writer.close()
         assert [o.rule for o in yard.world.books.oddities] == ["foreign"] * 3
+
     on_boxes(test)
 
 
@@ -195,4 +211,5 @@
         assert other.how == "cancelled" and other.open_ns <= yard.world.books.attempts[2].whole_ns
         for writer in (first, third):
             writer.close()
+
     on_boxes(test)
--- a/tests/rehearsal/test_broken.py
+++ b/tests/rehearsal/test_broken.py
@@ -24,16 +24,30 @@
 TIMEOUT_S = 90
 BRIEF = ("--seconds", "5")  # for builds that break a rule at every hundredth request
 
-HEALTHY = ("calm-short", "friday-rush-short", "month-end-short", "back-to-school-short", "payments-short",
-           "etcd-deploy-short")
-BY_RULE = (("two_at_once", "friday-rush-short", "twice"), ("late_drain", "month-end-short", "drain"),
-           ("swaps_bodies", "friday-rush-short", "lost"), ("answers_twice", "friday-rush-short", "lost"),
-           ("resends_silently", "friday-rush-short", "twice"), ("floods_cold", "month-end-short", "cold"),
-           ("ignores_deadlines", "friday-rush-short", "lost"), ("repeats_unsafe", "payments-short", "twice"))
-BY_FIGURE = (("old_reports", "friday-rush-short", "given_up_share"),
-             ("holds_refusals", "friday-rush-short", "refusal_held"),
-             ("refuses_heavy", "friday-rush-short", "heavy"),
-             ("leaks_connections", "friday-rush-short", "connections_per_box"))
+HEALTHY = (
+    "calm-short",
+    "friday-rush-short",
+    "month-end-short",
+    "back-to-school-short",
+    "payments-short",
+    "etcd-deploy-short",
+)
+BY_RULE = (
+    ("two_at_once", "friday-rush-short", "twice"),
+    ("late_drain", "month-end-short", "drain"),
+    ("swaps_bodies", "friday-rush-short", "lost"),
+    ("answers_twice", "friday-rush-short", "lost"),
+    ("resends_silently", "friday-rush-short", "twice"),
+    ("floods_cold", "month-end-short", "cold"),
+    ("ignores_deadlines", "friday-rush-short", "lost"),
+    ("repeats_unsafe", "payments-short", "twice"),
+)
+BY_FIGURE = (
+    ("old_reports", "friday-rush-short", "given_up_share"),
+    ("holds_refusals", "friday-rush-short", "refusal_held"),
+    ("refuses_heavy", "friday-rush-short", "heavy"),
+    ("leaks_connections", "friday-rush-short", "connections_per_box"),
+)
 
 
 LOSSES = """
@@ -72,7 +86,11 @@
     program = ["--program", f"{sys.executable} -m tests.rehearsal.broken.{build}"] if build else []
     ended = subprocess.run(
         [sys.executable, "-m", "lanemux", *words, "--seed", str(seed), "--json", str(path), *program, *brief],
-        cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
     assert path.is_file(), ended.stderr
     return Played(ended.returncode, json.loads(path.read_text()), ended.stdout)
 
@@ -103,8 +121,9 @@
 
 
 @pytest.mark.parametrize(("build", "name", "rule"), BY_RULE)
-def test_a_broken_build_is_caught_by_its_rule(played: dict[tuple[str, str], Played], build: str, name: str,
-                                              rule: str) -> None:
+def test_a_broken_build_is_caught_by_its_rule(
+    played: dict[tuple[str, str], Played], build: str, name: str, rule: str
+) -> None:
     run = played[build, name]
     assert run.status == (1 if run.report["valid"] else 3), run.text
     assert run.report["rules"][rule] > 0, run.text
@@ -113,8 +132,9 @@
 
 
 @pytest.mark.parametrize(("build", "name", "figure"), BY_FIGURE)
-def test_a_broken_build_is_caught_by_its_figure(played: dict[tuple[str, str], Played], build: str, name: str,
-                                                figure: str) -> None:
+def test_a_broken_build_is_caught_by_its_figure(
+    played: dict[tuple[str, str], Played], build: str, name: str, figure: str
+) -> None:
     run = played[build, name]
     assert run.status == (1 if run.report["valid"] else 3), run.text
     assert any(line.startswith(figure) for line in run.report["expectations_missed"]), run.text
@@ -127,8 +147,13 @@
 
 
 def test_a_program_that_does_not_start_is_bad_use() -> None:
-    ended = subprocess.run([sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--program", "false"],
-                           cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+    ended = subprocess.run(
+        [sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--program", "false"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
     assert ended.returncode == 2 and "did not become ready" in ended.stderr
 
 
@@ -138,9 +163,26 @@
     program.write_text(start + "import sys\nfrom lanemux.net import daemon\nsys.exit(daemon.main())\n")
     path = tmp_path / "report.json"
     ended = subprocess.run(
-        [sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--seconds", "4", "--balancers", "2", "--json",
-         str(path), "--program", f"env PYTHONPATH={ROOT} {sys.executable} {program}"],
-        cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+        [
+            sys.executable,
+            "-m",
+            "lanemux",
+            "rehearse",
+            "calm-short",
+            "--seconds",
+            "4",
+            "--balancers",
+            "2",
+            "--json",
+            str(path),
+            "--program",
+            f"env PYTHONPATH={ROOT} {sys.executable} {program}",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
     report = json.loads(path.read_text())
     assert report["crashes"] and ended.returncode == (1 if report["valid"] else 3)
 
@@ -148,12 +190,29 @@
 @pytest.mark.parametrize("by", [signal.SIGTERM, signal.SIGINT])
 def test_a_rehearsal_that_is_ended_leaves_nobody_behind(tmp_path: Path, by: signal.Signals) -> None:
     program = tmp_path / "known.py"  # a balancer that tells its number
-    program.write_text("import os, pathlib, sys\nfrom lanemux.net import daemon\n"
-                       f"pathlib.Path({str(tmp_path)!r}, f'{{os.getpid()}}.pid').touch()\nsys.exit(daemon.main())\n")
+    program.write_text(
+        "import os, pathlib, sys\nfrom lanemux.net import daemon\n"
+        f"pathlib.Path({str(tmp_path)!r}, f'{{os.getpid()}}.pid').touch()\nsys.exit(daemon.main())\n"
+    )
     kit = subprocess.Popen(
-        [sys.executable, "-m", "lanemux", "rehearse", "calm-short", "--seconds", "60", "--balancers", "2",
-         "--program", f"env PYTHONPATH={ROOT} {sys.executable} {program}"],
-        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        [
+            sys.executable,
+            "-m",
+            "lanemux",
+            "rehearse",
+            "calm-short",
+            "--seconds",
+            "60",
+            "--balancers",
+            "2",
+            "--program",
+            f"env PYTHONPATH={ROOT} {sys.executable} {program}",
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     while len(balancers := [int(p.stem) for p in tmp_path.glob("*.pid")]) < 2:
         assert kit.poll() is None, kit.communicate()
         time.sleep(0.01)
--- a/tests/rehearsal/test_pure.py
+++ b/tests/rehearsal/test_pure.py
@@ -126,10 +126,13 @@
     told = {n.box for n in plan.notices if n.health == "up"}
     assert told == {h.who for h in plan.happenings if h.what in ("start", "return")}
     if name == "month-end-short":
-        look = ("from lanemux.rehearsal.command import find\nfrom lanemux.rehearsal.plan import draw\n"
-                f"print(draw(find({name!r}), 7).digest())")
-        other = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, check=True,
-                               env={"PYTHONHASHSEED": "12345"})
+        look = (
+            "from lanemux.rehearsal.command import find\nfrom lanemux.rehearsal.plan import draw\n"
+            f"print(draw(find({name!r}), 7).digest())"
+        )
+        other = subprocess.run(
+            [sys.executable, "-c", look], capture_output=True, text=True, check=True, env={"PYTHONHASHSEED": "12345"}
+        )
         assert other.stdout.strip() == plan.digest()
 
 
@@ -151,16 +154,20 @@
         assert at["draining"] <= at["removed"]
 
 
-@pytest.mark.parametrize(("text", "fault"), [
-    ("", "title: missing"), ('title = "x"\nspeed = 1', "unknown key"),
-    ('title = "x"\nseconds = 0', "a number from 1 to 3600"),
-    ('title = "x"\n[fleet]\nboxes = 1.5', "a whole number"),
-    ('title = "x"\n[callers]\ntry_share = [0.5, 0.4]', "low end lies above"),
-    ('title = "x"\n[callers]\ntry_share = [0.5]', "a list of 2"),
-    ('title = "x"\n[[faults]]\nkind = "rain"', "one of freeze, neighbour"),
-    ('title = "x"\n[[faults]]\nkind = "heavy"\nclass_name = "cheque"', "no class 'cheque'"),
-    ('title = "x"\nseconds = 3600\n[load]\nrate = 5000', "over 200000 asks"),
-])
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        ("", "title: missing"),
+        ('title = "x"\nspeed = 1', "unknown key"),
+        ('title = "x"\nseconds = 0', "a number from 1 to 3600"),
+        ('title = "x"\n[fleet]\nboxes = 1.5', "a whole number"),
+        ('title = "x"\n[callers]\ntry_share = [0.5, 0.4]', "low end lies above"),
+        ('title = "x"\n[callers]\ntry_share = [0.5]', "a list of 2"),
+        ('title = "x"\n[[faults]]\nkind = "rain"', "one of freeze, neighbour"),
+        ('title = "x"\n[[faults]]\nkind = "heavy"\nclass_name = "cheque"', "no class 'cheque'"),
+        ('title = "x"\nseconds = 3600\n[load]\nrate = 5000', "over 200000 asks"),
+    ],
+)
 def test_a_bad_scenario_is_told_with_file_key_and_what_is_allowed(text: str, fault: str) -> None:
     with pytest.raises(Faulty) as caught:
         read_scenario(text, "my.toml")
@@ -177,8 +184,20 @@
     plan, books = draw(scenario, 1), CallerBooks()
     for ask, number, status, after_ms in ends:
         row = plan.asks[ask]
-        books.tries.append(Try(ask, number, row.ids[number], number, "/", sent_ns=row.at_ns, end_ns=row.at_ns + int(
-            after_ms * MS), how="answered", status=status, deadline_ns=row.at_ns + row.try_ns))
+        books.tries.append(
+            Try(
+                ask,
+                number,
+                row.ids[number],
+                number,
+                "/",
+                sent_ns=row.at_ns,
+                end_ns=row.at_ns + int(after_ms * MS),
+                how="answered",
+                status=status,
+                deadline_ns=row.at_ns + row.try_ns,
+            )
+        )
     return scenario, books
 
 
@@ -198,8 +217,9 @@
     for entry in books.tries:
         entry.deadline_ns = entry.sent_ns + 200 * MS
     late = books.tries[0]
-    boxes = BoxBooks(attempts=[Attempt(0, 0, late.id, "/", late.sent_ns, late.sent_ns, late.end_ns, late.end_ns,
-                                       "cancelled")])
+    boxes = BoxBooks(
+        attempts=[Attempt(0, 0, late.id, "/", late.sent_ns, late.sent_ns, late.end_ns, late.end_ns, "cancelled")]
+    )
     plan = draw(scenario, 1)
     found = figures(plan, boxes, books)
     assert found.refusal_p90_share == 1.0 and found.refusal_held_share < 0.01
@@ -238,25 +258,34 @@
     found: list[framing.Message] = []
     while at < len(data):
         size = cuts[len(found) % len(cuts)]
-        found += framer.feed(data[at:at + size])
+        found += framer.feed(data[at : at + size])
         at += size
     assert [m.body for m in found] == bodies and not framer.begun
 
 
 def test_chunked_answers_announced_ones_and_ones_that_end_by_close_are_read() -> None:
     framer = framing.Framer(answers=True)
-    (whole,) = framer.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                           b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n")
+    (whole,) = framer.feed(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+    )
     assert (whole.status, whole.body) == (200, b"abcde")
     assert framer.feed(b"HTTP/1.1 200 OK\r\n\r\nabc") == []
     last = framer.end()
     assert last is not None and last.body == b"abc"
 
 
-@pytest.mark.parametrize("data", [
-    b"GET\r\n\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-    b"HTTP/1.1 abc X\r\n\r\n", b"x" * (framing.MAX_HEAD + 1),
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 abc X\r\n\r\n",
+        b"x" * (framing.MAX_HEAD + 1),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
 def test_what_is_no_answer_is_unreadable(data: bytes) -> None:
     with pytest.raises(framing.Unreadable):
         framing.Framer(answers=True).feed(data)
--- a/tests/rehearsal/test_report.py
+++ b/tests/rehearsal/test_report.py
@@ -29,12 +29,22 @@
 
 def broken_run() -> Run:
     plan = draw(find("month-end-short"), 1)
-    boxes = BoxBooks(attempts=[Attempt(0, 0, plan.asks[0].ids[0], "/", SECOND, SECOND, 2 * SECOND)],
-                     lives=[Life(0, "frozen", SECOND, 2 * SECOND), Life(1, "fallen", SECOND)],
-                     oddities=[Oddity(SECOND, "cold", "pushed <over>", box=1)], held=[(SECOND, 0, 3)])
+    boxes = BoxBooks(
+        attempts=[Attempt(0, 0, plan.asks[0].ids[0], "/", SECOND, SECOND, 2 * SECOND)],
+        lives=[Life(0, "frozen", SECOND, 2 * SECOND), Life(1, "fallen", SECOND)],
+        oddities=[Oddity(SECOND, "cold", "pushed <over>", box=1)],
+        held=[(SECOND, 0, 3)],
+    )
     callers = CallerBooks()
-    return Run(plan, plan.digest(), boxes, callers, figures(plan, boxes, callers), check(plan, boxes, callers),
-               judge(boxes, callers))
+    return Run(
+        plan,
+        plan.digest(),
+        boxes,
+        callers,
+        figures(plan, boxes, callers),
+        check(plan, boxes, callers),
+        judge(boxes, callers),
+    )
 
 
 def test_the_page_stands_alone_and_names_each_broken_rule_with_its_proof() -> None:
@@ -46,13 +56,20 @@
     assert page.count('class="plotly-graph-div"') == 4
 
 
-@pytest.mark.parametrize(("words", "said"), [
-    (("calm-short", "--rate", "0"), "--rate: 0 is not from 0.1 to 5000"),
-    (("calm-short", "--balancers", "99"), "--balancers: 99 is not from 1 to 16"),
-    (("storms",), "no scenario 'storms'; there are back-to-school"), (("../calm",), "no scenario '../calm'"),
-    (("/nowhere.toml",), "No such file"), (("calm-short", "--operators", "/nowhere.toml"), "No such file")])
-def test_bad_use_is_told_in_a_line_and_plays_nothing(words: tuple[str, ...], said: str,
-                                                     capsys: pytest.CaptureFixture[str]) -> None:
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (("calm-short", "--rate", "0"), "--rate: 0 is not from 0.1 to 5000"),
+        (("calm-short", "--balancers", "99"), "--balancers: 99 is not from 1 to 16"),
+        (("storms",), "no scenario 'storms'; there are back-to-school"),
+        (("../calm",), "no scenario '../calm'"),
+        (("/nowhere.toml",), "No such file"),
+        (("calm-short", "--operators", "/nowhere.toml"), "No such file"),
+    ],
+)
+def test_bad_use_is_told_in_a_line_and_plays_nothing(
+    words: tuple[str, ...], said: str, capsys: pytest.CaptureFixture[str]
+) -> None:
     assert main(words) == BAD_USE
     assert said in capsys.readouterr().err
 
@@ -80,15 +97,17 @@
 
 
 def test_a_page_without_its_extra_is_bad_use_before_anything_is_played(
-        monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
     monkeypatch.setattr(command, "installed", lambda name: False)
     monkeypatch.setattr(asyncio, "run", lambda work: pytest.fail("it was played"))
     assert main(["calm-short", "--html", "x.html"]) == BAD_USE
     assert "pip install '.[rehearsal]'" in capsys.readouterr().err
 
 
-def test_the_operators_own_scenarios_are_found_by_name_and_listed(tmp_path: Path,
-                                                                  capsys: pytest.CaptureFixture[str]) -> None:
+def test_the_operators_own_scenarios_are_found_by_name_and_listed(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     (tmp_path / "ours.toml").write_text('title = "our own Friday"\nseconds = 5\n')
     (tmp_path / "operators.toml").write_text(f'[rehearsal]\nscenarios_directory = "{tmp_path}"\n')
     assert find("ours", str(tmp_path)).seconds == 5
@@ -100,7 +119,7 @@
 
 def test_the_example_of_the_operators_page_is_a_sound_scenario() -> None:
     page = (Path(__file__).parent.parent.parent / "docs" / "operating" / "rehearsal.md").read_text()
-    block = page[page.index('    title = "our own Friday"'):page.index("All keys with units")]
+    block = page[page.index('    title = "our own Friday"') : page.index("All keys with units")]
     scenario = read_scenario("\n".join(line[4:] for line in block.splitlines()), "page")
     assert scenario.fleet.boxes == 24 and scenario.faults[0].kind == "freeze" and draw(scenario, 1).happenings
     for name in command._known(""):
--- a/tests/rehearsal/test_rules.py
+++ b/tests/rehearsal/test_rules.py
@@ -13,8 +13,16 @@
 T = 1000 * MS
 
 
-def attempt(box: int, whole: int, open_: int, how: str = "answered", name: str = "a", digest: str = "d",
-            balancer: int = 0, first: int | None = None) -> Attempt:
+def attempt(
+    box: int,
+    whole: int,
+    open_: int,
+    how: str = "answered",
+    name: str = "a",
+    digest: str = "d",
+    balancer: int = 0,
+    first: int | None = None,
+) -> Attempt:
     return Attempt(box, balancer, name, "/", whole if first is None else first, whole, open_, open_, how, digest)
 
 
@@ -22,21 +30,32 @@
     return Try(0, 0, name, 0, "/", T, T + 300 * MS, T + 100 * MS, how, status, digest)
 
 
-def found(attempts: list[Attempt], tries: list[Try], told: list[Told] | None = None,
-          down: list[Life] | None = None, oddities: list[Oddity] | None = None) -> list[Violation]:
-    return check(PLAN, BoxBooks(attempts=attempts), CallerBooks(
-        tries=tries, told=told or [], balancers_down=down or [], oddities=oddities or []))
+def found(
+    attempts: list[Attempt],
+    tries: list[Try],
+    told: list[Told] | None = None,
+    down: list[Life] | None = None,
+    oddities: list[Oddity] | None = None,
+) -> list[Violation]:
+    return check(
+        PLAN,
+        BoxBooks(attempts=attempts),
+        CallerBooks(tries=tries, told=told or [], balancers_down=down or [], oddities=oddities or []),
+    )
 
 
 def test_an_honest_request_breaks_nothing() -> None:
     assert found([attempt(0, T + MS, T + 90 * MS)], [served()]) == []
-    assert found([attempt(0, T + MS, T + 9 * MS, "declined", digest=""), attempt(1, T + 10 * MS, T + 90 * MS)],
-                 [served()]) == []
+    assert (
+        found([attempt(0, T + MS, T + 9 * MS, "declined", digest=""), attempt(1, T + 10 * MS, T + 90 * MS)], [served()])
+        == []
+    )
 
 
 def test_a_body_that_was_made_for_another_request_is_lost() -> None:
-    (broken,) = found([attempt(0, T, T + 90 * MS), attempt(1, T, T + 90 * MS, name="b", digest="e")],
-                      [served(digest="e")])
+    (broken,) = found(
+        [attempt(0, T, T + 90 * MS), attempt(1, T, T + 90 * MS, name="b", digest="e")], [served(digest="e")]
+    )
     assert broken.rule == "lost" and broken.request == "a" and PLAN.boxes[0].host in broken.proof
     assert [v.rule for v in found([], [served()])] == ["lost"]  # nor one that no box made
 
@@ -70,8 +89,9 @@
 
 
 def test_a_send_after_a_drain_was_told_breaks_the_rule_from_its_grace_on() -> None:
-    def sends(after_ms: int, balancer: int = 0, told: list[Told] | None = None,
-              down: list[Life] | None = None) -> list[str]:
+    def sends(
+        after_ms: int, balancer: int = 0, told: list[Told] | None = None, down: list[Life] | None = None
+    ) -> list[str]:
         at = T + after_ms * MS
         rows = [attempt(3, at, at + 50 * MS, balancer=balancer)]
         return [v.rule for v in found(rows, [served()], TOLD if told is None else told, down)]
@@ -106,10 +126,24 @@
     """An ask of that effect with attempts (box, ms, how), answered with that status at last."""
     ask = next(a for a in PAYMENTS.asks if a.effect == effect)
     name = ask.ids[0]
-    rows = [Attempt(box, 0, name, "/", T + ms * MS, T + ms * MS, T + (ms + 5) * MS, T + (ms + 5) * MS, how,
-                    "d" if how == "answered" else "") for box, ms, how in hows]
-    entry = Try(ask.number, 0, name, 0, "/", T, T + 9000 * MS, T + 8000 * MS, "answered", status,
-                "d" if status == 200 else "")
+    rows = [
+        Attempt(
+            box,
+            0,
+            name,
+            "/",
+            T + ms * MS,
+            T + ms * MS,
+            T + (ms + 5) * MS,
+            T + (ms + 5) * MS,
+            how,
+            "d" if how == "answered" else "",
+        )
+        for box, ms, how in hows
+    ]
+    entry = Try(
+        ask.number, 0, name, 0, "/", T, T + 9000 * MS, T + 8000 * MS, "answered", status, "d" if status == 200 else ""
+    )
     return [v.rule for v in check(PAYMENTS, BoxBooks(attempts=rows), CallerBooks(tries=[entry]))]
 
 
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -25,7 +25,12 @@
     told = folder / "soak.json"
     ended = subprocess.run(
         [sys.executable, "-m", "lanemux", "soak", "--json", str(told), "--evidence", str(folder / "evidence"), *words],
-        cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False)
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
     assert told.is_file(), ended.stderr
     return ended.returncode, json.loads(told.read_text())["outcomes"], ended.stdout
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -68,6 +68,7 @@
 def answers(status: int, body: bytes = b"", *headers: str) -> Answer:
     async def answer(got: Got, writer: Writer) -> None:
         writer.write(written(status, body, *headers))
+
     return answer
 
 
@@ -76,6 +77,7 @@
         writer.write(data)
         if close:
             writer.close()
+
     return answer
 
 
@@ -150,8 +152,17 @@
 
 
 def entry(host: str, port: int = 1, **more: object) -> Json:
-    return {"host": host, "dial": f"{HOST}:{port}", "site": "east", "class": "m", "block": 0, "health": "up",
-            "share": 1.0, "born_ms": 0, **more}
+    return {
+        "host": host,
+        "dial": f"{HOST}:{port}",
+        "site": "east",
+        "class": "m",
+        "block": 0,
+        "health": "up",
+        "share": 1.0,
+        "born_ms": 0,
+        **more,
+    }
 
 
 def known(*ports: int) -> Json:
@@ -195,18 +206,33 @@
         reports_in_answers=in_answers,
         classes={"read": api.RequestClass("read"), "pay": api.RequestClass("pay", api.Effect.UNSAFE)},
         limits=api.Limits(**{"max_attempts": 3, "connect_timeout_ns": 2000 * MS, **limits}),
-        report_columns=("inflight",))
+        report_columns=("inflight",),
+    )
 
 
 @asynccontextmanager
-async def node(module: Module, *upstreams: Upstream, registry: Registry | None = None,
-               sockets: int = 1024, known_list: object = None, rest_s: float = 0.0,
-               doors: MakeDoors | None = None, **limits: Any) -> AsyncIterator[Client]:
+async def node(
+    module: Module,
+    *upstreams: Upstream,
+    registry: Registry | None = None,
+    sockets: int = 1024,
+    known_list: object = None,
+    rest_s: float = 0.0,
+    doors: MakeDoors | None = None,
+    **limits: Any,
+) -> AsyncIterator[Client]:
     """A node that knows these upstreams, and a client of it."""
     registry = registry or Registry()
     await registry.upstream.start()
-    config = Config("n", (HOST, 0), (HOST, registry.upstream.port), 1, sockets, settings(**limits),
-                    known_list or known(*(u.port for u in upstreams)))
+    config = Config(
+        "n",
+        (HOST, 0),
+        (HOST, registry.upstream.port),
+        1,
+        sockets,
+        settings(**limits),
+        known_list or known(*(u.port for u in upstreams)),
+    )
     balancer = Node(config, module, doors=doors)
     port = await balancer.start(rest_s)
     client = Client(balancer, port)
@@ -254,8 +280,14 @@
             self.writer.close()
 
 
-def request(target: str = "/read", *more: str, deadline_ms: int | None = 5000, method: str = "GET",
-            body: bytes = b"", name: str = "") -> bytes:
+def request(
+    target: str = "/read",
+    *more: str,
+    deadline_ms: int | None = 5000,
+    method: str = "GET",
+    body: bytes = b"",
+    name: str = "",
+) -> bytes:
     """A client's request, with an id of its own unless the test names one."""
     name = name or f"{next(NUMBERS):08x}"
     lines = [f"{method} {target} HTTP/1.1", "Host: service.internal", f"Req-Id: {name}", *more]
--- a/tests/storm/test_floods.py
+++ b/tests/storm/test_floods.py
@@ -64,6 +64,7 @@
                     assert len(server._connections) <= PLACES
                 assert (await client.another().ask(READY)).status == 200  # a new one comes through as well
             await until(lambda: not server._lobby and len(server._connections) <= 2)
+
     run(test())
 
 
@@ -75,6 +76,7 @@
                 await until(lambda: server._entered >= 110)
                 assert not any(closed(one) for one in few)
                 assert sum(closed(one) for one in many) >= 100 - PLACES + 10
+
     run(test())
 
 
@@ -90,6 +92,7 @@
                 server._tick()
                 await until(lambda: all(closed(one) for one in opened))
                 assert server.held == 0
+
     run(test())
 
 
@@ -106,6 +109,7 @@
             await until(lambda: server._lobby)
             other.close()
             await until(lambda: not server._lobby and server.held == 1)
+
     run(test())
 
 
@@ -118,4 +122,5 @@
                 assert (await client.ask(request())).status == 503
                 await drain
                 assert client.node.server.held == 0
+
     run(test())
--- a/tests/storm/test_module.py
+++ b/tests/storm/test_module.py
@@ -39,9 +39,11 @@
 def told(marked: bool = True) -> api.Settings:
     return api.Settings(
         classes={"fee": api.RequestClass("fee", worth=5.0), "list": api.RequestClass("list", worth=1.0)},
-        tenants={"a": api.Tenant("a"), "b": api.Tenant("b")}, retries_marked=marked,
+        tenants={"a": api.Tenant("a"), "b": api.Tenant("b")},
+        retries_marked=marked,
         limits=api.Limits(retry_after=True, max_retry_after_ns=2 * SECOND),
-        rules=api.Rules(cold_from=0.3, cold_ns=8 * SECOND))
+        rules=api.Rules(cold_from=0.3, cold_ns=8 * SECOND),
+    )
 
 
 def refuse(e: api.Arrival) -> api.Action:
@@ -51,8 +53,9 @@
 class Player:
     """Sends requests to a storm's module at a rate."""
 
-    def __init__(self, settings: api.Settings, decide: Callable[[api.Arrival], api.Action] = refuse,
-                 plan: Plan | None = None) -> None:
+    def __init__(
+        self, settings: api.Settings, decide: Callable[[api.Arrival], api.Action] = refuse, plan: Plan | None = None
+    ) -> None:
         self.inner = Inner(decide)
         self.now = 100 * SECOND
         self.storm = Storm(self.inner, settings, plan or Plan(), 1, self.now)
@@ -116,8 +119,9 @@
     assert player.ask() == [api.Refuse("r1", 0)]
 
 
-@pytest.mark.parametrize("end", [
-    lambda name: api.Outcome(name, 0, 1, api.Result.OK, 5, True), lambda name: api.ClientGone(name)])
+@pytest.mark.parametrize(
+    "end", [lambda name: api.Outcome(name, 0, 1, api.Result.OK, 5, True), lambda name: api.ClientGone(name)]
+)
 def test_what_has_ended_is_forgotten(end: Callable[[str], api.Event]) -> None:
     player = Player(told(), lambda e: api.Send(e.request, 1))
     player.ask()
--- a/tests/storm/test_returns.py
+++ b/tests/storm/test_returns.py
@@ -13,8 +13,9 @@
 SECOND = 1000 * MS
 
 
-def mass_refusal(count: int, capacity: float, fresh: float, matters: float = 1.0,
-                 longest: int = 2 * SECOND) -> Counter[int]:
+def mass_refusal(
+    count: int, capacity: float, fresh: float, matters: float = 1.0, longest: int = 2 * SECOND
+) -> Counter[int]:
     """So many refused in one instant: how many come back in each 100 ms."""
     returns = Returns(longest, False, random.Random(1))
     returns.bear(capacity, fresh)
--- a/tests/storm/test_sense.py
+++ b/tests/storm/test_sense.py
@@ -31,11 +31,14 @@
     assert play(gauge, 5 * SECOND, SECOND, 100, 100, 0.4) == [Phase.CALM, Phase.STORM]
 
 
-@pytest.mark.parametrize(("fresh", "again", "unserved"), [
-    (1000, 5, 0.6),  # far more fresh work than can be served
-    (100, 100, 0.0),  # retries that are served
-    (1, 3, 1.0),  # a handful
-])
+@pytest.mark.parametrize(
+    ("fresh", "again", "unserved"),
+    [
+        (1000, 5, 0.6),  # far more fresh work than can be served
+        (100, 100, 0.0),  # retries that are served
+        (1, 3, 1.0),  # a handful
+    ],
+)
 def test_what_is_no_storm(fresh: float, again: float, unserved: float) -> None:
     gauge = Gauge()
     play(gauge, 0, 3 * SECOND, 100, 2, 0.01)
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -30,11 +30,22 @@
     assert words.read(words.written(word)) == word
 
 
-@pytest.mark.parametrize("text", [
-    b"", b"{", b"[]", b"null", b"\xff", b'{"version": 2, "host": "a", "out": true, "at_ns": 1}',
-    b'{"version": 1, "host": "", "out": true, "at_ns": 1}', b'{"version": 1, "host": "a", "out": 1, "at_ns": 1}',
-    b'{"version": 1, "host": "a", "out": true, "at_ns": true}', b'{"version": 1, "host": "a", "out": true}',
-    b"[" * 8000])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b"\xff",
+        b'{"version": 2, "host": "a", "out": true, "at_ns": 1}',
+        b'{"version": 1, "host": "", "out": true, "at_ns": 1}',
+        b'{"version": 1, "host": "a", "out": 1, "at_ns": 1}',
+        b'{"version": 1, "host": "a", "out": true, "at_ns": true}',
+        b'{"version": 1, "host": "a", "out": true}',
+        b"[" * 8000,
+    ],
+)
 def test_what_is_no_word_is_refused(text: bytes) -> None:
     with pytest.raises(ValueError):
         words.read(text)
@@ -60,6 +71,7 @@
         await until(lambda: heard == ([Word("a", False, 2)], [Word("a", True, 1), Word("b", True, 3)]))
         old.close()
         new.close()
+
     run(test())
 
 
@@ -75,6 +87,7 @@
         assert other.tell(Word("a", True, 1))
         await until(lambda: heard == [Word("a", True, 1)])
         shared.close()
+
     run(test())
 
 
@@ -85,6 +98,7 @@
         shared.open()
         assert not shared.tell(Word("a", True, 1))
         shared.close()
+
     run(test())
 
 
@@ -122,8 +136,13 @@
     """The timer must not end the process while the interpreter leaves."""
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
     for _ in range(3):
-        ended = subprocess.run([sys.executable, "-m", "lanemux"], capture_output=True, timeout=PATIENCE_S, check=False,
-                               env=env | {"RELAY_LISTEN_FD": "5", "RELAY_CONFIG": f"{tmp_path}/none"})
+        ended = subprocess.run(
+            [sys.executable, "-m", "lanemux"],
+            capture_output=True,
+            timeout=PATIENCE_S,
+            check=False,
+            env=env | {"RELAY_LISTEN_FD": "5", "RELAY_CONFIG": f"{tmp_path}/none"},
+        )
         assert (ended.returncode, ended.stderr.count(b"\n")) == (2, 1)
 
 
@@ -140,10 +159,16 @@
         """A process, and its operators' port."""
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(config(*self.upstreams, limits={"sockets": 256, "cores": 1.0})))
-        env = {**os.environ, "RELAY_CONFIG": str(path), "RELAY_ADMIN_ADDR": f"{HOST}:0", "TMPDIR": str(self.folder),
-               "RELAY_LISTEN_FD": str(self.listening.fileno())}
+        env = {
+            **os.environ,
+            "RELAY_CONFIG": str(path),
+            "RELAY_ADMIN_ADDR": f"{HOST}:0",
+            "TMPDIR": str(self.folder),
+            "RELAY_LISTEN_FD": str(self.listening.fileno()),
+        }
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lanemux", stderr=PIPE, env=env, pass_fds=[self.listening.fileno()])
+            sys.executable, "-m", "lanemux", stderr=PIPE, env=env, pass_fds=[self.listening.fileno()]
+        )
         self.running.append(process)
         assert process.stderr is not None
         line = b""
@@ -219,6 +244,7 @@
         finally:
             over = True
             await pair.stop()
+
     run(test())
 
 
@@ -233,15 +259,19 @@
     async def test() -> None:
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config(1)))
-        code = ("import sys, asyncio, lanemux.net.daemon as d\n"
-                "async def stopped(self, rest_s=0.0):\n"
-                "    print(sorted(m for m in sys.modules if 'admin' in m or 'takeover' in m)); raise OSError('seen')\n"
-                "d.Node.start = stopped\n"
-                "from lanemux.cli import main; sys.exit(main([]))")
+        code = (
+            "import sys, asyncio, lanemux.net.daemon as d\n"
+            "async def stopped(self, rest_s=0.0):\n"
+            "    print(sorted(m for m in sys.modules if 'admin' in m or 'takeover' in m)); raise OSError('seen')\n"
+            "d.Node.start = stopped\n"
+            "from lanemux.cli import main; sys.exit(main([]))"
+        )
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
         for told, imported in (({}, False), ({"RELAY_ADMIN_ADDR": f"{HOST}:0"}, True)):
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", code, stdout=PIPE, stderr=PIPE, env=env | told)
+                sys.executable, "-c", code, stdout=PIPE, stderr=PIPE, env=env | told
+            )
             out, _ = await asyncio.wait_for(process.communicate(), PATIENCE_S)
             assert (b"lanemux.admin" in out) is imported
+
     run(test())
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -12,8 +12,7 @@
 
 
 def entry(number: int, at: int, started_ns: int = 0, state: api.State = READY) -> Entry:
-    return Entry(api.Upstream(number, state, started_ns=started_ns),
-                 NOWHERE if state is GONE else ("127.0.0.1", at))
+    return Entry(api.Upstream(number, state, started_ns=started_ns), NOWHERE if state is GONE else ("127.0.0.1", at))
 
 
 def states(entries: list[Entry]) -> dict[int, api.State]:
@@ -52,8 +51,10 @@
     for _ in range(300):
         addresses, told, claims, seen = Addresses(), dict[int, Entry](), dict[int, int](), dict[int, api.State]()
         for _ in range(30):
-            news = {n: entry(n, rng.randrange(4), rng.randrange(4), rng.choice((READY, READY, DRAINING, GONE)))
-                    for n in rng.sample(range(6), rng.randint(0, 3))}
+            news = {
+                n: entry(n, rng.randrange(4), rng.randrange(4), rng.choice((READY, READY, DRAINING, GONE)))
+                for n in rng.sample(range(6), rng.randint(0, 3))
+            }
             whole = rng.random() < 0.2
             if whole:
                 told, seen = {n: told[n] for n in told if n in news}, {}
@@ -66,5 +67,9 @@
                 told[n] = e
             seen.update(states(addresses.settle(news.values(), whole)))
             seen = {n: s for n, s in seen.items() if s is not GONE}
-            assert seen == {n: DRAINING if any(told[o].address == e.address and claims[o] > claims[n] for o in told)
-                            else e.upstream.state for n, e in told.items()}
+            assert seen == {
+                n: DRAINING
+                if any(told[o].address == e.address and claims[o] > claims[n] for o in told)
+                else e.upstream.state
+                for n, e in told.items()
+            }
--- a/tests/test_arrangement.py
+++ b/tests/test_arrangement.py
@@ -18,14 +18,22 @@
 
 
 def settings(rng: random.Random) -> api.Settings:
-    classes = {"read": api.RequestClass("read", api.Effect.SAFE),
-               "east": api.RequestClass("east", api.Effect.SAFE, zones=frozenset({"east"})),
-               "big": api.RequestClass("big", api.Effect.SAFE, kinds=frozenset({"xl"}))}
+    classes = {
+        "read": api.RequestClass("read", api.Effect.SAFE),
+        "east": api.RequestClass("east", api.Effect.SAFE, zones=frozenset({"east"})),
+        "big": api.RequestClass("big", api.Effect.SAFE, kinds=frozenset({"xl"})),
+    }
     proxies = rng.choice([1, 2, 4, 7, 40])
     return api.Settings(
-        me=rng.randrange(proxies), replicas_of_me=proxies, zone=rng.choice(ZONES), zones=ZONES, classes=classes,
-        limits=ASKED if rng.random() < 0.5 else api.Limits(max_attempts=3), report_columns=("inflight",),
-        prices=DEAR if rng.random() < 0.5 else api.Prices())
+        me=rng.randrange(proxies),
+        replicas_of_me=proxies,
+        zone=rng.choice(ZONES),
+        zones=ZONES,
+        classes=classes,
+        limits=ASKED if rng.random() < 0.5 else api.Limits(max_attempts=3),
+        report_columns=("inflight",),
+        prices=DEAR if rng.random() < 0.5 else api.Prices(),
+    )
 
 
 def entry(rng: random.Random, number: int) -> api.Upstream:
@@ -56,14 +64,22 @@
     return {i: e for i, e in now.items() if e.state is api.State.READY}
 
 
-def expected(told: api.Settings, cls: api.RequestClass, ready: dict[int, api.Upstream], looks: bool,
-             ) -> tuple[list[int], int, float]:
+def expected(
+    told: api.Settings,
+    cls: api.RequestClass,
+    ready: dict[int, api.Upstream],
+    looks: bool,
+) -> tuple[list[int], int, float]:
     """The whole order, how many of it are home, and who shares them: worked out from scratch."""
+
     def scrambled(entries: list[api.Upstream], salt: int) -> list[int]:
         return [e.id for e in sorted(entries, key=lambda e: (mixed(e.id, salt), e.id))]
 
-    pool = [e for e in ready.values() if (cls.zones is None or e.zone in cls.zones)
-            and (cls.kinds is None or e.kind in cls.kinds)]
+    pool = [
+        e
+        for e in ready.values()
+        if (cls.zones is None or e.zone in cls.zones) and (cls.kinds is None or e.kind in cls.kinds)
+    ]
     near, proxies = pool, told.replicas_of_me
     if told.prices.connection > 0 and proxies >= len(told.zones):
         near = [e for e in pool if e.zone == told.zone] or pool
@@ -95,7 +111,7 @@
             pool = fleet.pool(cls)
             order, home, sharers = expected(told, cls, ready, fleet.looks)
             assert ([s.id for s in pool.all()], pool.home) == (order, home)
-            assert [s.id for s in pool.reach] == order[:home + 1]
+            assert [s.id for s in pool.reach] == order[: home + 1]
             assert home <= pool.width <= home + 1
             own |= set(order[:home])
             shares |= {i: max(shares[i], sharers) for i in order[:home]}
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -25,19 +25,31 @@
 
 KINDS = {  # what tells it of room: looks, what upstreams say in answers, nothing but its own outcomes
     "looks": back.LOOKS,
-    "outcomes": {"tenants": back.TENANTS, "prices": api.Prices(probe=0.12),
-                 "limits": api.Limits(max_attempts=5, may_cancel=True, retry_after=True)},
+    "outcomes": {
+        "tenants": back.TENANTS,
+        "prices": api.Prices(probe=0.12),
+        "limits": api.Limits(max_attempts=5, may_cancel=True, retry_after=True),
+    },
 }
 
 
 @settings(derandomize=True, deadline=None, max_examples=40)
-@given(st.sampled_from(sorted(KINDS)), st.floats(0.0, 4.0), st.floats(0.0, 4.0), st.floats(0.01, 0.99), st.booleans(),
-       st.sampled_from([2.0, 20.0, 100.0, 320.0]), st.integers(0, 499), st.integers(0, 10**6))
+@given(
+    st.sampled_from(sorted(KINDS)),
+    st.floats(0.0, 4.0),
+    st.floats(0.0, 4.0),
+    st.floats(0.01, 0.99),
+    st.booleans(),
+    st.sampled_from([2.0, 20.0, 100.0, 320.0]),
+    st.integers(0, 499),
+    st.integers(0, 10**6),
+)
 @example("looks", 1.1, 1.25, 0.5, True, 320.0, 0, 1)  # as a blank process came to: R 12.6 of 400, failed 17.8
 @example("looks", 0.0, 0.0, 0.5, True, 320.0, 0, 2)
 @example("outcomes", 0.0, 4.0, 0.5, True, 320.0, 250, 3)
-def test_from_any_state_of_its_rate_it_is_back(kind: str, rate: float, failed: float, share: float, empty: bool,
-                                               asked: float, phase_ms: int, seed: int) -> None:
+def test_from_any_state_of_its_rate_it_is_back(
+    kind: str, rate: float, failed: float, share: float, empty: bool, asked: float, phase_ms: int, seed: int
+) -> None:
     played = Fleet(1, back.BOXES, seed, work_ns=back.WORK_NS, told=KINDS[kind])
     played.run(2.5 + phase_ms / 1000, asked)
     believe(played.balancers[0], 10**rate, 10**failed, share, empty, played.now)
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -21,8 +21,15 @@
     for source in folder.glob("lanemux/**/*.py"):
         os.utime(source, (1, 1))  # a copy of the folder has other times
     env = {"PATH": "/usr/bin:/bin", "PYTHONDONTWRITEBYTECODE": "1"}
-    done = subprocess.run([".venv/bin/python", "-v", "-m", "lanemux"], cwd=folder, env=env, text=True, timeout=60,
-                          capture_output=True, check=False)
+    done = subprocess.run(
+        [".venv/bin/python", "-v", "-m", "lanemux"],
+        cwd=folder,
+        env=env,
+        text=True,
+        timeout=60,
+        capture_output=True,
+        check=False,
+    )
     assert done.returncode == 2 and "RELAY_CONFIG is not set" in done.stderr
     return done.stderr
 
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -67,10 +67,21 @@
     assert cordons.hear(Word("h0", False, 2))
 
 
-@pytest.mark.parametrize(("calls", "phase"), [
-    ("quiesce", Phase.SENDING_AWAY), ("quiesce away", Phase.AWAY), ("away", Phase.READY), ("resume", Phase.READY),
-    ("quiesce resume", Phase.READY), ("quiesce away resume", Phase.READY), ("quiesce away quiesce", Phase.AWAY),
-    ("end quiesce", Phase.ENDING), ("quiesce end resume", Phase.ENDING), ("quiesce end away", Phase.ENDING)])
+@pytest.mark.parametrize(
+    ("calls", "phase"),
+    [
+        ("quiesce", Phase.SENDING_AWAY),
+        ("quiesce away", Phase.AWAY),
+        ("away", Phase.READY),
+        ("resume", Phase.READY),
+        ("quiesce resume", Phase.READY),
+        ("quiesce away resume", Phase.READY),
+        ("quiesce away quiesce", Phase.AWAY),
+        ("end quiesce", Phase.ENDING),
+        ("quiesce end resume", Phase.ENDING),
+        ("quiesce end away", Phase.ENDING),
+    ],
+)
 def test_the_front_changes_only_in_legal_ways(calls: str, phase: Phase) -> None:
     front = Front()
     for call in calls.split():
@@ -84,4 +95,7 @@
     for status in (200, 200, 503, 429, 504, 500):
         tally.ended("read", status)
     assert (tally.succeeded, tally.declined, tally.aborted) == (
-        {"read": 2, "pay": 0}, {"read": 2, "pay": 0}, {"read": 2, "pay": 0})
+        {"read": 2, "pay": 0},
+        {"read": 2, "pay": 0},
+        {"read": 2, "pay": 0},
+    )
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -15,13 +15,27 @@
 from tests.test_process import config
 
 ROOT = Path(__file__).parent.parent
-OPTIONAL = ("argparse", "tomllib", "lanemux.rehearsal", "lanemux.operators", "lanemux.checked", "lanemux.etcd",
-            "grpclib", "google.protobuf")
+OPTIONAL = (
+    "argparse",
+    "tomllib",
+    "lanemux.rehearsal",
+    "lanemux.operators",
+    "lanemux.checked",
+    "lanemux.etcd",
+    "grpclib",
+    "google.protobuf",
+)
 
 
 def lanemux(*words: str, **variables: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "lanemux", *words], capture_output=True, text=True, cwd=ROOT,
-                          env={"PATH": "/usr/bin:/bin", **variables}, timeout=30)
+    return subprocess.run(
+        [sys.executable, "-m", "lanemux", *words],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={"PATH": "/usr/bin:/bin", **variables},
+        timeout=30,
+    )
 
 
 def faults(tmp_path: Path, text: str) -> list[str]:
@@ -35,18 +49,24 @@
 def test_the_example_is_all_off_and_shows_every_key() -> None:
     example = ROOT / "deploy" / "operators.toml"
     assert load(str(example)) == Operators()
-    shown = [line.removeprefix("# ") for line in example.read_text().splitlines()
-             if line.startswith("# [") or " = " in line.partition("#")[2].partition("#")[0]]
+    shown = [
+        line.removeprefix("# ")
+        for line in example.read_text().splitlines()
+        if line.startswith("# [") or " = " in line.partition("#")[2].partition("#")[0]
+    ]
     table = tomllib.loads("\n".join(shown))
     assert {section: set(keys) for section, keys in table.items()} == {
-        "rehearsal": {"scenarios_directory"}, "etcd": {"endpoints", "prefix", "user", "password_file"},
-        "storm": {"longest_wait_ms", "whole_seconds", "source_part"}, "log": {"level"},
-        "fleet": {"council", "lease_ms"}}
+        "rehearsal": {"scenarios_directory"},
+        "etcd": {"endpoints", "prefix", "user", "password_file"},
+        "storm": {"longest_wait_ms", "whole_seconds", "source_part"},
+        "log": {"level"},
+        "fleet": {"council", "lease_ms"},
+    }
     assert build(Operators, {"storm": table["storm"]}, "example").storm == Storm()  # the defaults are as shown
 
 
 def test_each_fault_of_the_file_is_one_line_with_file_key_and_what_is_allowed(tmp_path: Path) -> None:
-    lines = faults(tmp_path, '[rehearsal]\nscenarios_directory = 4\nspeed = 1\n[warp]\n')
+    lines = faults(tmp_path, "[rehearsal]\nscenarios_directory = 4\nspeed = 1\n[warp]\n")
     assert len(lines) == 3
     assert all(line.startswith(str(tmp_path / "operators.toml")) for line in lines)
     text = "\n".join(lines)
@@ -84,8 +104,7 @@
     assert "at least one IP:PORT" in faults(tmp_path, '[etcd]\nendpoints = []\nprefix = "/a/"\n')[0]
 
 
-def test_a_section_that_needs_an_extra_that_is_missing_says_so(tmp_path: Path,
-                                                              monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_section_that_needs_an_extra_that_is_missing_says_so(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setitem(sys.modules, "grpclib", None)
     monkeypatch.delitem(sys.modules, "grpclib.client", raising=False)
     assert "pip install '.[etcd]'" in faults(tmp_path, '[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/a/"\n')[0]
@@ -108,8 +127,10 @@
     assert lanemux("check").returncode == 2
 
 
-@pytest.mark.parametrize("words", [("--operators", "/nowhere.toml"), ("serve", "--speed"), ("fly",),
-                                   ("check", "--operators", "/nowhere.toml")])
+@pytest.mark.parametrize(
+    "words",
+    [("--operators", "/nowhere.toml"), ("serve", "--speed"), ("fly",), ("check", "--operators", "/nowhere.toml")],
+)
 def test_bad_use_ends_with_status_2_and_a_line(words: tuple[str, ...]) -> None:
     ended = lanemux(*words)
     assert ended.returncode == 2 and ended.stderr
@@ -117,8 +138,16 @@
 
 def test_the_platforms_start_imports_nothing_that_is_optional() -> None:
     # Guards the memory and the start of the daemon: what is switched off must not be loaded.
-    look = ("import sys; sys.argv = ['lanemux']\nfrom lanemux.cli import main\nassert main([]) == 2\n"
-            f"print([m for m in {OPTIONAL!r} if m in sys.modules])")
-    ended = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, cwd=ROOT,
-                           env={"PATH": "/usr/bin:/bin"}, timeout=30)
+    look = (
+        "import sys; sys.argv = ['lanemux']\nfrom lanemux.cli import main\nassert main([]) == 2\n"
+        f"print([m for m in {OPTIONAL!r} if m in sys.modules])"
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", look],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={"PATH": "/usr/bin:/bin"},
+        timeout=30,
+    )
     assert ended.stdout.strip() == "[]" and "RELAY_CONFIG is not set" in ended.stderr
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -59,17 +59,33 @@
 
 
 def test_entries_become_the_modules() -> None:
-    listing = Reader(5).read({"seq": 7, "whole": True, "hosts": [
-        entry("a", 80, site="west", block=3, health="draining", share=0.5, born_ms=2), entry("b", 81)]})
+    listing = Reader(5).read(
+        {
+            "seq": 7,
+            "whole": True,
+            "hosts": [entry("a", 80, site="west", block=3, health="draining", share=0.5, born_ms=2), entry("b", 81)],
+        }
+    )
     by_port = {e.address[1]: e.upstream for e in listing.entries}
     assert by_port[80]._replace(id=1) == api.Upstream(1, api.State.DRAINING, "west", 3, 0.5, 1_999_995, "m")
     assert by_port[81].started_ns == 0 and (listing.version, listing.whole) == (7, True)
 
 
-@pytest.mark.parametrize("row", [
-    entry("a", health="odd"), entry("a", dial="nowhere"), entry("a", dial="h:80"),
-    entry("a", dial="127.0.0.1:99999"), entry("a", dial="x" * 300 + ":80"), entry("a", dial="a\0b:80"),
-    entry("a", born_ms="x"), entry("a", share=10**400), {"host": 3}, 7])
+@pytest.mark.parametrize(
+    "row",
+    [
+        entry("a", health="odd"),
+        entry("a", dial="nowhere"),
+        entry("a", dial="h:80"),
+        entry("a", dial="127.0.0.1:99999"),
+        entry("a", dial="x" * 300 + ":80"),
+        entry("a", dial="a\0b:80"),
+        entry("a", born_ms="x"),
+        entry("a", share=10**400),
+        {"host": 3},
+        7,
+    ],
+)
 def test_a_bad_entry_does_not_hide_the_others(row: object) -> None:
     listing = Reader(0).read({"seq": 1, "whole": False, "hosts": [row, entry("b", 81)]})
     assert [e.address[1] for e in listing.entries] == [81]
@@ -91,8 +107,9 @@
     assert started == HEARD_NS
 
 
-@pytest.mark.parametrize("raw", [3, {}, {"hosts": []}, {"hosts": [], "seq": "1", "whole": True},
-                                 {"hosts": {}, "seq": 1, "whole": True}])
+@pytest.mark.parametrize(
+    "raw", [3, {}, {"hosts": []}, {"hosts": [], "seq": "1", "whole": True}, {"hosts": {}, "seq": 1, "whole": True}]
+)
 def test_what_is_no_list_is_told(raw: object) -> None:
     with pytest.raises(BadList):
         Reader(0).read(raw)
@@ -131,12 +148,14 @@
             registry.change("s9", health="removed")
             await until(lambda: len(script.of(api.ListUpdate)) == 3)
             assert len(client.node._hub.pools) == 1
+
     run(test())
 
 
 @pytest.mark.parametrize(("step", "calls"), [(0, 12), (1, 30)])
 def test_a_discovery_that_answers_at_once_is_not_asked_without_pause(step: int, calls: int) -> None:
     """With its whole list for ever, which is no news (step 0), or with a change each time."""
+
     async def test() -> None:
         registry, script = Registry(), Script()
 
@@ -151,6 +170,7 @@
             assert registry.calls[calls - 1][0] - registry.calls[0][0] > 1.0
             told = len(script.of(api.ListUpdate))
             assert told >= calls - 1  # what it says is taken each time
+
     run(test())
 
 
@@ -173,12 +193,21 @@
             await until(lambda: len(script.of(api.ListUpdate)) == 2)
             assert script.of(api.ListUpdate)[1].upstreams[0].state is api.State.DRAINING
             assert time.monotonic() - registry.calls[0][0] < TOLD_S
+
     run(test())
 
 
-@pytest.mark.parametrize("broken", [
-    written(503), written(200, b"no json"), written(200, b"[]"), written(200, b"[" * 50_000), b"garbage",
-    b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n"])
+@pytest.mark.parametrize(
+    "broken",
+    [
+        written(503),
+        written(200, b"no json"),
+        written(200, b"[]"),
+        written(200, b"[" * 50_000),
+        b"garbage",
+        b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n",
+    ],
+)
 def test_a_discovery_that_fails_costs_nothing_that_is_known(broken: bytes) -> None:
     async def test() -> None:
         registry, script = Registry(), Script()
@@ -190,6 +219,7 @@
             registry.broken = b""
             registry.change("s9", dial="127.0.0.1:9")
             await until(lambda: len(client.node._hub.pools) == 2)
+
     run(test())
 
 
@@ -200,13 +230,17 @@
             registry.change("s0", dial="127.0.0.2:6")
             pool = next(iter(client.node._hub.pools.values()))
             await until(lambda: pool.address == ("127.0.0.2", 6))
+
     run(test())
 
 
 def test_the_module_ends_the_watch_and_fetches_the_whole_list() -> None:
     async def test() -> None:
         steps: dict[str, api.Action] = {
-            "off": api.Subscribe(False), "on": api.Subscribe(True), "fetch": api.FetchList()}
+            "off": api.Subscribe(False),
+            "on": api.Subscribe(True),
+            "fetch": api.FetchList(),
+        }
         registry = Registry()
         script = Script(lambda e: [steps[e.name]] if isinstance(e, api.Wake) else ())
         async with node(script, registry=registry, known_list=known(5)) as client:
@@ -219,6 +253,7 @@
             await until(lambda: len(script.of(api.ListUpdate)) == 2)
             assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL and not client.node._hub.pools
             assert registry.calls[2][1] == "/registry/instances"
+
     run(test())
 
 
@@ -251,6 +286,7 @@
             new.change("s7")
             await until(lambda: len(client.node._hub.pools) == 3)
         new.upstream.stop()
+
     run(test())
 
 
@@ -267,6 +303,7 @@
             new.broken = b""
             await until(lambda: len(client.node._hub.pools) == 1)
         new.upstream.stop()
+
     run(test())
 
 
@@ -284,6 +321,7 @@
             new.broken = b""
             await until(lambda: len(new.calls) > 1 and "after=3" in new.calls[-1][1])
         new.upstream.stop()
+
     run(test())
 
 
@@ -305,4 +343,5 @@
             assert hosts(script) == [client.node.roster.membership.number("s8")]
         for registry in new:
             registry.upstream.stop()
+
     run(test())
--- a/tests/test_mending.py
+++ b/tests/test_mending.py
@@ -28,11 +28,26 @@
     "pay": api.RequestClass("pay", api.Effect.UNSAFE, aim_ns=150 * MS, limit_ns=400 * MS),
 }
 # Where a fault may strike: the whole way of a request, the list, words, timers and the feedback.
-PLACES = ((policy.Fleet, "pick"), (policy.Fleet, "learn"), (policy.Fleet, "heard"), (policy.Fleet, "place"),
-          (policy.Fleet, "bar"), (policy.Crowding, "note"), (policy.Crowding, "expected"), (policy.Crowding, "held"),
-          (policy.Rate, "adjust"), (policy.Throttle, "offer"), (policy.Throttle, "spare"), (policy.Balancer, "_send"),
-          (policy.Balancer, "_refuse"), (policy.Balancer, "_end"), (policy.Balancer, "_again"),
-          (policy.Balancer, "_tell"), (policy.Balancer, "_later"), (policy.Balancer, "_overdue"))
+PLACES = (
+    (policy.Fleet, "pick"),
+    (policy.Fleet, "learn"),
+    (policy.Fleet, "heard"),
+    (policy.Fleet, "place"),
+    (policy.Fleet, "bar"),
+    (policy.Crowding, "note"),
+    (policy.Crowding, "expected"),
+    (policy.Crowding, "held"),
+    (policy.Rate, "adjust"),
+    (policy.Throttle, "offer"),
+    (policy.Throttle, "spare"),
+    (policy.Balancer, "_send"),
+    (policy.Balancer, "_refuse"),
+    (policy.Balancer, "_end"),
+    (policy.Balancer, "_again"),
+    (policy.Balancer, "_tell"),
+    (policy.Balancer, "_later"),
+    (policy.Balancer, "_overdue"),
+)
 
 
 class Broken(Exception):
@@ -199,8 +214,14 @@
         entry = api.Upstream(number, state, started_ns=self.proxy.now if cold else 0)
         self.proxy.take(api.ListKind.DELTA, [entry])
 
-    @rule(peer=st.integers(1, 19), number=st.integers(1, 16), said=st.integers(0, 255), held=st.integers(0, 127),
-          rest=st.integers(0, 255), good=st.booleans())
+    @rule(
+        peer=st.integers(1, 19),
+        number=st.integers(1, 16),
+        said=st.integers(0, 255),
+        held=st.integers(0, 127),
+        rest=st.integers(0, 255),
+        good=st.booleans(),
+    )
     def word(self, peer: int, number: int, said: int, held: int, rest: int, good: bool) -> None:
         data = words.Word(number, said, held, rest * words.REST_STEP_NS, good).data()
         self.proxy.give(api.PeerMessage(peer, data))
@@ -236,9 +257,19 @@
 
 def play(faults: bool, mend: bool = True, examples: int = 40, fixed: bool = True) -> None:
     machine = type("Played", (Histories,), {"faults": faults, "mend": mend})
-    run_state_machine_as_test(machine, settings=budget(
-        max_examples=examples, stateful_step_count=30, deadline=None, derandomize=fixed, database=None,
-        phases=[Phase.generate], report_multiple_bugs=False, suppress_health_check=list(HealthCheck)))
+    run_state_machine_as_test(
+        machine,
+        settings=budget(
+            max_examples=examples,
+            stateful_step_count=30,
+            deadline=None,
+            derandomize=fixed,
+            database=None,
+            phases=[Phase.generate],
+            report_multiple_bugs=False,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
 
 
 @pytest.mark.parametrize("faults", [False, True])
@@ -251,13 +282,17 @@
         play(True, mend=False, examples=400)
 
 
-@pytest.mark.parametrize(("owner", "name", "wrong"), [
-    (policy.Balancer, "_refuse", lambda self, r, now, why: self._end(r, now)),
-    (policy.Fleet, "_forget", lambda self: None),
-    (policy.Balancer, "_changed", lambda self, server: setattr(server, "inflight", max(1, server.inflight))),
-])
-def test_planted_faults_break_an_invariant(owner: type, name: str, wrong: Callable[..., None],
-                                           monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    ("owner", "name", "wrong"),
+    [
+        (policy.Balancer, "_refuse", lambda self, r, now, why: self._end(r, now)),
+        (policy.Fleet, "_forget", lambda self: None),
+        (policy.Balancer, "_changed", lambda self, server: setattr(server, "inflight", max(1, server.inflight))),
+    ],
+)
+def test_planted_faults_break_an_invariant(
+    owner: type, name: str, wrong: Callable[..., None], monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(owner, name, wrong)
     with pytest.raises((AssertionError, RecursionError)):
         play(False)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -21,8 +21,9 @@
 def test_reads_no_clock_and_no_unseeded_chance() -> None:
     text = "\n".join(LINES)
     assert "import time" not in text and "from time" not in text
-    assert not [line for line in LINES if "random." in line and "random.Random" not in line
-                and "rng.random" not in line]
+    assert not [
+        line for line in LINES if "random." in line and "random.Random" not in line and "rng.random" not in line
+    ]
 
 
 def test_readme_example_runs() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -43,13 +43,16 @@
 )
 
 
-def sends_first(script: Script, then: Callable[[api.Event], Iterable[api.Action]] = lambda e: (),
-                timeout_ns: int = 0) -> None:
+def sends_first(
+    script: Script, then: Callable[[api.Event], Iterable[api.Action]] = lambda e: (), timeout_ns: int = 0
+) -> None:
     """Each request goes to the first upstream; what follows its outcome is up to the test."""
+
     def react(event: api.Event) -> Iterable[api.Action]:
         if isinstance(event, api.Arrival):
             return [api.Send(event.request, script.ids()[0], timeout_ns)]
         return then(event)
+
     script.react = react
 
 
@@ -65,10 +68,21 @@
         script = Script()
         sends_first(script)
         async with node(script, upstream) as client:
-            got = await client.ask(request(
-                "/pay/a%20b?x=1&y=%2F", "Idempotency-Key: k1", "Cookie: a=b; user=7f3a", "Req-Owner: acme",
-                "Req-Cost: 1200", "Req-Retry: 1", "Connection: x-hop", "X-Hop: 1", method="POST",
-                body=b"\x01body", name="9b1f03aa"))
+            got = await client.ask(
+                request(
+                    "/pay/a%20b?x=1&y=%2F",
+                    "Idempotency-Key: k1",
+                    "Cookie: a=b; user=7f3a",
+                    "Req-Owner: acme",
+                    "Req-Cost: 1200",
+                    "Req-Retry: 1",
+                    "Connection: x-hop",
+                    "X-Hop: 1",
+                    method="POST",
+                    body=b"\x01body",
+                    name="9b1f03aa",
+                )
+            )
             assert (got.status, got.body) == (200, b"\x00quote\r\n")
             assert got.headers["content-type"] == "x/y" and "srv-load" not in got.headers
             seen = upstream.got[0]
@@ -83,6 +97,7 @@
         outcome = script.of(api.Outcome)[0]
         assert (outcome.result, outcome.attempt, outcome.complete) == (Result.OK, 0, True)
         assert outcome.took_ns > 0
+
     run(test())
 
 
@@ -93,6 +108,7 @@
             for _ in range(3):
                 assert (await client.ask(request())).status == 200
         assert sum(g.first.startswith("GET /read") for g in upstream.got) == 3
+
     run(test())
 
 
@@ -104,30 +120,41 @@
             got = await client.ask(request())
             assert got.status == 503 and got.headers["retry-after"] == "0.437"
             assert time.monotonic() - begun < 2.5  # of the five seconds that the client would wait
+
     run(test())
 
 
 DECLINED = "Srv-Declined: 1"
 
 
-@pytest.mark.parametrize(("answer", "result"), [
-    (answers(200, b"x"), Result.OK), (answers(500), Result.ERROR), (answers(503, b"", DECLINED), Result.FULL),
-    (answers(504, b"", DECLINED), Result.FULL), (answers(503), Result.ERROR), (answers(404), Result.ERROR),
-    (answers(500, b"", DECLINED), Result.ERROR), (breaks, Result.RESET), (sends_raw(b"no http\r\n"),
-                                                                         Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nhalf", close=True), Result.RESET),
-    (answers(200, b"x" * 400_000), Result.OK), (answers(200, b"x" * (1024 * 1024 + 1)), Result.OK),
-    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 67108865\r\n\r\nabc"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 500 X\r\nContent-Length: 1048577\r\n\r\nabc"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\nabc"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nab"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: -1\r\n\r\nab"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\nzz\r\n"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\na"), Result.RESET),
-    (sends_raw(b"ICY 200 OK\r\nContent-Length: 1\r\n\r\na"), Result.RESET),
-    (sends_raw(b"HTTP/1.1 200 X\r\n" + b"X: y\r\n" * 4000), Result.RESET),
-    (sends_raw(b"HTTP/1.1 102 X\r\n\r\n" * 17 + written(200)), Result.RESET)])
+@pytest.mark.parametrize(
+    ("answer", "result"),
+    [
+        (answers(200, b"x"), Result.OK),
+        (answers(500), Result.ERROR),
+        (answers(503, b"", DECLINED), Result.FULL),
+        (answers(504, b"", DECLINED), Result.FULL),
+        (answers(503), Result.ERROR),
+        (answers(404), Result.ERROR),
+        (answers(500, b"", DECLINED), Result.ERROR),
+        (breaks, Result.RESET),
+        (sends_raw(b"no http\r\n"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nhalf", close=True), Result.RESET),
+        (answers(200, b"x" * 400_000), Result.OK),
+        (answers(200, b"x" * (1024 * 1024 + 1)), Result.OK),
+        (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 67108865\r\n\r\nabc"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 500 X\r\nContent-Length: 1048577\r\n\r\nabc"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\nabc"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nab"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\nContent-Length: -1\r\n\r\nab"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\nzz\r\n"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\na"), Result.RESET),
+        (sends_raw(b"ICY 200 OK\r\nContent-Length: 1\r\n\r\na"), Result.RESET),
+        (sends_raw(b"HTTP/1.1 200 X\r\n" + b"X: y\r\n" * 4000), Result.RESET),
+        (sends_raw(b"HTTP/1.1 102 X\r\n\r\n" * 17 + written(200)), Result.RESET),
+    ],
+)
 def test_what_comes_back_is_the_outcome(answer: Answer, result: Result) -> None:
     async def test() -> None:
         upstream = await Upstream(answer).start()
@@ -138,6 +165,7 @@
             assert got.status == (200 if result is Result.OK else 504)
             assert [o.result for o in script.of(api.Outcome)] == [result]
             assert len(upstream.got) == 1  # nothing is sent again by itself
+
     run(test())
 
 
@@ -152,6 +180,7 @@
                 assert (await client.ask(request())).body == b"mine"
                 assert upstream.opened == len(upstream.got) == number and not client.node._hub.idle
             assert [o.result for o in script.of(api.Outcome)] == [Result.OK] * 2
+
     run(test())
 
 
@@ -171,12 +200,22 @@
                 got = await client.ask(request())
                 assert (got.status, got.body) == (200, b"it") and "link" not in got.headers
             assert upstream.opened == 1
+
     run(test())
 
 
-@pytest.mark.parametrize(("report", "heard"), [
-    ("1" + "0" * 400, None), ("[" * 10_000, None), ('{"inflight":1' + "0" * 400 + "}", {}), ("{", None),
-    ('{"inflight":-3,"queue":2}', {"queue": 2.0}), ('{"inflight":1e400,"queue":true}', {}), ("3", None)])
+@pytest.mark.parametrize(
+    ("report", "heard"),
+    [
+        ("1" + "0" * 400, None),
+        ("[" * 10_000, None),
+        ('{"inflight":1' + "0" * 400 + "}", {}),
+        ("{", None),
+        ('{"inflight":-3,"queue":2}', {"queue": 2.0}),
+        ('{"inflight":1e400,"queue":true}', {}),
+        ("3", None),
+    ],
+)
 def test_a_load_report_that_cannot_be_read_costs_nothing_else(report: str, heard: object) -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200, b"it", f"Srv-Load: {report}")).start()
@@ -187,6 +226,7 @@
                 assert (await client.ask(request())).body == b"it"
                 await until(lambda number=number: len(script.of(api.Outcome)) == number)  # type: ignore[misc]
             assert [(o.result, o.report) for o in script.of(api.Outcome)] == [(Result.OK, heard)] * 2
+
     run(test())
 
 
@@ -201,11 +241,13 @@
             sends_first(script)
             await client.send(request())
             await until(lambda: any("/read" in got.first for got in upstream.got))
+
     run(test())
 
 
 def test_nothing_is_out_or_begun_once_a_node_is_closed() -> None:
     """Storm seed 880186: a look at a box was coming up when the drain's end came, and outlived it."""
+
     async def test() -> None:
         upstream = await Upstream(silent).start()
         sent: list[str] = []
@@ -226,6 +268,7 @@
             client.node.close()
             await client.node._hub.stopped()
             assert len(sent) == 1 and not client.node.held()["probes"] and not client.node._hub.open
+
     run(test())
 
 
@@ -252,6 +295,7 @@
             asyncio.get_running_loop().call_later(0.1, release.set)
             assert (await late.read()).body == b"it"
             await draining
+
     run(test())
 
 
@@ -284,6 +328,7 @@
             mine.resume_reading()
             assert (await client.read()).body == body
             await draining
+
     run(test())
 
 
@@ -296,6 +341,7 @@
         async with node(script, upstream) as client:
             assert (await client.ask(request())).status == 504
             assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
+
     run(test())
 
 
@@ -309,6 +355,7 @@
             hold_connections(monkeypatch, asyncio.Event())
             assert (await client.read()).status == 504
             assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
+
     run(test())
 
 
@@ -332,6 +379,7 @@
             await until(lambda: ended)
             assert ended == [Result.CONNECT_FAILED]
         server.close()
+
     run(test())
 
 
@@ -360,8 +408,8 @@
             assert (await client.ask(request())).body == b"fresh"
             assert upstream.opened == 2
             await until(lambda: upstream.closed == 1)
-            assert [(o.result, o.attempt) for o in script.of(api.Outcome)] == [
-                (Result.TIMEOUT, 0), (Result.OK, 1)]
+            assert [(o.result, o.attempt) for o in script.of(api.Outcome)] == [(Result.TIMEOUT, 0), (Result.OK, 1)]
+
     run(test())
 
 
@@ -388,6 +436,7 @@
                 assert (await client.read()).status == 504
                 assert ended == [b""]
             accepted[0].close()
+
     run(test())
 
 
@@ -403,6 +452,7 @@
             assert (await client.read()).status == 504
             await until(lambda: upstream.closed == 1)
             assert [o.result for o in script.of(api.Outcome)] == [Result.CANCELLED]
+
     run(test())
 
 
@@ -417,6 +467,7 @@
             assert (await client.ask(request())).status == 200
         async with node(script, upstream) as client:
             assert (await client.ask(ready)).status == 200
+
     run(test())
 
 
@@ -444,6 +495,7 @@
             assert outcomes == {(1, Result.MOOT, False), (0, Result.CANCELLED, True), (0, Result.MOOT, True)}
             assert len(upstream.got) == 1 and script.deepest == 1
             assert (await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n")).status == 200  # one answer only
+
     run(test())
 
 
@@ -460,6 +512,7 @@
             assert script.of(api.ClientGone) == [api.ClientGone("1")]
             assert [(o.result, o.complete) for o in script.of(api.Outcome)] == [(Result.CANCELLED, True)]
             assert not client.node._calls and not client.node._by_client
+
     run(test())
 
 
@@ -471,6 +524,7 @@
             assert (await client.ask(request(deadline_ms=80))).status == 504
             assert time.monotonic() - begun > 0.05
             assert script.of(api.ClientGone) == [api.ClientGone("1")]
+
     run(test())
 
 
@@ -494,6 +548,7 @@
             assert [o.result for o in script.of(api.Outcome)] == [Result.TIMEOUT]
             await until(lambda: script.of(api.Wake))
             assert not script.of(api.ClientGone)
+
     run(test())
 
 
@@ -507,6 +562,7 @@
         async with node(Script(react)) as client:
             assert (await client.ask(request(deadline_ms=50))).status == 504
             assert (await client.ask(request())).status == 504
+
     run(test())
 
 
@@ -533,7 +589,8 @@
 
 @pytest.mark.parametrize("health", ["draining", "removed"])
 def test_a_send_that_waits_for_its_connection_is_called_off_by_a_drain(
-        monkeypatch: pytest.MonkeyPatch, health: str) -> None:
+    monkeypatch: pytest.MonkeyPatch, health: str
+) -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
         script = Script()
@@ -550,11 +607,13 @@
             assert (await client.ask(request())).status == 504  # nor does a new one go there
             assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT] * 2
             assert not upstream.got
+
     run(test())
 
 
 def test_a_send_that_waits_for_its_connection_is_called_off_when_its_upstream_moves(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # Guards against a host that is made anew elsewhere: whatever listens at its old address is another's.
     async def test() -> None:
         old, new = await Upstream(answers(200)).start(), await Upstream(answers(200)).start()
@@ -572,11 +631,13 @@
             assert (await client.ask(request())).status == 200
             assert len(new.got) == 1 and not old.got
             new.stop()
+
     run(test())
 
 
 def test_a_connection_whose_upstream_moved_while_a_request_was_out_is_not_used_again() -> None:
     """Found by seed 1345: the next request went to where the upstream had been, to another one that drained."""
+
     async def test() -> None:
         answer = asyncio.Event()
 
@@ -597,6 +658,7 @@
             assert (await client.ask(request())).status == 200
             assert len(old.got) == len(new.got) == 1
             new.stop()
+
     run(test())
 
 
@@ -613,6 +675,7 @@
                     pool = next(iter(client.node._hub.pools.values()))
                     pool.idle[0].idle_since -= 12.5  # as if it had stood for so long
             await until(lambda: upstream.closed == 1)
+
     run(test())
 
 
@@ -632,6 +695,7 @@
             assert not ended
             await until(lambda: ended)
             assert ended == [Result.OK] and upstream.opened == 2
+
     run(test())
 
 
@@ -652,6 +716,7 @@
             for other in others:
                 other.close()
             await until(lambda: client.node._hub.open == 0)
+
     run(test())
 
 
@@ -670,6 +735,7 @@
                 assert (await client.ask(request())).status == 200
                 assert len(upstream.got) == 1 and client.node._hub.open == 1
             await until(lambda: first.closed == 1)
+
     run(test())
 
 
@@ -696,8 +762,14 @@
             client.node.feed(api.Wake("now"))
         assert upstream.got[0].first == "GET /stats HTTP/1.1" and upstream.opened == 1
         results = [(p.result, p.report) for p in script.of(api.ProbeResult)]
-        assert results == [(Result.OK, {"inflight": 3.0, "queue": 1.0}), (Result.FULL, None),
-                           (Result.OK, None), (Result.OK, {}), (Result.CONNECT_FAILED, None)]
+        assert results == [
+            (Result.OK, {"inflight": 3.0, "queue": 1.0}),
+            (Result.FULL, None),
+            (Result.OK, None),
+            (Result.OK, {}),
+            (Result.CONNECT_FAILED, None),
+        ]
+
     run(test())
 
 
@@ -707,37 +779,53 @@
         async with node(script) as client:
             client.node.feed(api.Wake("first"))
             await until(lambda: api.Wake("next") in script.events)
+
     run(test())
 
 
 def test_balancers_hear_each_other() -> None:
     async def test() -> None:
-        free = [await asyncio.get_running_loop().create_datagram_endpoint(
-            asyncio.DatagramProtocol, (HOST, 0)) for _ in range(2)]
+        free = [
+            await asyncio.get_running_loop().create_datagram_endpoint(asyncio.DatagramProtocol, (HOST, 0))
+            for _ in range(2)
+        ]
         addresses = [transport.get_extra_info("sockname") for transport, _ in free]
         for transport, _ in free:
             transport.close()
         await asyncio.sleep(0)
         scripts, nodes = [Script(), Script()], []
         for i, script in enumerate(scripts):
-            config = Config(f"n{i}", (HOST, 0), (HOST, 1), i, 1024, api.Settings(me=i, replicas_of_me=2),
-                            peer_listen=addresses[i], peers=addresses, peers_all=addresses[1])
+            config = Config(
+                f"n{i}",
+                (HOST, 0),
+                (HOST, 1),
+                i,
+                1024,
+                api.Settings(me=i, replicas_of_me=2),
+                peer_listen=addresses[i],
+                peers=addresses,
+                peers_all=addresses[1],
+            )
             nodes.append(Node(config, script))
             await nodes[-1].start()
         more = [api.Tell(b"of nobody's kind", 1)]  # what only a later version reads
-        scripts[0].react = lambda e: [api.Tell(b"for one", 1), api.Tell(b"for all"), api.Tell(b"no word", 9),
-                                      api.Tell(b"x" * 259), *more] if isinstance(e, api.Wake) else ()
+        scripts[0].react = lambda e: (
+            [api.Tell(b"for one", 1), api.Tell(b"for all"), api.Tell(b"no word", 9), api.Tell(b"x" * 259), *more]
+            if isinstance(e, api.Wake)
+            else ()
+        )
         nodes[0].feed(api.Wake("now"))
         await until(lambda: len(scripts[1].of(api.PeerMessage)) == 2)
-        assert set(scripts[1].of(api.PeerMessage)) == {api.PeerMessage(0, b"for one"),
-                                                          api.PeerMessage(0, b"for all")}
+        assert set(scripts[1].of(api.PeerMessage)) == {api.PeerMessage(0, b"for one"), api.PeerMessage(0, b"for all")}
         for n in nodes:
             n.close()
+
     run(test())
 
 
 def test_requests_that_wait_behind_a_standstill_at_the_end_of_a_drain_are_answered() -> None:
     """More connections than one turn accepts came up while the process stood still past its last accept."""
+
     async def test() -> None:
         upstream = await Upstream(answers(200, b"it")).start()
         script = Script()
@@ -754,6 +842,7 @@
                 caller.settimeout(5)
                 assert caller.recv(100).startswith(b"HTTP/1.1 200")
                 caller.close()
+
     run(test())
 
 
@@ -785,4 +874,5 @@
             assert last.kind is api.ListKind.FULL and [u.id for u in last.upstreams] == script.ids()
             assert caplog.text.count("the module failed") == 1  # of faults that follow each other one is told
             waiting.close()
+
     run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -34,19 +34,29 @@
 )
 
 READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
-SETTINGS = {"profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 3_000_000_000}],
-            "limits": {"send_cap": 2, "retry_after": True}}
+SETTINGS = {
+    "profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 3_000_000_000}],
+    "limits": {"send_cap": 2, "retry_after": True},
+}
 
 
 def config(*upstreams: int, **changes: object) -> dict[str, object]:
-    return {"name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:1", "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": 1024}, "known": known(*upstreams), "settings": SETTINGS, **changes}
+    return {
+        "name": "n0",
+        "listen": f"{HOST}:0",
+        "discovery": f"{HOST}:1",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 1024},
+        "known": known(*upstreams),
+        "settings": SETTINGS,
+        **changes,
+    }
 
 
 @asynccontextmanager
-async def program(folder: Path, *upstreams: int,
-                  descriptors: int = 1024, operators: Path | None = None,
-                  **limits: float) -> AsyncIterator[tuple[Process, int]]:
+async def program(
+    folder: Path, *upstreams: int, descriptors: int = 1024, operators: Path | None = None, **limits: float
+) -> AsyncIterator[tuple[Process, int]]:
     """The running program and its port."""
     path = folder / "config.json"
     path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits})))
@@ -55,8 +65,13 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lanemux", stderr=PIPE, preexec_fn=limit,
-        env={**os.environ, "RELAY_CONFIG": str(path), "LANEMUX_OPERATORS": str(operators or "")})
+        sys.executable,
+        "-m",
+        "lanemux",
+        stderr=PIPE,
+        preexec_fn=limit,
+        env={**os.environ, "RELAY_CONFIG": str(path), "LANEMUX_OPERATORS": str(operators or "")},
+    )
     assert process.stderr is not None
     try:
         line = b""
@@ -90,6 +105,7 @@
                 if b" standing " in line:
                     told = json.loads(line.partition(b" standing ")[2])
             assert told["refused"] == {"waited": 1} and told["rate"] > 0
+
     run(test())
 
 
@@ -123,6 +139,7 @@
             idle_writer.close()
         upstream.stop()
         second.stop()
+
     run(test())
 
 
@@ -135,11 +152,13 @@
                 assert got.status == 503
                 assert (await ask(port, request())).status == 200  # it serves all the same
         upstream.stop()
+
     run(test())
 
 
-@pytest.mark.parametrize(("cores", "spent_s", "rest"), [
-    (0.0, 0.1, 0.0), (0.5, 0.1, 0.2 + STOP_LATE_S), (0.01, 0.1, REST_MAX_S)])
+@pytest.mark.parametrize(
+    ("cores", "spent_s", "rest"), [(0.0, 0.1, 0.0), (0.5, 0.1, 0.2 + STOP_LATE_S), (0.01, 0.1, REST_MAX_S)]
+)
 def test_the_rest_pays_for_the_start(cores: float, spent_s: float, rest: float) -> None:
     assert rest_s(cores, spent_s) == pytest.approx(rest)
 
@@ -170,6 +189,7 @@
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
         for server in (upstream, *(r.upstream for r in registries)):
             server.stop()
+
     run(test())
 
 
@@ -184,23 +204,39 @@
             answered = [(await ask(port, request())).status for _ in range(3)]
             assert answered == [200] * 3 and process.returncode is None
         upstream.stop()
+
     run(test())
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    (None, "No such file"), ("{", "Expecting"), ("[]", ""), ("{}", "'name' is missing"),
-    (json.dumps(config(1, listen="nowhere")), "no address"), (json.dumps(config(1, settings=3)), "")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (None, "No such file"),
+        ("{", "Expecting"),
+        ("[]", ""),
+        ("{}", "'name' is missing"),
+        (json.dumps(config(1, listen="nowhere")), "no address"),
+        (json.dumps(config(1, settings=3)), ""),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, says: str) -> None:
     path = tmp_path / "config.json"
     if text is not None:
         path.write_text(text)
-    done = subprocess.run([sys.executable, "-m", "lanemux"], capture_output=True, text=True, check=False,
-                          timeout=60, env={**os.environ, "RELAY_CONFIG": str(path)})
+    done = subprocess.run(
+        [sys.executable, "-m", "lanemux"],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+        env={**os.environ, "RELAY_CONFIG": str(path)},
+    )
     assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
 
 
 def test_no_configuration_is_told() -> None:
     env = {k: v for k, v in os.environ.items() if k != "RELAY_CONFIG"}
-    done = subprocess.run([sys.executable, "-m", "lanemux"], capture_output=True, text=True, check=False,
-                          timeout=60, env=env)
+    done = subprocess.run(
+        [sys.executable, "-m", "lanemux"], capture_output=True, text=True, check=False, timeout=60, env=env
+    )
     assert done.returncode == 2 and done.stderr == "lanemux: RELAY_CONFIG is not set\n"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -47,8 +47,7 @@
 
 def test_all_draining_is_refused_in_time() -> None:
     desk = Desk()
-    desk.give(api.ListUpdate(api.ListKind.DELTA, [u._replace(state=api.State.DRAINING)
-                                                  for u in upstreams(6)]))
+    desk.give(api.ListUpdate(api.ListKind.DELTA, [u._replace(state=api.State.DRAINING) for u in upstreams(6)]))
     desk.give(arrival(1, desk.now, PAY))
     desk.advance(600 * MS)
     assert desk.answer["r1"] == "refused" and "r1" not in desk.sends
@@ -103,10 +102,10 @@
     assert desk.answer["rnear"] == "refused"
 
 
-@pytest.mark.parametrize(("cls", "unproven", "answer"), [
-    (PAY, True, "failed"), (CELL, True, None), (PAY, False, None), (READ, True, None)])
-def test_full_is_proof_only_where_it_is_said_to_be(cls: api.RequestClass, unproven: bool,
-                                                   answer: str | None) -> None:
+@pytest.mark.parametrize(
+    ("cls", "unproven", "answer"), [(PAY, True, "failed"), (CELL, True, None), (PAY, False, None), (READ, True, None)]
+)
+def test_full_is_proof_only_where_it_is_said_to_be(cls: api.RequestClass, unproven: bool, answer: str | None) -> None:
     # Guards against a second effect where upstreams also drop what they had begun.
     desk = Desk(settings(rules=api.Rules(cold_ns=4 * SECOND, full_unproven=unproven)))
     desk.give(arrival(1, desk.now, cls))
@@ -149,8 +148,7 @@
 
 def test_drained_upstream_gets_nothing_new() -> None:
     desk = Desk()
-    desk.give(api.ListUpdate(api.ListKind.DELTA, [u._replace(state=api.State.DRAINING)
-                                                  for u in upstreams(5)]))
+    desk.give(api.ListUpdate(api.ListKind.DELTA, [u._replace(state=api.State.DRAINING) for u in upstreams(5)]))
     for i in range(20):
         desk.give(arrival(i, desk.now))
         desk.advance(20 * MS)
@@ -271,8 +269,11 @@
     for server in fleet.servers.values():
         for _ in range(20):
             fleet.ends(server, False)
-    return {number for number, count in breaks.items()
-            if [fleet.ends(fleet.servers[number], True) for _ in range(count)][-1]}
+    return {
+        number
+        for number, count in breaks.items()
+        if [fleet.ends(fleet.servers[number], True) for _ in range(count)][-1]
+    }
 
 
 def test_a_break_counts_by_how_far_it_sets_its_upstream_apart() -> None:
@@ -302,7 +303,7 @@
     for me in range(10):
         b = Balancer(settings(me=me, replicas_of_me=10), 1, START)
         b.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(100))])
-        homes += [s.id for s in b.fleet.any.reach[:b.fleet.any.home]]
+        homes += [s.id for s in b.fleet.any.reach[: b.fleet.any.home]]
     assert sorted(homes) == list(range(1, 101))
 
 
@@ -325,7 +326,6 @@
     assert desk.balancer.crowding.limit == 1
 
 
-
 def test_the_first_answers_count_more() -> None:
     # Incident i530c5f: with two requests a second, what a request takes was known only after many seconds.
     desk = Desk()
@@ -336,7 +336,6 @@
     assert abs(desk.balancer.crowding.each - 100 * MS) < 10 * MS
 
 
-
 def test_client_gone_ends_the_request() -> None:
     desk = Desk()
     desk.give(arrival(1, desk.now), api.ClientGone("r1"), api.ClientGone("r1"), api.ClientGone("unknown"))
@@ -388,8 +387,10 @@
     desk.give(arrival(1, desk.now, tenant=""))
     desk.finish("r1")
     b = Balancer(api.Settings(), 1, START)
-    b.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(2)),
-                     api.Arrival("x", "never-named", "nobody", START + SECOND)])
+    b.handle(
+        START,
+        [api.ListUpdate(api.ListKind.FULL, upstreams(2)), api.Arrival("x", "never-named", "nobody", START + SECOND)],
+    )
 
 
 def test_retry_after_is_jittered() -> None:
@@ -407,19 +408,34 @@
 @given(st.integers(0, 10**6), st.booleans(), st.booleans(), st.integers(1, 9))
 def test_random_days_keep_the_rules(seed: int, copies: bool, push: bool, servers: int) -> None:
     rng = random.Random(seed)
-    limits = api.Limits(max_attempts=rng.choice([1, 2, 3, 5]), second_copies=copies,
-                        may_cancel=rng.random() < 0.7, retry_after=True, probes=True, peers=True)
+    limits = api.Limits(
+        max_attempts=rng.choice([1, 2, 3, 5]),
+        second_copies=copies,
+        may_cancel=rng.random() < 0.7,
+        retry_after=True,
+        probes=True,
+        peers=True,
+    )
     rules = api.Rules(cold_ns=4 * SECOND, full_unproven=rng.random() < 0.5)
-    desk = Desk(settings(limits=limits, discovery_push=push, replicas_of_me=rng.choice([1, 3, 40]),
-                         rules=rules), seed, 0)
+    desk = Desk(
+        settings(limits=limits, discovery_push=push, replicas_of_me=rng.choice([1, 3, 40]), rules=rules), seed, 0
+    )
     pool = mixed_fleet(servers)
     desk.give(api.ListUpdate(api.ListKind.CACHED, pool))
     for number in range(rng.randint(5, 120)):
         for _ in range(rng.choice([0, 1, 1, 2, 12])):
             cls = rng.choice([READ, PAY, CELL, ANY, NEAR, BIG])
             ident = f"{number}-{rng.random()}"
-            desk.give(arrival(ident, desk.now, cls, rng.choice(["ash", "birch"]),
-                              rng.choice([2, 40, 300, 900]) * MS, rng.random() < 0.2))
+            desk.give(
+                arrival(
+                    ident,
+                    desk.now,
+                    cls,
+                    rng.choice(["ash", "birch"]),
+                    rng.choice([2, 40, 300, 900]) * MS,
+                    rng.random() < 0.2,
+                )
+            )
         for request, attempt in desk.out():
             if rng.random() < 0.4:
                 desk.give(desk.result(request, attempt, rng.choice(RESULTS)))
@@ -441,10 +457,9 @@
 
 
 def near_home(zone: str, me: int, proxies: int, prices: api.Prices, servers: int = 24) -> list[api.Upstream]:
-    b = Balancer(settings(me=me, replicas_of_me=proxies, zone=zone, zones=("east", "west"), prices=prices),
-                 1, START)
+    b = Balancer(settings(me=me, replicas_of_me=proxies, zone=zone, zones=("east", "west"), prices=prices), 1, START)
     b.handle(START, [api.ListUpdate(api.ListKind.FULL, mixed_fleet(servers))])
-    return [s.entry for s in b.fleet.any.reach[:b.fleet.any.home]]
+    return [s.entry for s in b.fleet.any.reach[: b.fleet.any.home]]
 
 
 def test_home_is_small_and_near_where_connections_have_a_price() -> None:
@@ -535,9 +550,16 @@
     desk.give(arrival(1, desk.now))
     sent = desk.sends["r1"][0][0].id
     balancer, good = desk.balancer, desk.result("r1", 0, api.Result.OK)
-    balancer.handle(desk.now, [good._replace(attempt=3), good._replace(attempt=-1),
-                               good._replace(upstream=99), good._replace(upstream=3 - sent),
-                               arrival(1, desk.now)])
+    balancer.handle(
+        desk.now,
+        [
+            good._replace(attempt=3),
+            good._replace(attempt=-1),
+            good._replace(upstream=99),
+            good._replace(upstream=3 - sent),
+            arrival(1, desk.now),
+        ],
+    )
     assert balancer.fleet.servers[sent].inflight == 1 and len(balancer.requests) == 1
     desk.give(good)
     assert balancer.fleet.servers[sent].inflight == 0 and not balancer.requests
