--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -13,8 +13,20 @@
 SEAMS = {"core/system.py"}  # the only module that touches the machine itself
 # Starts the process: reads the environment, and has no loop yet.
 STARTERS = {"net/daemon.py": {"os", "signal"}}
-BARRED = {"time", "socket", "select", "selectors", "threading", "subprocess", "os", "signal", "datetime", "pathlib",
-          "secrets", "uuid"}
+BARRED = {
+    "time",
+    "socket",
+    "select",
+    "selectors",
+    "threading",
+    "subprocess",
+    "os",
+    "signal",
+    "datetime",
+    "pathlib",
+    "secrets",
+    "uuid",
+}
 CHANCE = {"Random"}  # a generator that is handed its seed; all else of `random` draws from the process's own
 
 
@@ -29,8 +41,12 @@
     if name in SEAMS:
         return found
     tree = ast.parse(text)
-    typing_only = {n for node in ast.walk(tree) if isinstance(node, ast.If) and "TYPE_CHECKING" in ast.dump(node.test)
-                   for n in ast.walk(node)}
+    typing_only = {
+        n
+        for node in ast.walk(tree)
+        if isinstance(node, ast.If) and "TYPE_CHECKING" in ast.dump(node.test)
+        for n in ast.walk(node)
+    }
     for node in ast.walk(tree):
         if node in typing_only:
             continue
@@ -61,9 +77,19 @@
     assert [f for p in modules for f in faults(p.read_text(), p.relative_to(ROOT).as_posix())] == []
 
 
-@pytest.mark.parametrize("text", [
-    "import time", "from time import monotonic", "import socket", "def f():\n    import os",
-    "import random\nrandom.random()", "from random import choice", "import random\nr = random.Random()",
-    "open('x')", "import asyncio, selectors"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "import time",
+        "from time import monotonic",
+        "import socket",
+        "def f():\n    import os",
+        "import random\nrandom.random()",
+        "from random import choice",
+        "import random\nr = random.Random()",
+        "open('x')",
+        "import asyncio, selectors",
+    ],
+)
 def test_each_way_past_the_seams_is_found(text: str) -> None:
     assert len(faults(text, "net/x.py")) == 1
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -21,21 +21,27 @@
     return [api.Fail(event.request)] if isinstance(event, api.Arrival) else ()
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"nonsense\r\n\r\n", 400), (b"GET /read HTTP/1.1\r\nbad header\r\n\r\n", 400),
-    (b"POST /pay HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-    (b"GET /read HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nyz", 400),
-    (request("/pay", method="POST", body=b"x" * (64 * 1024 + 1)), 413),
-    (request("/pay", "Content-Length: 60000000", method="POST"), 413),
-    (request("/pay", "Content-Length: 3", "Content-Length: 3", method="POST") + b"abc", 400),
-    (request("/pay", "Content-Length: 3", "Transfer-Encoding: chunked", method="POST") + b"0\r\n\r\n", 400),
-    (request("/pay", "Transfer-Encoding: gzip, chunked", method="POST") + b"0\r\n\r\n", 400),
-    (request("/pay", "Transfer-Encoding: identity", method="POST") + b"abc", 400),
-    (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"zz\r\n", 400),
-    (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"1;" + b"x" * 600_000, 413),
-    (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"0\r\n" + b"T: x\r\n" * 4000, 431),
-    (request("/read", "X: " + "x" * 20_000), 431), (b"GET /read\r\n\r\n", 400),
-    (b"GET /read HTTP/1.1\r\nX: " + b"x" * 20_000, 431)])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nbad header\r\n\r\n", 400),
+        (b"POST /pay HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nyz", 400),
+        (request("/pay", method="POST", body=b"x" * (64 * 1024 + 1)), 413),
+        (request("/pay", "Content-Length: 60000000", method="POST"), 413),
+        (request("/pay", "Content-Length: 3", "Content-Length: 3", method="POST") + b"abc", 400),
+        (request("/pay", "Content-Length: 3", "Transfer-Encoding: chunked", method="POST") + b"0\r\n\r\n", 400),
+        (request("/pay", "Transfer-Encoding: gzip, chunked", method="POST") + b"0\r\n\r\n", 400),
+        (request("/pay", "Transfer-Encoding: identity", method="POST") + b"abc", 400),
+        (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"zz\r\n", 400),
+        (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"1;" + b"x" * 600_000, 413),
+        (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"0\r\n" + b"T: x\r\n" * 4000, 431),
+        (request("/read", "X: " + "x" * 20_000), 431),
+        (b"GET /read\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nX: " + b"x" * 20_000, 431),
+    ],
+)
 def test_what_cannot_be_read_is_answered_and_the_connection_closed(data: bytes, status: int) -> None:
     async def test() -> None:
         script = Script(fails_all)
@@ -45,15 +51,27 @@
             assert await client.closed()
             assert not script.of(api.Arrival)
             assert (await client.another().ask(READY)).status == 200
+
     run(test())
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (request("/strange"), 400), (request("/"), 400), (request(deadline_ms=None), 400),
-    (request(deadline_ms=0), 400), (request("/read", "Req-Deadline-Ms: soon", deadline_ms=None), 400),
-    (b"GET /read HTTP/1.1\r\nReq-Deadline-Ms: 9\r\n\r\n", 400), (request(method="DELETE"), 405),
-    (request(method="POST"), 405), (request("/pay"), 405), (request(body=b"abc"), 400),
-    (request("/read?x#y"), 400), (request("/read", "Req-Id: another"), 400)])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request("/strange"), 400),
+        (request("/"), 400),
+        (request(deadline_ms=None), 400),
+        (request(deadline_ms=0), 400),
+        (request("/read", "Req-Deadline-Ms: soon", deadline_ms=None), 400),
+        (b"GET /read HTTP/1.1\r\nReq-Deadline-Ms: 9\r\n\r\n", 400),
+        (request(method="DELETE"), 405),
+        (request(method="POST"), 405),
+        (request("/pay"), 405),
+        (request(body=b"abc"), 400),
+        (request("/read?x#y"), 400),
+        (request("/read", "Req-Id: another"), 400),
+    ],
+)
 def test_what_cannot_be_understood_is_answered_and_the_connection_kept(data: bytes, status: int) -> None:
     async def test() -> None:
         script = Script(fails_all)
@@ -61,6 +79,7 @@
             assert (await client.ask(data)).status == status
             assert not script.of(api.Arrival)
             assert (await client.ask(READY)).status == 200
+
     run(test())
 
 
@@ -68,6 +87,7 @@
     async def test() -> None:
         async with node(Script(fails_all)) as client:
             assert (await client.ask(request("/pay", method="POST", body=b"x" * 64 * 1024))).status == 504
+
     run(test())
 
 
@@ -78,6 +98,7 @@
             await until(lambda: client.node._calls)
             got = await client.another().ask(request())
             assert got.status == 503 and float(got.headers["retry-after"]) > 0
+
     run(test())
 
 
@@ -95,6 +116,7 @@
             assert await client.closed()
             assert len(script.of(api.Arrival)) == len(script.of(api.ClientGone)) == apart
             assert not client.node._calls and not client.node._ids
+
     run(test())
 
 
@@ -103,6 +125,7 @@
         async with node(Script(fails_all)) as client:
             for _ in range(2):
                 assert (await client.ask(request() + b"\r\n")).status == 504
+
     run(test())
 
 
@@ -124,6 +147,7 @@
             assert transport.get_write_buffer_size() < 8192
             mine.resume_reading()
             await until(transport.is_reading)
+
     run(test())
 
 
@@ -137,9 +161,10 @@
         member.since -= seconds
 
 
-@pytest.mark.parametrize(("data", "answer"), [
-    (b"", b""), (b"GET /re", b"HTTP/1.1 408 "),
-    (request("/pay", method="POST", body=b"abc")[:-1], b"HTTP/1.1 408 ")])
+@pytest.mark.parametrize(
+    ("data", "answer"),
+    [(b"", b""), (b"GET /re", b"HTTP/1.1 408 "), (request("/pay", method="POST", body=b"abc")[:-1], b"HTTP/1.1 408 ")],
+)
 @pytest.mark.parametrize("served", [False, True])
 def test_a_request_that_does_not_come_is_not_waited_for(data: bytes, answer: bytes, served: bool) -> None:
     async def test() -> None:
@@ -160,11 +185,13 @@
             assert got.startswith(answer) and bool(got) == bool(answer)
             client.close()
             await until(lambda: not server._connections and not server._leaving)
+
     run(test())
 
 
 def test_a_loop_that_is_always_late_closes_slow_clients_all_the_same() -> None:
     """A look at the clients' times is put off after a standstill, but not one after the other for ever."""
+
     async def test() -> None:
         async with node(Script()) as client:
             server = client.node.server
@@ -178,6 +205,7 @@
             assert server._dispensable() is None  # nor does it make place for others
             server._tick()
             assert not server._awaited
+
     run(test())
 
 
@@ -193,6 +221,7 @@
             server._tick()
             assert await client.closed()
             await until(lambda: not server._connections)
+
     run(test())
 
 
@@ -207,6 +236,7 @@
             await client.send(b"GET")
             await until(lambda: first(server._awaited).speaking)
             assert first(server._awaited).since == since
+
     run(test())
 
 
@@ -219,6 +249,7 @@
             ages(server._leaving, 0.6)
             server._tick()
             assert not server._leaving and not server._connections
+
     run(test())
 
 
@@ -232,6 +263,7 @@
             transport = side._transport
             await client.send(b"x" * 300_000)
             await until(lambda: not transport.is_reading())
+
     run(test())
 
 
@@ -250,6 +282,7 @@
             assert (await client.ask(READY)).status == 200  # idle for longer, and still there
             for other in mute:
                 other.close()
+
     run(test())
 
 
@@ -265,6 +298,7 @@
                 assert server._evict()  # its transport is not made yet
                 ended = asyncio.get_running_loop().sock_recv(mine, 1)
                 assert await asyncio.wait_for(ended, PATIENCE_S) == b""
+
     run(test())
 
 
@@ -279,6 +313,7 @@
             assert (await client.read()).status == 504  # the open one goes on as if nothing had come
             await client.send(request(name="one"))
             await until(lambda: len(script.of(api.Arrival)) == 2)
+
     run(test())
 
 
@@ -288,10 +323,11 @@
         async with node(script) as client:
             data = request("/pay", method="POST", body=b"abc")
             for i in range(len(data) - 1):
-                await client.send(data[i:i + 1])
+                await client.send(data[i : i + 1])
             await asyncio.sleep(0)
             assert not script.of(api.Arrival)
             assert (await client.ask(data[-1:])).status == 504
+
     run(test())
 
 
@@ -317,6 +353,7 @@
             assert (await last.read()).status == 200
             for other in (*busy, last):
                 other.close()
+
     run(test())
 
 
@@ -334,6 +371,7 @@
             monkeypatch.setattr(socket.socket, "accept", failing)
             assert (await client.ask(READY)).status == 200
             assert not failures
+
     run(test())
 
 
@@ -342,4 +380,5 @@
         async with node(Script(fails_all)) as client:
             got = await client.ask(request("/read", "Connection: close"))
             assert got.headers["connection"] == "close" and await client.closed()
+
     run(test())
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -39,8 +39,10 @@
     assert all(s.elsewhere is None for s in balancer.fleet.servers.values())
 
 
-@pytest.mark.parametrize(("proxies", "upstreams", "home"),
-                         [(40, 60, 10), (40, 59, 9), (4, 60, 15), (400, 120, 4), (40, 8, 8), (3, 2, 2), (1, 5, 5)])
+@pytest.mark.parametrize(
+    ("proxies", "upstreams", "home"),
+    [(40, 60, 10), (40, 59, 9), (4, 60, 15), (400, 120, 4), (40, 8, 8), (3, 2, 2), (1, 5, 5)],
+)
 def test_those_who_share_an_upstream_are_those_whose_homes_hold_it(proxies: int, upstreams: int, home: int) -> None:
     homes = [{(p * upstreams // proxies + i) % upstreams for i in range(home)} for p in range(proxies)]
     for place in range(upstreams):
@@ -74,11 +76,14 @@
     assert here.held(START + 200 * MS) == 1
 
 
-@pytest.mark.parametrize("changes", [
-    {"limits": api.Limits(max_attempts=5, may_cancel=True, probes=True)},  # no peers
-    {"prices": api.Prices(peer=0.01, probe=0.002)},  # looks are cheap
-    {"prices": api.Prices(peer=0.1, probe=0.12)},  # words are dear
-])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"limits": api.Limits(max_attempts=5, may_cancel=True, probes=True)},  # no peers
+        {"prices": api.Prices(peer=0.01, probe=0.002)},  # looks are cheap
+        {"prices": api.Prices(peer=0.1, probe=0.12)},  # words are dear
+    ],
+)
 def test_nothing_is_told_where_it_is_not_allowed_or_not_worth_its_price(changes: dict[str, object]) -> None:
     balancer = Balancer(settings(0, 40, **changes), 1, START)
     balancer.handle(START, [ready(60)])
@@ -89,7 +94,7 @@
     """An upstream that only a peer has named is none; one that a peer leaves alone is left alone here too."""
     balancer = Balancer(settings(0, 40), 1, START)
     balancer.handle(START, [ready(60)])
-    home = balancer.fleet.any.reach[:balancer.fleet.any.home]
+    home = balancer.fleet.any.reach[: balancer.fleet.any.home]
     shunned = home[:5]
     words = [form.Word(s.id, 1, 0, SECOND) for s in shunned] + [form.Word(999, 1, 0, SECOND)]
     balancer.handle(START + MS, [api.PeerMessage(1, w.data()) for w in words])
@@ -114,7 +119,7 @@
 def test_the_load_of_others_is_seen_and_a_struck_upstream_is_tried_by_one() -> None:
     balancer = Balancer(settings(0, 40), 1, START)
     balancer.handle(START, [ready(60)])
-    home = balancer.fleet.any.reach[:balancer.fleet.any.home]
+    home = balancer.fleet.any.reach[: balancer.fleet.any.home]
     idle = home[3]
     balancer.handle(START + MS, [api.PeerMessage(2, form.Word(s.id, 1, 2).data()) for s in home if s is not idle])
     actions = balancer.handle(START + 2 * MS, [api.Arrival("a", "quote", "ash", START + 402 * MS)])
@@ -146,7 +151,7 @@
 def test_a_request_with_too_little_time_left_is_refused_at_once_not_sent() -> None:
     balancer = Balancer(settings(0, 40), 1, START)
     balancer.handle(START, [ready(60)])
-    home = balancer.fleet.any.reach[:balancer.fleet.any.home]
+    home = balancer.fleet.any.reach[: balancer.fleet.any.home]
     words = [form.Word(s.id, 1, 30) for s in home]
     balancer.handle(START + MS, [api.PeerMessage(peer, w.data()) for w in words for peer in (1, 2)])
     actions = balancer.handle(START + 2 * MS, [api.Arrival("a", "quote", "ash", START + 402 * MS)])
@@ -200,7 +205,7 @@
 def test_all_together_stay_within_what_cold_upstreams_bear(proxies: int, boxes: int) -> None:
     """Half of the upstreams come back cold, at once, under more than the other half can do."""
     cold = 0.31
-    fleet = Fleet(proxies, boxes, 6, known=lambda n: (Box(speed=cold, started_ns=START - MS) if n % 2 else Box()))
+    fleet = Fleet(proxies, boxes, 6, known=lambda n: Box(speed=cold, started_ns=START - MS) if n % 2 else Box())
     fleet.run(2.0, boxes * 12.0)
     window, bears = 3 * SECOND // 2, 2.5 * cold * 1.5
     for box in (b for n, b in fleet.boxes.items() if n % 2):
@@ -219,8 +224,9 @@
             now += 20 * MS
             words = [form.Word(old, now // MS, 1, 100 * MS).data(), form.Word(old + 1, now // MS, 0).data()]
             events = [api.PeerMessage(peer, word) for peer in (1, 2) for word in words]
-            actions = balancer.handle(now, [*events, api.Arrival(f"a{old}", "quote", "ash", now + 400 * MS),
-                                            api.Wake(str(balancer.timer))])
+            actions = balancer.handle(
+                now, [*events, api.Arrival(f"a{old}", "quote", "ash", now + 400 * MS), api.Wake(str(balancer.timer))]
+            )
             for send in [a for a in actions if isinstance(a, api.Send)]:
                 result = (api.Result.OK, api.Result.CONNECT_FAILED)[old % 2]
                 balancer.handle(now + MS, [api.Outcome(send.request, 0, send.upstream, result, MS, True)])
@@ -237,8 +243,9 @@
     assert {name: n for name, n in (after - before).items() if n > 20} == {}
 
 
-@pytest.mark.parametrize(("claims", "held"),
-                         [([], 0), ([0, 0], 0), ([127], 1), ([2, 1], 3), ([127, 1, 0], 3), ([5, 5, 5], 15)])
+@pytest.mark.parametrize(
+    ("claims", "held"), [([], 0), ([0, 0], 0), ([127], 1), ([2, 1], 3), ([127, 1, 0], 3), ([5, 5, 5], 15)]
+)
 def test_what_one_peer_claims_alone_is_believed_as_far_as_others_show_it(claims: list[int], held: int) -> None:
     here = sharing.Elsewhere(kept_ns=200 * MS)
     for peer, claim in enumerate(claims):
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -23,14 +23,16 @@
 MANY = 1024
 
 
-async def told_while_it_reads(folder: Path, told: int, second: dict[str, object],
-                              then: Callable[[Process], Awaitable[None]]) -> None:
+async def told_while_it_reads(
+    folder: Path, told: int, second: dict[str, object], then: Callable[[Process], Awaitable[None]]
+) -> None:
     """Start it as the deploy file says, tell it a signal while it reads its configuration, then lay `second` there."""
     path, text = folder / "config.json", json.dumps(config())
     os.mkfifo(path)
     command = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
     process = await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", command, cwd=ROOT, stderr=PIPE, env={"PATH": "/usr/bin:/bin", "RELAY_CONFIG": str(path)})
+        "/bin/sh", "-c", command, cwd=ROOT, stderr=PIPE, env={"PATH": "/usr/bin:/bin", "RELAY_CONFIG": str(path)}
+    )
     try:
         writing = await asyncio.to_thread(os.open, path, os.O_WRONLY)  # it has opened the other end
         process.send_signal(told)
@@ -63,8 +65,10 @@
         async def then(process: Process) -> None:
             await line_with(process, b"ready on port")
             await until(lambda: len(registry.calls) >= 2)
+
         await told_while_it_reads(tmp_path, signal.SIGHUP, config(discovery=f"{HOST}:{registry.upstream.port}"), then)
         registry.upstream.stop()
+
     run(test())
 
 
@@ -73,7 +77,9 @@
         async def then(process: Process) -> None:
             assert b"of processor" in await line_with(process, b"ended: ")
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+
         await told_while_it_reads(tmp_path, signal.SIGTERM, config(), then)
+
     run(test())
 
 
@@ -81,7 +87,8 @@
     path = folder / "config.json"
     path.write_text(json.dumps(told))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lanemux", stderr=PIPE, env={**os.environ, "RELAY_CONFIG": str(path)})
+        sys.executable, "-m", "lanemux", stderr=PIPE, env={**os.environ, "RELAY_CONFIG": str(path)}
+    )
     try:
         await then(process, int((await line_with(process, b"ready on port")).split()[-1]))
     finally:
@@ -89,9 +96,19 @@
         await process.communicate()
 
 
-@pytest.mark.parametrize("old", [{"hosts": 3}, {}, [], 7, "x", {"seq": 1, "whole": 1, "hosts": []},
-                                 {"seq": 4, "whole": True, "hosts": []},
-                                 {"seq": 4, "whole": True, "hosts": [7, None, {"host": "s", "dial": 3}]}])
+@pytest.mark.parametrize(
+    "old",
+    [
+        {"hosts": 3},
+        {},
+        [],
+        7,
+        "x",
+        {"seq": 1, "whole": 1, "hosts": []},
+        {"seq": 4, "whole": True, "hosts": []},
+        {"seq": 4, "whole": True, "hosts": [7, None, {"host": "s", "dial": 3}]},
+    ],
+)
 def test_a_known_list_that_is_no_use_costs_the_list_and_not_the_start(tmp_path: Path, old: object) -> None:
     async def test() -> None:
         upstream, registry = await Upstream(answers(200)).start(), Registry()
@@ -104,9 +121,11 @@
             registry.change("s0")
             while (await ask(port, request())).status != 200:
                 await asyncio.sleep(0)
+
         await started(tmp_path, config(known=old, discovery=f"{HOST}:{registry.upstream.port}"), then)
         registry.upstream.stop()
         upstream.stop()
+
     run(test())
 
 
@@ -137,9 +156,16 @@
             asked = len(others[-1].got)
             assert (await ask(port, request())).status == 200  # the old state stays
             assert len(others[-1].got) == asked + 1
-        told = config(known=known(*[upstream.port] * MANY), peers=peers, peer_listen=f"{HOST}:0", settings=settings,
-                      discovery=f"{HOST}:{registry.upstream.port}")
+
+        told = config(
+            known=known(*[upstream.port] * MANY),
+            peers=peers,
+            peer_listen=f"{HOST}:0",
+            settings=settings,
+            discovery=f"{HOST}:{registry.upstream.port}",
+        )
         await started(tmp_path, told, then)
         for server in (registry.upstream, upstream, *others):
             server.stop()
+
     run(test())
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -48,7 +48,7 @@
 
 
 def chunked(body: bytes, size: int = 7000, end: bool = True, extension: str = "") -> bytes:
-    parts = [body[i:i + size] for i in range(0, len(body), size)]
+    parts = [body[i : i + size] for i in range(0, len(body), size)]
     data = b"".join(b"%x%b\r\n%b\r\n" % (len(p), extension.encode(), p) for p in parts)
     return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + data + (b"0\r\nX-T: 1\r\n\r\n" if end else b"")
 
@@ -56,18 +56,21 @@
 def sends(data: bytes, close: bool = False) -> Answer:
     async def answer(got: Got, writer: Writer) -> None:
         for i in range(0, len(data), 9001):
-            writer.write(data[i:i + 9001])
+            writer.write(data[i : i + 9001])
             await writer.drain()
         if close:
             writer.close()
+
     return answer
 
 
 WHOLE = [
-    ("length", answers(200, LONG)), ("chunks", sends(chunked(LONG))),
+    ("length", answers(200, LONG)),
+    ("chunks", sends(chunked(LONG))),
     ("extensions", sends(chunked(LONG, 90, True, ";a=b"))),
     ("until the end", sends(b"HTTP/1.1 200 OK\r\n\r\n" + LONG, close=True)),
-    ("1xx ahead", sends(b"HTTP/1.1 103 E\r\n\r\n" * 3 + chunked(LONG)))]
+    ("1xx ahead", sends(b"HTTP/1.1 103 E\r\n\r\n" * 3 + chunked(LONG))),
+]
 
 
 @pytest.mark.parametrize(("form", "answer"), WHOLE)
@@ -85,13 +88,18 @@
             assert client.node._hub.passing == 0
         assert [e.attempt for e in script.of(api.AnswerBegun)] == [0, 0]
         assert [(e.result, e.complete) for e in script.of(api.Outcome)] == [(Result.OK, True)] * 2
+
     run(test())
 
 
-@pytest.mark.parametrize(("form", "answer"), [
-    ("length", sends(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + LONG, close=True)),
-    ("chunks", sends(chunked(LONG, end=False), close=True)),
-    ("noise", sends(chunked(LONG, end=False) + b"zzzz\r\n"))])
+@pytest.mark.parametrize(
+    ("form", "answer"),
+    [
+        ("length", sends(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + LONG, close=True)),
+        ("chunks", sends(chunked(LONG, end=False), close=True)),
+        ("noise", sends(chunked(LONG, end=False) + b"zzzz\r\n")),
+    ],
+)
 def test_what_ends_in_the_middle_is_not_whole_for_the_client_and_not_tried_again(form: str, answer: Answer) -> None:
     async def test() -> None:
         upstream = await Upstream(answer).start()
@@ -103,6 +111,7 @@
             assert not whole and LONG.startswith(body)
             assert client.node.tally.aborted["read"] == 1 and len(upstream.got) == 1
         assert [(e.result, e.complete) for e in script.of(api.Outcome)] == [(Result.RESET, True)]
+
     run(test())
 
 
@@ -130,6 +139,7 @@
                 assert await asyncio.wait_for(client.reader.readexactly(len(first)), 2.0) == first
                 release.set()
                 assert await asyncio.wait_for(client.reader.readexactly(len(rest)), 2.0) == rest
+
     run(test())
 
 
@@ -142,6 +152,7 @@
             await client.send(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
             head, body, _ = await body_of(client)
             assert body == LONG and b"chunked" not in head
+
     run(test())
 
 
@@ -181,6 +192,7 @@
             call.moved_ns -= 2 * PASSING_IDLE_NS
             client.node._sweep_idle()
             assert not client.node._passing and client.node.tally.aborted["read"] == 1
+
     run(test())
 
 
@@ -195,6 +207,7 @@
             client.close()
             await until(lambda: upstream.closed == 1 and not client.node._passing)
             assert client.node._hub.passing == 0 and script.of(api.ClientGone)
+
     run(test())
 
 
@@ -210,6 +223,7 @@
             _, body, whole = await body_of(client)
             assert body == b"x" and not whole
             assert len(upstream.got) == 1
+
     run(test())
 
 
@@ -221,6 +235,7 @@
             size = len(hub.buffer())
             assert LEAST_PIECE <= size <= PIECE
             assert passing * size <= PASSING_BYTES or size == LEAST_PIECE
+
     run(test())
 
 
@@ -292,15 +307,21 @@
 
 
 @unhurried(deadline=None, derandomize=True, database=None)
-@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from([0, 1, 900, KEPT_ANSWER, KEPT_ANSWER + 1, 200_000])),
-                min_size=1, max_size=1), st.lists(st.integers(1, 70_000), min_size=1, max_size=40))
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.sampled_from([0, 1, 900, KEPT_ANSWER, KEPT_ANSWER + 1, 200_000])),
+        min_size=1,
+        max_size=1,
+    ),
+    st.lists(st.integers(1, 70_000), min_size=1, max_size=40),
+)
 def test_however_it_is_cut_the_same_bodies_are_read(messages: list[tuple[int, int]], cuts: list[int]) -> None:
     data = b"".join(framed(LONG[:size], how) for how, size in messages)
     parts: list[bytes] = []
     at = 0
     while at < len(data):
         step = max(cuts[len(parts) % len(cuts)], len(data) // 300 if at > 300 else 1)
-        parts.append(data[at:at + step])
+        parts.append(data[at : at + step])
         at += step
     assert collected(parts) == plain(data)
 
--- a/tests/test_structures.py
+++ b/tests/test_structures.py
@@ -27,8 +27,10 @@
         (members.add if inside else members.discard)(one.id)
         order = sorted(members, key=lambda n: (mixed(n, seed), n))
         assert [m.id for m in ring.members] == order
-        assert ring.find(one) == (sorted([*order, one.id] if not inside else order,
-                                         key=lambda n: (mixed(n, seed), n)).index(one.id), inside)
+        assert ring.find(one) == (
+            sorted([*order, one.id] if not inside else order, key=lambda n: (mixed(n, seed), n)).index(one.id),
+            inside,
+        )
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -71,8 +71,7 @@
 
 @settings(derandomize=True, deadline=None)
 @given(st.integers(2, 8), st.data(), STEPS)
-def test_overflow_depends_on_the_sum_of_the_capacities_only(total: int, data: st.DataObject,
-                                                             steps: list[int]) -> None:
+def test_overflow_depends_on_the_sum_of_the_capacities_only(total: int, data: st.DataObject, steps: list[int]) -> None:
     a, b = (data.draw(st.integers(1, total)) for _ in "ab")
     u = data.draw(st.integers(max(a, b), total))
     assert play(throttle(total - a, a, u), steps)[:2] == play(throttle(total - b, b, u), steps)[:2]
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -37,6 +37,7 @@
             writer.transport.abort()
         else:
             writer.write(written(200))
+
     return answer
 
 
@@ -56,6 +57,7 @@
                 most = max(most, barred(balancer))
         assert sum(len(u.got) for u in upstreams) >= 70  # so many did break
         assert most <= 1  # the first break of all has no other to be compared with
+
     run(test())
 
 
@@ -67,6 +69,7 @@
             for _ in range(30):
                 assert (await client.ask(request())).status == 200
         assert len(upstreams[0].got) <= 2
+
     run(test())
 
 
@@ -88,6 +91,7 @@
             begun = time.monotonic_ns()
             assert (await client.ask(request())).status == 200
             assert looks == 2 and time.monotonic_ns() - begun < 2 * SECOND
+
     run(test())
 
 
@@ -103,6 +107,7 @@
             server = next(iter(balancer.fleet.servers.values()))
             await until(lambda: server.strikes)
             assert server.barred_ns - time.monotonic_ns() < 1.25 * balancer.patience_ns
+
     run(test())
 
 
@@ -124,4 +129,5 @@
                 c.close()
             assert barred(balancer) == 0 and not sum(balancer.rate.bad.values())
             assert balancer.crowding.each == each
+
     run(test())
--- a/tests/virtual/test_command.py
+++ b/tests/virtual/test_command.py
@@ -35,7 +35,8 @@
 
 
 def test_without_the_extra_the_seeds_that_need_etcd_are_left_out_and_named(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setitem(sys.modules, "grpclib", None)
     report = tmp_path / "report.json"
     assert main(["simulate", "--seeds", "1-3", "--jobs", "1", "--json", str(report)]) == 0
@@ -61,8 +62,13 @@
 def test_a_seed_that_fails_gives_1_and_the_least_script_as_a_test(tmp_path: Path) -> None:
     fault = next(p for p in PLANTED if p.name == "timers-left")
     copy = plant(fault, tmp_path)
-    done = subprocess.run([sys.executable, "-m", "lanemux", "simulate", "--seeds", "47", "--jobs", "1"],
-                          cwd=copy, capture_output=True, text=True, timeout=120)
+    done = subprocess.run(
+        [sys.executable, "-m", "lanemux", "simulate", "--seeds", "47", "--jobs", "1"],
+        cwd=copy,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
     assert done.returncode == 1, done.stdout + done.stderr
     assert "1 failed" in done.stdout and "cut down to" in done.stdout
-    ast.parse(done.stdout[done.stdout.index("def test_seed_"):])
+    ast.parse(done.stdout[done.stdout.index("def test_seed_") :])
--- a/tests/virtual/test_judge.py
+++ b/tests/virtual/test_judge.py
@@ -97,8 +97,12 @@
     silent = Excuses()
     silent.unheard[0].append((SECOND + 200 * MS, 5 * SECOND))
     made, boxes, callers = judge(silent)
-    callers.told += [Told(0, 0, "removed", SECOND, 7 * SECOND), Told(0, 0, "up", 0, 8 * SECOND),
-                     Told(0, 0, "removed", 3 * SECOND, 9 * SECOND), Told(0, 0, "up", 4 * SECOND, 10 * SECOND)]
+    callers.told += [
+        Told(0, 0, "removed", SECOND, 7 * SECOND),
+        Told(0, 0, "up", 0, 8 * SECOND),
+        Told(0, 0, "removed", 3 * SECOND, 9 * SECOND),
+        Told(0, 0, "up", 4 * SECOND, 10 * SECOND),
+    ]
     boxes.attempts.append(attempt(6 * SECOND))
     assert rules(made) == []
 
--- a/tests/virtual/test_network.py
+++ b/tests/virtual/test_network.py
@@ -201,9 +201,17 @@
     return [data.decode()]
 
 
-SCENES: tuple[Scene, ...] = (echo_and_half_close, reset_by_linger, data_before_a_reset, close_with_unread_input,
-                             write_to_who_is_gone, a_reader_that_stops, refused, a_listener_that_closes_on_who_waits,
-                             datagrams)
+SCENES: tuple[Scene, ...] = (
+    echo_and_half_close,
+    reset_by_linger,
+    data_before_a_reset,
+    close_with_unread_input,
+    write_to_who_is_gone,
+    a_reader_that_stops,
+    refused,
+    a_listener_that_closes_on_who_waits,
+    datagrams,
+)
 
 
 def virtually(scene: Scene, seed: int, weather: Weather) -> list[str]:
@@ -224,6 +232,10 @@
     real = asyncio.run(asyncio.wait_for(scene(), 10))
     for seed in range(10):
         rng = random.Random(seed)
-        weather = Weather(rng.choice((0, 50_000, 3_000_000)), rng.choice((0, 1_000_000)), rng.choice((0.0, 0.9)),
-                          rng.choice((4096, 65_536)))
+        weather = Weather(
+            rng.choice((0, 50_000, 3_000_000)),
+            rng.choice((0, 1_000_000)),
+            rng.choice((0.0, 0.9)),
+            rng.choice((4096, 65_536)),
+        )
         assert virtually(scene, seed, weather) == real
--- a/tests/virtual/test_seeds.py
+++ b/tests/virtual/test_seeds.py
@@ -30,8 +30,14 @@
 
 
 def histories(hash_seed: str, file: Path, *start: str) -> dict[str, str]:
-    subprocess.run([sys.executable, *start, "--seeds", REPLAYED, "--jobs", "1", "--json", str(file)], check=True,
-                   cwd=ROOT, env={**os.environ, "PYTHONHASHSEED": hash_seed}, capture_output=True, timeout=120)
+    subprocess.run(
+        [sys.executable, *start, "--seeds", REPLAYED, "--jobs", "1", "--json", str(file)],
+        check=True,
+        cwd=ROOT,
+        env={**os.environ, "PYTHONHASHSEED": hash_seed},
+        capture_output=True,
+        timeout=120,
+    )
     digests: dict[str, str] = json.loads(file.read_text())["digests"]
     return digests
 
--- a/tests/virtual/test_shrink.py
+++ b/tests/virtual/test_shrink.py
@@ -5,8 +5,10 @@
 from lanemux.virtual.script import Fault, Script, as_test
 from lanemux.virtual.shrink import shrink
 
-FAULTS = tuple(Fault(what, who=1, at_ms=100.25 * i, for_ms=333.3) for i, what in enumerate(
-    ("drain", "die", "freeze", "still", "reset", "hold", "move", "kill")))
+FAULTS = tuple(
+    Fault(what, who=1, at_ms=100.25 * i, for_ms=333.3)
+    for i, what in enumerate(("drain", "die", "freeze", "still", "reset", "hold", "move", "kill"))
+)
 
 
 def needs(script: Script) -> bool:
--- a/tests/virtual/test_storms.py
+++ b/tests/virtual/test_storms.py
@@ -45,18 +45,27 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2])
-@pytest.mark.parametrize("faults", [
-    # Held requests are let go as answers come: boxes drain and leave in those instants.
-    tuple(Fault("drain", who=box, on="client answer", nth=nth, for_ms=300.0) for box, nth in ((1, 40), (2, 90))),
-    # News is read late, among all that has queued up meanwhile.
-    (*(Fault("still", who=who, at_ms=at, for_ms=600.0) for who, at in ((0, 900.0), (1, 1300.0))),
-     Fault("drain", who=2, at_ms=1000.0, for_ms=400.0)),
-    # It ends while connections to boxes are coming up that never will.
-    (Fault("shut", who=1, at_ms=900.0, for_ms=2000.0), Fault("shut", who=2, at_ms=900.0, for_ms=2000.0),
-     Fault("stop", who=0, at_ms=1500.0, for_ms=300.0)),
-    # Nobody has told it of the storm that it starts into.
-    (Fault("kill", who=0, at_ms=800.0, for_ms=200.0), Fault("stop", who=1, at_ms=1300.0, for_ms=400.0)),
-], ids=["drain-at-release", "news-behind-a-standstill", "end-while-connecting", "start-into-a-storm"])
+@pytest.mark.parametrize(
+    "faults",
+    [
+        # Held requests are let go as answers come: boxes drain and leave in those instants.
+        tuple(Fault("drain", who=box, on="client answer", nth=nth, for_ms=300.0) for box, nth in ((1, 40), (2, 90))),
+        # News is read late, among all that has queued up meanwhile.
+        (
+            *(Fault("still", who=who, at_ms=at, for_ms=600.0) for who, at in ((0, 900.0), (1, 1300.0))),
+            Fault("drain", who=2, at_ms=1000.0, for_ms=400.0),
+        ),
+        # It ends while connections to boxes are coming up that never will.
+        (
+            Fault("shut", who=1, at_ms=900.0, for_ms=2000.0),
+            Fault("shut", who=2, at_ms=900.0, for_ms=2000.0),
+            Fault("stop", who=0, at_ms=1500.0, for_ms=300.0),
+        ),
+        # Nobody has told it of the storm that it starts into.
+        (Fault("kill", who=0, at_ms=800.0, for_ms=200.0), Fault("stop", who=1, at_ms=1300.0, for_ms=400.0)),
+    ],
+    ids=["drain-at-release", "news-behind-a-standstill", "end-while-connecting", "start-into-a-storm"],
+)
 def test_hard_cases_of_a_storm_break_no_rule(faults: tuple[Fault, ...], seed: int) -> None:
     result = play(Script(seed, (OUTAGE, *faults), storm=True))
     assert result.violations == []
@@ -73,7 +82,8 @@
     made = setting(4, storm=True)
     fleet = made.scenario.fleet
     made.scenario = dataclasses.replace(
-        made.scenario, faults=(scenario.Fault("crash", at_s=1.0, part=(0.5, 0.5), down_s=(0.5, 1.0)),))
+        made.scenario, faults=(scenario.Fault("crash", at_s=1.0, part=(0.5, 0.5), down_s=(0.5, 1.0)),)
+    )
     result = play(Script(4, storm=True), made=made, around=around)
     assert result.violations == [] and len(asked) == fleet.balancers
     assert {h.what for h in result.plan.happenings} == {"die", "start"}
