Files that are promised to last are synced, and so is the folder that holds them

Operators' words for the process beside this one were written, renamed and acknowledged without a sync: after a loss of power the new name may hold nothing. `Machine.replace` syncs the file, renames it and syncs its folder; a failure of any step is told to whoever asked, and nothing half made is left.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -75,7 +75,9 @@
         """The first bytes of a file, so many at most. OSError if it can't be read."""
 
     def replace(self, path: str, data: bytes) -> None:
-        """The whole file anew: who reads it sees the old or the new one. OSError, and the old one, if that fails."""
+        """The whole file anew, lasting: who reads it sees the old or the new one, also after a loss of power.
+
+        OSError where that can't be promised; the old one is there then, or the new one that may not last."""
 
     def make_folder(self, path: str) -> None:
         """The folder, unless it is there. OSError if it can't be had."""
@@ -87,6 +89,15 @@
         """Another number whenever a file of the folder has been replaced. OSError if it can't be read."""
 
 
+def _sync_folder(path: str) -> None:
+    """A renamed file lasts once its folder has been written."""
+    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 class MachineListener:
     """A `Listener` of the kernel's."""
 
@@ -171,7 +182,10 @@
         try:
             with open(fresh, "wb") as file:
                 file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
             os.replace(fresh, path)
+            _sync_folder(os.path.dirname(path) or ".")
         except OSError:
             with contextlib.suppress(OSError):
                 os.unlink(fresh)
