An upstream is told the time that is left when its request is written, not when it was decided

Cause: the request's bytes, the deadline among them, were written out before the connection was asked for. `Exchange` takes what renders them at the moment of writing. The time for which this machine could not connect is no longer taken for the upstream's either.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -445,7 +445,7 @@
             return
         call.out = Exchange(
             pool,
-            self._attempt(call.request, end - now),
+            lambda: self._attempt(call.request, end - now_ns()),
             self._when_ended(call, number, action.upstream, now),
             wrote=self._forwarded,
             begin=self._when_begun(call, number, action.upstream, now),
@@ -464,8 +464,9 @@
         self, call: Call, number: int, upstream: int, sent_ns: int
     ) -> Callable[[api.Result, Message | None], None]:
         def ended(result: api.Result, response: Message | None) -> None:
+            held_here_ns = int(call.out.held_here_s * SECOND) if call.out is not None else 0
             call.out = None
-            took = now_ns() - sent_ns
+            took = now_ns() - sent_ns - held_here_ns
             if response is not None:
                 result = _judged(response)
             if call.moved_ns:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -13,6 +13,7 @@
 from lanemux.interface import Result
 from lanemux.net.http import MAX_ANSWER, Message, MessageReader
 
+Render = Callable[[], bytes]
 Done = Callable[[Result, Message | None], None]
 PassOn = Callable[[bytes], None]
 Begin = Callable[["Exchange", Message], PassOn | None]  # an answer comes that is too long to be taken whole
@@ -37,20 +38,21 @@
     def __init__(
         self,
         pool: Pool,
-        data: bytes,
+        data: bytes | Render,
         done: Done,
         spare: int = 0,
         wrote: Callable[[], None] = lambda: None,
         begin: Begin | None = None,
     ) -> None:
-        """`wrote` is told, once, when the last byte is written; `begin` takes an answer that is passed on as it
-        comes, and gives what takes its pieces. Without it, such an answer is given up."""
+        """`data`: its bytes, or what gives them at the moment of writing. `wrote` is told, once, when the last byte is
+        written. `begin` takes an answer that is passed on as it comes, and gives what takes its pieces; without it,
+        such an answer is given up."""
         self.pool = pool
         self.wrote = wrote
         self._begin = begin
         self._pass_on: PassOn | None = None
         self.spare = spare  # places that it must leave to others
-        self.data = data
+        self.render: Render = data if callable(data) else lambda: data
         self.over = False
         self._done = done
         self._connection: Connection | None = None
@@ -58,6 +60,7 @@
         self._opening: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._never_asked = False  # this machine can't connect: its upstream does not know of it
+        self.held_here_s = 0.0  # it waited so long for this machine to begin connecting
 
     @property
     def waiting(self) -> bool:
@@ -104,18 +107,20 @@
         the upstream's. Where there is no way there, only for as long as connecting may take."""
         hub, loop = self.pool.hub, asyncio.get_running_loop()
         backoff = Backoff(FIRST_CONNECT_PAUSE_S, LAST_CONNECT_PAUSE_S)
-        latest_s = loop.time() + hub.connect_timeout_s
+        begun_s = loop.time()
         while True:
+            tried_s = loop.time()
             try:
                 async with asyncio.timeout(hub.connect_timeout_s):
                     await loop.create_connection(lambda: connection, *connection.address)
+                self.held_here_s = tried_s - begun_s if self._never_asked else 0.0
                 return
             except OSError as error:
                 if isinstance(error, TimeoutError) or not may_pass_soon(error):
                     raise
                 hub.counter.call_failed("connection to an upstream", name_of(error))
                 self._never_asked = is_local(error)
-                if not self._never_asked and loop.time() >= latest_s:
+                if not self._never_asked and loop.time() >= begun_s + hub.connect_timeout_s:
                     raise
             await asyncio.sleep(backoff.next_s())
 
@@ -195,7 +200,7 @@
         if self._transport is None or not self.usable:
             asyncio.get_running_loop().call_soon(self.lose)  # not at once: its sender still sets it up
             return
-        self._transport.write(exchange.data)
+        self._transport.write(exchange.render())
         if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
             self._wrote()
 
--- a/tests/faults/test_deadlines.py
+++ b/tests/faults/test_deadlines.py
@@ -60,6 +60,30 @@
     run(test())
 
 
+def test_a_request_that_waited_for_its_connection_to_an_upstream_tells_what_is_left_then(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        upstream = Watch()
+        await upstream.start()
+        async with node(sends_once(), upstream) as client:
+            loop = asyncio.get_running_loop()
+            plain = loop.create_connection
+
+            async def late(*arguments: Any, **options: Any) -> Any:
+                if arguments[1:] == (HOST, upstream.port):
+                    await asyncio.sleep(LAY_S)
+                return await plain(*arguments, **options)
+
+            monkeypatch.setattr(loop, "create_connection", late)
+            await client.send(b"")  # it is connected before the clock runs
+            upstream.sent_s = time.monotonic()
+            assert (await client.ask(request(deadline_ms=DEADLINE_MS))).status == 200
+            assert -SLACK_MS < upstream.over_ms[0] < SLACK_MS
+
+    run(test())
+
+
 def test_a_request_that_waited_for_a_process_at_a_standstill_has_less_time_left(tmp_path: Path) -> None:
     async def test() -> None:
         upstream = Watch()
--- a/tests/rehearsal/broken/resends_silently.py
+++ b/tests/rehearsal/broken/resends_silently.py
@@ -13,7 +13,7 @@
 
 def resend(exchange: Exchange) -> None:
     if not exchange.over and not exchange.waiting:
-        Exchange(exchange.pool, exchange.data, lambda result, response: None).start(None)
+        Exchange(exchange.pool, exchange.render, lambda result, response: None).start(None)
 
 
 def watched(self: Any, action: Any) -> None:
--- a/tests/rehearsal/broken/two_at_once.py
+++ b/tests/rehearsal/broken/two_at_once.py
@@ -18,7 +18,7 @@
         return
     other = next((p for n, p in self._hub.pools.items() if n != action.upstream and p.ready), None)
     if other is not None:
-        Exchange(other, call.out.data, lambda result, response: None).start(None)
+        Exchange(other, call.out.render, lambda result, response: None).start(None)
 
 
 Node._send = twice  # type: ignore[method-assign]
