Rename: the operators' address is a server, the list an upstream set, the clients' side a frontend

Names of the field in place of the house style's, no change of behaviour: admin/door.py `Door` -> admin/server.py `AdminServer`, admin/beside.py `Beside` -> admin/extension.py `PlatformExtension` (`Extension` in the daemon), net/roster.py `Roster` -> net/upstream_set.py `UpstreamSet`, net/entrance.py `Entrance` -> net/frontend.py `Frontend`.

--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -14,7 +14,7 @@
 MAX_TARGET = 1024  # bytes of a call's target; no host has so long a name
 
 
-class Roster(Protocol):
+class UpstreamSet(Protocol):
     """The balancer's list."""
 
     def knows(self, host: str) -> bool:
@@ -24,7 +24,7 @@
         """Leave the upstream out or use it again, from now on; False where no further ban can be kept."""
 
 
-class Entrance(Protocol):
+class Frontend(Protocol):
     """The balancer's front."""
 
     @property
@@ -51,10 +51,10 @@
     tally: Tally
 
     @property
-    def roster(self) -> Roster: ...
+    def upstream_set(self) -> UpstreamSet: ...
 
     @property
-    def entrance(self) -> Entrance: ...
+    def frontend(self) -> Frontend: ...
 
     @property
     def plugs(self) -> Plugs: ...
@@ -109,7 +109,7 @@
 
 
 def _health(balancer: Balancer) -> Reply:
-    return _said(200, "ready") if balancer.entrance.ready else _said(503, "not ready")
+    return _said(200, "ready") if balancer.frontend.ready else _said(503, "not ready")
 
 
 def _stats(balancer: Balancer) -> Reply:
@@ -117,12 +117,12 @@
 
 
 def _quiesce(balancer: Balancer) -> Reply:
-    balancer.entrance.quiesce()
+    balancer.frontend.quiesce()
     return _said(200, "sending clients away")
 
 
 def _resume(balancer: Balancer) -> Reply:
-    return _said(200, "back to work") if balancer.entrance.resume() else _said(409, "this process ends")
+    return _said(200, "back to work") if balancer.frontend.resume() else _said(409, "this process ends")
 
 
 PLAIN = {
@@ -156,8 +156,8 @@
         host = unquote_to_bytes(rest).decode()
     except UnicodeDecodeError:
         host = ""
-    if not host or not balancer.roster.knows(host):
+    if not host or not balancer.upstream_set.knows(host):
         return _said(404, "no upstream of that id")
-    if not balancer.roster.cordon(host, OF_ONE[name]):
+    if not balancer.upstream_set.cordon(host, OF_ONE[name]):
         return _said(507, "too many upstreams are out by hand, or it can't be kept for a new version")
     return _said(200, "left out" if OF_ONE[name] else "used again")
--- a/lanemux/admin/beside.py
+++ b/lanemux/admin/extension.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from lanemux.admin.door import Door
+from lanemux.admin.server import AdminServer
 from lanemux.core.system import System
 from lanemux.net.node import Node
 from lanemux.takeover.pace import end
@@ -15,42 +15,42 @@
 FOLDER = "lanemux-words"  # in $TMPDIR, which both processes of a balancer have
 
 
-class Beside:
-    """The operators' door, and their words between two processes."""
+class PlatformExtension:
+    """The operators' address, and their words between two processes."""
 
     def __init__(self, node: Node, system: System, folder: str | None) -> None:
         """`folder`: what two processes of this balancer share; None: nothing."""
         self._node = node
-        self._door = Door(node, system) if node.config.admin is not None else None
-        self._shared = Shared(system, f"{folder}/{FOLDER}", node.roster.hear_word) if folder is not None else None
+        self._admin = AdminServer(node, system) if node.config.admin is not None else None
+        self._shared = Shared(system, f"{folder}/{FOLDER}", node.upstream_set.hear_word) if folder is not None else None
 
     def start(self) -> None:
         """Before the node takes up its list: whoever is out by hand is so from the first decision on."""
         if self._shared is not None:
             self._shared.open()
-            self._node.roster.keep_word = self._shared.tell
-        if self._door is not None:
+            self._node.upstream_set.keep_word = self._shared.tell
+        if self._admin is not None:
             try:
-                self._open_door()
+                self._open_admin()
             except OSError:
-                self._node.background.start("operators' address", self._open_door_later)
+                self._node.background.start("operators' address", self._open_admin_later)
 
-    def _open_door(self) -> None:
-        assert self._door is not None and self._node.config.admin is not None
-        port = self._door.open(self._node.config.admin)
+    def _open_admin(self) -> None:
+        assert self._admin is not None and self._node.config.admin is not None
+        port = self._admin.open(self._node.config.admin)
         log.info("%s: operators' port %d", self._node.config.name, port)
 
-    async def _open_door_later(self) -> None:
-        self._open_door()
+    async def _open_admin_later(self) -> None:
+        self._open_admin()
 
     def close(self) -> None:
-        if self._door is not None:
-            self._door.close()
+        if self._admin is not None:
+            self._admin.close()
         if self._shared is not None:
             self._shared.close()
 
 
-def make(node: Node, system: System, folder: str | None) -> Beside:
+def make(node: Node, system: System, folder: str | None) -> PlatformExtension:
     """What this node's configuration asks for. Words go over only where a second process may come."""
     end()
-    return Beside(node, system, folder if node.config.listen_fd is not None else None)
+    return PlatformExtension(node, system, folder if node.config.listen_fd is not None else None)
--- a/lanemux/admin/door.py
+++ b/lanemux/admin/server.py
@@ -17,18 +17,18 @@
 
 log = logging.getLogger(__name__)
 
-MOST = 16  # connections at once: descriptors of the 32 that the clients' and upstreams' sides leave
-CALL_S = 1.5  # for a whole call: a caller waits 1 s
+MAX_CONNECTIONS = 16  # at once: descriptors of the 32 that the clients' and upstreams' sides leave
+CALL_S = 1.5  # for a whole call: whoever calls waits 1 s
 CALL_BODY = 4096  # bytes of a body that nobody needs
 BACKLOG = 64
 PAUSE_S = 0.05  # after the system had no descriptor to give
 
 
-class Caller(asyncio.Protocol):
+class AdminConnection(asyncio.Protocol):
     """One connection: one call, one answer, the end."""
 
-    def __init__(self, door: Door) -> None:
-        self._door = door
+    def __init__(self, server: AdminServer) -> None:
+        self._server = server
         self._reader = MessageReader(max_body=CALL_BODY)
         self._transport: asyncio.Transport | None = None
         self._over = False
@@ -43,7 +43,7 @@
             return
         calls = self._reader.feed(data)
         if calls:
-            reply = answer(self._door.balancer, calls[0].method, calls[0].target)
+            reply = answer(self._server.balancer, calls[0].method, calls[0].target)
             self._say(reply.status, [(b"Allow", reply.allow)] if reply.allow else [], reply.body)
         elif self._reader.bad:
             self._say(self._reader.bad, [], b"no call of ours\n")
@@ -56,7 +56,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._over = True
-        self._door.forget(self)
+        self._server.forget(self)
 
     def end(self) -> None:
         """Its time is over, or another needs its place."""
@@ -65,14 +65,14 @@
             self._transport.abort()
 
 
-class Door:
-    """Listens for operators. Its bounds are its own: clients can't take its places, nor one caller another's time."""
+class AdminServer:
+    """Listens for operators. Its bounds are its own: neither clients nor one connection can take those of another."""
 
     def __init__(self, balancer: Balancer, system: System) -> None:
         self.balancer = balancer
         self._system = system
         self._listener: Listener | None = None
-        self._callers: dict[Caller, asyncio.TimerHandle] = {}  # the longest here first
+        self._connections: dict[AdminConnection, asyncio.TimerHandle] = {}  # the longest here first
         self._adopting: set[asyncio.Task[object]] = set()
         self._paused: asyncio.TimerHandle | None = None
 
@@ -90,7 +90,7 @@
     def _accept(self) -> None:
         assert self._listener is not None
         loop = asyncio.get_running_loop()
-        for _ in range(MOST):
+        for _ in range(MAX_CONNECTIONS):
             try:
                 accepted = self._listener.accept()
             except BlockingIOError:
@@ -103,33 +103,33 @@
                 loop.remove_reader(self._listener)
                 self._paused = loop.call_later(PAUSE_S, self._listen)
                 return
-            if len(self._callers) >= MOST:
+            if len(self._connections) >= MAX_CONNECTIONS:
                 self._make_place()
-            caller = Caller(self)
-            self._callers[caller] = loop.call_later(CALL_S, self._expire, caller)
-            task: asyncio.Task[object] = loop.create_task(self._attach(caller, accepted))
+            connection = AdminConnection(self)
+            self._connections[connection] = loop.call_later(CALL_S, self._expire, connection)
+            task: asyncio.Task[object] = loop.create_task(self._attach(connection, accepted))
             self._adopting.add(task)
             task.add_done_callback(self._adopting.discard)
 
-    async def _attach(self, caller: Caller, accepted: socket.socket) -> None:
+    async def _attach(self, connection: AdminConnection, accepted: socket.socket) -> None:
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: caller, accepted)
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, accepted)
         except OSError:  # it has gone in the meantime
             accepted.close()
-            self.forget(caller)
+            self.forget(connection)
 
     def _make_place(self) -> None:
         """The one that has been silent for longest goes."""
-        oldest = next(iter(self._callers), None)
+        oldest = next(iter(self._connections), None)
         if oldest is not None:
             self._expire(oldest)
 
-    def _expire(self, caller: Caller) -> None:
-        caller.end()
-        self.forget(caller)
+    def _expire(self, connection: AdminConnection) -> None:
+        connection.end()
+        self.forget(connection)
 
-    def forget(self, caller: Caller) -> None:
-        timer = self._callers.pop(caller, None)
+    def forget(self, connection: AdminConnection) -> None:
+        timer = self._connections.pop(connection, None)
         if timer is not None:
             timer.cancel()
 
@@ -143,5 +143,5 @@
             self._listener = None
         for task in self._adopting:
             task.cancel()
-        for caller in list(self._callers):
-            self._expire(caller)
+        for connection in list(self._connections):
+            self._expire(connection)
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -22,7 +22,7 @@
 
     from lanemux.core.source import MakeSource
     from lanemux.core.system import System
-    from lanemux.net.daemon import Beside, MakeModule
+    from lanemux.net.daemon import Extension, MakeModule
     from lanemux.net.node import MakeDoors, Node
     from lanemux.operators import Operators
 
@@ -66,12 +66,12 @@
 def _daemon() -> int:
     from lanemux.net.daemon import main as daemon
 
-    return daemon(beside=_beside)
+    return daemon(extend=_extend)
 
 
-def _beside(node: Node, system: System) -> Beside:
+def _extend(node: Node, system: System) -> Extension:
     """The operators' address, and what goes from version to version, where the platform tells of them."""
-    from lanemux.admin.beside import make
+    from lanemux.admin.extension import make
 
     return make(node, system, os.environ.get("TMPDIR"))
 
@@ -138,7 +138,7 @@
         return 0
     if misfits := _misfits(first, options.operators, os.environ.get("RELAY_CONFIG")):
         return _faults(misfits)
-    return main(lists, *_storm(first), _beside, first.log.level, _fleet(first))
+    return main(lists, *_storm(first), _extend, first.log.level, _fleet(first))
 
 
 def _load_when_readable(path: str | None) -> Operators:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -37,8 +37,8 @@
 MakeModule = Callable[[Settings, int, int], Module]  # of settings, a seed and the clock
 
 
-class Beside(Protocol):
-    """What stands beside the node where the platform asks for it: the operators' address, what a new version takes."""
+class Extension(Protocol):
+    """What is added to a node where the platform asks for it: the operators' address, what a new version takes."""
 
     def start(self) -> None:
         """Before the node starts. What can't be had yet is tried again later."""
@@ -46,7 +46,7 @@
     def close(self) -> None: ...
 
 
-MakeBeside = Callable[[Node, System], Beside]  # where an operators' address or an inherited listener is told
+MakeExtension = Callable[[Node, System], Extension]  # where an operators' address or an inherited listener is told
 
 
 def rest_s(cores: float, spent_s: float) -> float:
@@ -71,7 +71,7 @@
     module: MakeModule = Balancer,
     made: Callable[[Node], None] = lambda node: None,
     doors: MakeDoors | None = None,
-    beside: MakeBeside | None = None,
+    extend: MakeExtension | None = None,
     stages: Stages | None = None,
 ) -> None:
     """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node before it
@@ -90,10 +90,10 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)  # what has come since the start counts now
     reporting: asyncio.Task[None] | None = None
     asked = config.admin is not None or config.listen_fd is not None
-    aside = beside(node, system) if beside is not None and asked else None
+    extension = extend(node, system) if extend is not None and asked else None
     try:
-        if aside is not None:
-            aside.start()
+        if extension is not None:
+            extension.start()
         if await _start(node, rest_s(config.cores, system.spent_s()), stop):
             stages.passed("list and sockets")
             log.info(
@@ -113,8 +113,8 @@
         reloader.stop()
         if reporting is not None:
             reporting.cancel()
-        if aside is not None:
-            aside.close()
+        if extension is not None:
+            extension.close()
         log.info("%s: ended: %s; %d requests open", config.name, stages.told_at_end(), node.outstanding)
 
 
@@ -161,7 +161,7 @@
     lists: Lists | None = None,
     module: MakeModule = Balancer,
     doors: MakeDoors | None = None,
-    beside: MakeBeside | None = None,
+    extend: MakeExtension | None = None,
     level: str = "info",
     made: Callable[[Node], None] = lambda node: None,
 ) -> int:
@@ -185,7 +185,7 @@
 
     async def run() -> None:
         try:
-            await serve(config, path or "", lists, module=module, made=made, doors=doors, beside=beside, stages=stages)
+            await serve(config, path or "", lists, module=module, made=made, doors=doors, extend=extend, stages=stages)
         finally:
             # The loop takes its handlers along when it closes: a signal that came then would end the process.
             hold_signals()
--- a/lanemux/net/entrance.py
+++ b/lanemux/net/frontend.py
@@ -19,7 +19,7 @@
 HASTE_S = 1.0  # before that, who owes a request is waited for no longer
 
 
-class Entrance:
+class Frontend:
     """The clients' side of a balancer's life; `server` holds their connections."""
 
     def __init__(self, config: Config, server: Server) -> None:
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -14,14 +14,14 @@
 from lanemux.core.system import Machine, System
 from lanemux.core.tally import Tally
 from lanemux.net.config import Config
-from lanemux.net.entrance import Entrance
+from lanemux.net.frontend import Frontend
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
 from lanemux.net.plugs import Plugs
-from lanemux.net.roster import Roster
 from lanemux.net.server import ClientConnection, Doors, Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
+from lanemux.net.upstream_set import UpstreamSet
 
 log = logging.getLogger(__name__)
 
@@ -113,8 +113,8 @@
         )
         self._passing: dict[str, Call] = {}  # whose answers pass in pieces
         self.server = Server(self, room, system, self.tally, doors(room) if doors is not None else None)
-        self.entrance = Entrance(config, self.server)
-        self.roster = Roster(config, self._hub, system, source, self.feed, self._call_off_waiting)
+        self.frontend = Frontend(config, self.server)
+        self.upstream_set = UpstreamSet(config, self._hub, system, source, self.feed, self._call_off_waiting)
         self.background = BackgroundAcquisition(self.tally)
         self.port = 0  # where it listens for clients, once it does
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
@@ -128,15 +128,15 @@
         """Take up the known list, then open to clients, though ready only after a rest; gives the port.
 
         Waits for the clients' address until it can be had; Unobtainable where that can never be."""
-        self.entrance.rest(rest_s)
-        self.roster.start()
+        self.frontend.rest(rest_s)
+        self.upstream_set.start()
         await self._open_peers()
         if self.config.settings.discovery_push:
-            self.roster.source.watch()
+            self.upstream_set.source.watch()
         self._sweep_idle()
 
         async def listen() -> int:
-            return self.entrance.open(rest_s)
+            return self.frontend.open(rest_s)
 
         self.port = await acquire("listening socket", listen, self.tally)
         return self.port
@@ -159,7 +159,7 @@
 
     def _sweep_idle(self) -> None:
         self._hub.expire()
-        self.roster.sweep()
+        self.upstream_set.sweep()
         stale = now_ns() - PASSING_IDLE_NS
         for call in [c for c in self._passing.values() if c.moved_ns < stale]:
             log.info("an answer is cut: nothing of it has moved for %d s", PASSING_IDLE_NS // SECOND)
@@ -168,7 +168,7 @@
 
     @property
     def ready(self) -> bool:
-        return self.entrance.ready
+        return self.frontend.ready
 
     @property
     def stopping(self) -> bool:
@@ -185,12 +185,12 @@
     @property
     def discovered(self) -> int:
         """Upstreams in the list."""
-        return len(self.roster.membership.hosts)
+        return len(self.upstream_set.membership.hosts)
 
     @property
     def ejected(self) -> int:
         """Listed upstreams that are avoided now: by hand, or by the decisions."""
-        return self.roster.cordoned + self._module.avoided(now_ns())
+        return self.upstream_set.cordoned + self._module.avoided(now_ns())
 
     def standing(self) -> Mapping[str, object]:
         """Why the decisions do what they do, in figures."""
@@ -201,16 +201,16 @@
         end = self._loop.time() + LEAVE_S
         self._stopping = True
         self.plugs.leave()
-        await self.entrance.close_in_order(end)
+        await self.frontend.close_in_order(end)
         if self._calls:
             self._quiet.clear()  # it may have been quiet before the last ones came
             try:
                 await asyncio.wait_for(self._quiet.wait(), end - self._loop.time())
             except TimeoutError:
                 log.warning("left with %d requests open", len(self._calls))
-        await self.entrance.flush(end)
+        await self.frontend.flush(end)
         self.close()
-        await self.roster.source.stopped()
+        await self.upstream_set.source.stopped()
         await self._hub.stopped()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
@@ -232,8 +232,8 @@
         self.background.stop()
         for call in list(self._calls.values()):
             self._finish(call, 504)
-        self.entrance.stop()
-        self.roster.stop()
+        self.frontend.stop()
+        self.upstream_set.stop()
         for timer in (*self._timers.values(), self._sweep, self._reading):
             if timer is not None:
                 timer.cancel()
@@ -289,7 +289,7 @@
         self._failures_untold = 0 if failed else self._failures_untold + 1
         calls = {c.id: api.Held(c.sends, c.out is not None) for c in self._calls.values()}
         try:
-            return self._module.handle(self._decided_ns, [api.Truth(calls), self.roster.whole(self._decided_ns)])
+            return self._module.handle(self._decided_ns, [api.Truth(calls), self.upstream_set.whole(self._decided_ns)])
         except Exception:
             log.exception("the module failed on what is true")
             return []
@@ -313,11 +313,11 @@
                     pool.close_idle()
             case api.Subscribe():
                 if action.on:
-                    self.roster.source.watch()
+                    self.upstream_set.source.watch()
                 else:
-                    self.roster.source.unwatch()
+                    self.upstream_set.source.unwatch()
             case api.FetchList():
-                self.roster.source.fetch()
+                self.upstream_set.source.fetch()
             case api.SetTimer():
                 due = (self._decided_ns + action.delay_ns) / SECOND
                 self._timers[action.name] = self._loop.call_at(due, self._wake, action.name)
@@ -344,7 +344,7 @@
             client.answer(400)  # an upstream reads no body there and would take it for the next request
         elif ids[0] in self._ids:
             client.answer(409)  # whose answer would it be?
-        elif self.entrance.away or self._limits.max_open and len(self._calls) >= self._limits.max_open:
+        elif self.frontend.away or self._limits.max_open and len(self._calls) >= self._limits.max_open:
             self.tally.ended(name, 503)
             client.answer(503, [(b"Retry-After", FULL_RETRY_S)])
         else:
--- a/lanemux/net/reload.py
+++ b/lanemux/net/reload.py
@@ -36,7 +36,7 @@
         if new != self.now:
             log.info("reload: the list is to come from another source")
             self.now = new
-            node.roster.replace_source(new)
+            node.upstream_set.replace_source(new)
 
 
 class Reloader:
@@ -83,4 +83,4 @@
         for name in NEEDS_RESTART:
             if getattr(new, name) != getattr(self._old, name):
                 log.warning("%s: reload: another %s needs a restart", self._old.name, name)
-        self._node.roster.move_discovery(new.discovery)
+        self._node.upstream_set.move_discovery(new.discovery)
--- a/lanemux/net/roster.py
+++ b/lanemux/net/upstream_set.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 
-class Roster:
+class UpstreamSet:
     """The upstreams as a source lists them, less those that are displaced or out by hand.
 
     `told` takes each news for the decisions, `strayed` is called when attempts may wait for a connection to an upstream
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -520,8 +520,8 @@
         words = {api.State.READY: "up", api.State.DRAINING: "draining"}
         believed = {
             host: words.get(last.upstream.state, "?")
-            for host in sorted(node.roster.membership.hosts)
-            if (last := node.roster.membership.last(host)) is not None
+            for host in sorted(node.upstream_set.membership.hosts)
+            if (last := node.upstream_set.membership.last(host)) is not None
         }
         if told != believed:
             self._blame("list", f"balancer {seat.number} believes {believed}, told was {told}")
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_server.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.admin.door import MOST, Door
+from lanemux.admin.server import MAX_CONNECTIONS, AdminServer
 from lanemux.core.cordons import Word
 from lanemux.core.front import AWAY_S
 from lanemux.core.system import Machine
@@ -23,8 +23,8 @@
 
 
 @asynccontextmanager
-async def door(balancer: Node) -> AsyncIterator[int]:
-    made = Door(balancer, Machine())
+async def admin_server(balancer: Node) -> AsyncIterator[int]:
+    made = AdminServer(balancer, Machine())
     try:
         yield made.open((HOST, 0))
     finally:
@@ -65,7 +65,7 @@
 def test_each_call_has_its_answer(line: str, status: int) -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
-        async with node(Script(), upstream) as client, door(client.node) as port:
+        async with node(Script(), upstream) as client, admin_server(client.node) as port:
             assert (await call(port, line)).status == status
 
     run(test())
@@ -93,7 +93,7 @@
             return ()
 
         script.react = react
-        async with node(script, upstream) as client, door(client.node) as port:
+        async with node(script, upstream) as client, admin_server(client.node) as port:
             for kind in (0, 0, 0, 1, 1, 2):
                 await client.ask(request("/read", f"Req-Cost: {kind}"))
             await client.another().ask(request("/none"))  # no class: not a request that was taken
@@ -124,7 +124,7 @@
             def react(event: api.Event) -> Iterable[api.Action]:
                 actions = was(event)
                 if isinstance(event, api.Arrival):
-                    asyncio.get_running_loop().call_soon(balancer.roster.cordon, "s0", True)
+                    asyncio.get_running_loop().call_soon(balancer.upstream_set.cordon, "s0", True)
                 return actions
 
             script.react = react
@@ -140,7 +140,7 @@
     async def test() -> None:
         one, two = await Upstream(answers(200)).start(), await Upstream(answers(200)).start()
         module = Balancer(settings(), 1, time.monotonic_ns())
-        async with node(module, one, two) as client, door(client.node) as port:
+        async with node(module, one, two) as client, admin_server(client.node) as port:
             for _ in range(2):  # the second changes nothing
                 assert (await call(port, "PUT /admin/cordon/s0")).status == 200
             for _ in range(30):
@@ -156,8 +156,8 @@
 
 def test_callers_who_say_nothing_delay_nobody_and_go() -> None:
     async def test() -> None:
-        async with node(Script()) as client, door(client.node) as port:
-            silent = [await asyncio.open_connection(HOST, port) for _ in range(3 * MOST)]
+        async with node(Script()) as client, admin_server(client.node) as port:
+            silent = [await asyncio.open_connection(HOST, port) for _ in range(3 * MAX_CONNECTIONS)]
             for _, writer in silent:
                 writer.write(b"GET /admin/he")
             assert (await call(port, "GET /admin/health")).status == 200
@@ -174,7 +174,7 @@
         upstream = await Upstream(answers(200)).start()
         script = Script()
         sends_first(script)
-        async with node(script, upstream) as client, door(client.node) as port:
+        async with node(script, upstream) as client, admin_server(client.node) as port:
             idle = client.another()
             assert (await idle.ask(request())).status == 200
             busy = client.another()
@@ -200,7 +200,7 @@
 
 def test_a_process_that_ends_does_not_come_back() -> None:
     async def test() -> None:
-        async with node(Script()) as client, door(client.node) as port:
+        async with node(Script()) as client, admin_server(client.node) as port:
             await call(port, "PUT /admin/quiesce")
             ending = asyncio.create_task(client.node.drain())
             await asyncio.sleep(0)
@@ -214,7 +214,7 @@
 def test_a_ban_that_could_not_be_kept_is_kept_when_it_is_told_again() -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
-        async with node(Script(), upstream) as client, door(client.node) as port:
+        async with node(Script(), upstream) as client, admin_server(client.node) as port:
             kept: list[bool] = [False, True]
             told: list[Word] = []
 
@@ -222,7 +222,7 @@
                 told.append(word)
                 return kept[len(told) - 1]
 
-            client.node.roster.keep_word = keep
+            client.node.upstream_set.keep_word = keep
             assert (await call(port, "PUT /admin/cordon/s0")).status == 507
             assert (await call(port, "PUT /admin/cordon/s0")).status == 200
             assert told[0] == told[1] and told[0].out
--- a/tests/etcd/test_source.py
+++ b/tests/etcd/test_source.py
@@ -455,7 +455,7 @@
         async with balancer(registry, None) as node:
             pools = node._hub.pools
             await until(lambda: len(pools) == 2)
-            node.roster.replace_source(Make(Target((standin.address,), PREFIX)))
+            node.upstream_set.replace_source(Make(Target((standin.address,), PREFIX)))
             await until(lambda: standin.lists >= 2)
             registry.change("d")  # the old one still counts
             await until(lambda: numbers.number("d") in pools)
@@ -465,7 +465,7 @@
             standin.store.write([(key("e"), row(5))])
             standin.changed()
             await until(lambda: numbers.number("e") in pools)
-            node.roster.replace_source(None)  # and back
+            node.upstream_set.replace_source(None)  # and back
             await until(lambda: len(registry.calls) > calls and numbers.number("a") in pools)
             assert set(pools) == {numbers.number(h) for h in "abd"}
             await until(lambda: not standin._handlers)
@@ -481,9 +481,9 @@
         standin.store.write([(key("a"), json.dumps({k: v for k, v in entry("a", 1).items() if k != "host"}).encode())])
         async with balancer(registry, None) as node:
             await until(lambda: len(node._hub.pools) == 1)
-            old = node.roster.source
-            node.roster.replace_source(Make(Target((standin.address,), PREFIX)))
-            await until(lambda: node.roster.source is not old and node.roster.successor is None)
+            old = node.upstream_set.source
+            node.upstream_set.replace_source(Make(Target((standin.address,), PREFIX)))
+            await until(lambda: node.upstream_set.source is not old and node.upstream_set.successor is None)
         await standin.stop()
 
     run(test())
@@ -494,7 +494,7 @@
     path.write_text('[etcd]\nendpoints = ["127.0.0.1:1"]\nprefix = "/a/"\n')
     lists = Lists(lambda: _source(load(str(path))))
     replaced: list[Make | None] = []
-    node = cast(Node, SimpleNamespace(roster=SimpleNamespace(replace_source=replaced.append)))
+    node = cast(Node, SimpleNamespace(upstream_set=SimpleNamespace(replace_source=replaced.append)))
     lists.reload(node)
     path.write_text("[etcd]\n")
     lists.reload(node)
--- a/tests/rehearsal/broken/late_drain.py
+++ b/tests/rehearsal/broken/late_drain.py
@@ -6,10 +6,10 @@
 
 from lanemux import interface as api
 from lanemux.net import daemon
-from lanemux.net.roster import Roster
+from lanemux.net.upstream_set import UpstreamSet
 
 LATE_S = 1.5
-listed = Roster.listed
+listed = UpstreamSet.listed
 
 
 def later(self: Any, listing: Any) -> None:
@@ -20,5 +20,5 @@
         listed(self, listing)
 
 
-Roster.listed = later  # type: ignore[method-assign]
+UpstreamSet.listed = later  # type: ignore[method-assign]
 sys.exit(daemon.main())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -37,7 +37,7 @@
 
 
 def platform(client: Client) -> Discovery:
-    source = client.node.roster.source
+    source = client.node.upstream_set.source
     assert isinstance(source, Discovery)
     return source
 
@@ -277,7 +277,7 @@
         async with node(script, registry=old, known_list=known(5)) as client:
             await until(lambda: old.calls)
             left = platform(client)._source
-            client.node.roster.move_discovery((HOST, new.upstream.port))
+            client.node.upstream_set.move_discovery((HOST, new.upstream.port))
             await until(lambda: len(new.calls) == 2)
             assert new.calls[0][1] == "/registry/instances"
             assert new.calls[1][1].startswith("/registry/instances?after=3&")
@@ -296,7 +296,7 @@
         new = await second("s9", broken=written(503))
         async with node(script, registry=old, known_list=known(5)) as client:
             await until(lambda: old.calls)
-            client.node.roster.move_discovery((HOST, new.upstream.port))
+            client.node.upstream_set.move_discovery((HOST, new.upstream.port))
             await until(lambda: len(new.calls) == 2)
             old.change("s1")
             await until(lambda: len(client.node._hub.pools) == 2)
@@ -313,7 +313,7 @@
         new = await second("s9", broken=written(503))
         async with node(script, registry=old, known_list=known(5)) as client:
             await until(lambda: old.calls)
-            client.node.roster.move_discovery((HOST, new.upstream.port))
+            client.node.upstream_set.move_discovery((HOST, new.upstream.port))
             old.broken = written(503)
             old.change("s1")  # the watch ends
             await until(lambda: platform(client)._call is None)
@@ -333,14 +333,14 @@
             await until(lambda: old.calls)
             addresses = [(HOST, r.upstream.port) for r in (*new, old)]
             for address in addresses:
-                client.node.roster.move_discovery(address)
+                client.node.upstream_set.move_discovery(address)
             old.change("s1")
             await until(lambda: len(client.node._hub.pools) == 2)
             for address in addresses[:2]:
-                client.node.roster.move_discovery(address)
+                client.node.upstream_set.move_discovery(address)
             await until(lambda: len(new[1].calls) == 2)
             assert not new[0].calls and platform(client)._successor is None
-            assert hosts(script) == [client.node.roster.membership.number("s8")]
+            assert hosts(script) == [client.node.upstream_set.membership.number("s8")]
         for registry in new:
             registry.upstream.stop()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 from lanemux.interface import Result
 from lanemux.net.config import Config
 from lanemux.net.discovery import read_listing
-from lanemux.net.entrance import LATE_ARRIVALS_S
+from lanemux.net.frontend import LATE_ARRIVALS_S
 from lanemux.net.node import Node
 from lanemux.net.server import ACCEPTS
 from lanemux.policy import Balancer
@@ -599,8 +599,10 @@
         async with node(script, upstream) as client:
             await send_held(client, script, monkeypatch, up)
             row = {**known(upstream.port)["hosts"][0], "health": health}
-            listing = read_listing({"seq": 2, "whole": False, "hosts": [row]}, client.node.roster.membership, now_ns())
-            client.node.roster.listed(listing)
+            listing = read_listing(
+                {"seq": 2, "whole": False, "hosts": [row]}, client.node.upstream_set.membership, now_ns()
+            )
+            client.node.upstream_set.listed(listing)
             assert (await client.read()).status == 504
             up.set()
             assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT]
@@ -624,7 +626,7 @@
             await send_held(client, script, monkeypatch, up)
             await asyncio.sleep(0)  # its connection is under way to the old address
             moved = {"seq": 2, "whole": False, "hosts": known(new.port)["hosts"]}
-            client.node.roster.listed(read_listing(moved, client.node.roster.membership, now_ns()))
+            client.node.upstream_set.listed(read_listing(moved, client.node.upstream_set.membership, now_ns()))
             assert (await client.read()).status == 504
             assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT]
             up.set()
@@ -652,7 +654,7 @@
             await client.send(request())
             await until(lambda: old.got)
             moved = {"seq": 2, "whole": False, "hosts": known(new.port)["hosts"]}
-            client.node.roster.listed(read_listing(moved, client.node.roster.membership, now_ns()))
+            client.node.upstream_set.listed(read_listing(moved, client.node.upstream_set.membership, now_ns()))
             answer.set()
             assert (await client.read()).status == 200
             assert (await client.ask(request())).status == 200
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -8,7 +8,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 NODE, UPSTREAM, DISCOVERY = "net/node.py", "net/upstream.py", "net/discovery.py"
-ROSTER, ENTRANCE = "net/roster.py", "net/entrance.py"
+UPSTREAM_SET, FRONTEND = "net/upstream_set.py", "net/frontend.py"
 FOLLOWER, BOARD = "etcd/follower.py", "etcd/board.py"
 
 
@@ -30,7 +30,7 @@
     _one(
         "no-call-off",
         "past mend: a request that waits for a connection is called off when its box drains or moves",
-        ROSTER,
+        UPSTREAM_SET,
         "            pool.close_idle()\n        self._strayed()\n",
         "            pool.close_idle()\n",
     ),
@@ -69,7 +69,7 @@
     _one(
         "reset-at-drain",
         "this issue's mend: who waits to be accepted when a drain ends is answered",
-        ENTRANCE,
+        FRONTEND,
         "        self.server.accept_last()",
         "        pass",
     ),
