A SIGTERM while the program is being loaded ends it in order

Cause: signals were held only once the daemon's modules were there, 0.2 s after the process's start; until then the default action ended it. The command line holds them before it imports anything large. What is left is the interpreter's own start. The test sends SIGTERM at the first import of the daemon: -15 before, 0 now, for the plain start and for `serve`. A crash is told once on a seed's line.

--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -63,7 +63,15 @@
     return USAGE_STATUS
 
 
+def _hold_signals() -> None:
+    """Before anything large is imported: a signal that asks for the end waits until the daemon can take it."""
+    import signal
+
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+
+
 def _daemon() -> int:
+    _hold_signals()
     from lanemux.net.daemon import main as daemon
 
     return daemon(extend=_extend)
@@ -111,16 +119,16 @@
 
 
 def _serve(rest: Sequence[str]) -> int:
+    _hold_signals()
     import logging
 
     from lanemux.checked import Faulty
-    from lanemux.net.daemon import hold_signals, main
+    from lanemux.net.daemon import main
     from lanemux.net.reload import Lists
     from lanemux.net.startup import Interrupted
     from lanemux.operators import load
 
     options = _arguments("serve", rest)
-    hold_signals()
 
     def read() -> MakeSource | None:
         told = load(options.operators)
--- a/lanemux/rehearsal/soak/command.py
+++ b/lanemux/rehearsal/soak/command.py
@@ -159,7 +159,7 @@
         f"memory {outcome.memory_most_mb:.0f} MB",
         f"{outcome.wall_s:.0f} s",
     ]
-    proofs = "; ".join([*outcome.faults, *outcome.crashes])[:MAX_PROOF]
+    proofs = "; ".join(dict.fromkeys([*outcome.faults, *outcome.crashes]))[:MAX_PROOF]
     return "  ".join([f"seed {outcome.seed}: {state}", *figures, str(broken or ""), proofs]).rstrip()
 
 
--- a/tests/faults/test_start_and_stop.py
+++ b/tests/faults/test_start_and_stop.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -167,3 +170,29 @@
             assert plain == ["lanemux: n0: listening socket: [Errno 13] EACCES\n"]
 
     run(test())
+
+
+def test_a_sigterm_while_the_program_is_still_being_loaded_ends_it_in_order(tmp_path: Path) -> None:
+    """Loading takes 0.2 s: a signal that came then ended the process by its default action."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    program = (
+        "import builtins, os, signal\n"
+        "plain = builtins.__import__\n"
+        "def told(name, *more, **options):\n"
+        "    if name == 'lanemux.net.daemon':\n"
+        "        os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    return plain(name, *more, **options)\n"
+        "builtins.__import__ = told\n"
+        "from lanemux.__main__ import run\n"
+        "run()\n"
+    )
+    for arguments in ([], ["serve"]):
+        ended = subprocess.run(
+            [sys.executable, "-c", program, *arguments],
+            env={**os.environ, "RELAY_CONFIG": str(path)},
+            capture_output=True,
+            timeout=PATIENCE_S,
+            check=False,
+        )
+        assert ended.returncode == 0, ended.stderr
