Who waits in the backlog while accepting fails is answered when the process ends

Cause: the last accept before the listener closes was tried once, and not at all while accepting was paused; closing the listener resets whoever waits. It is tried again every 10 ms until the backlog is empty, for half a second at the most. A test with accepts failing for the first 0.8 s of a drain: connection reset before, five answers now.

--- a/lanemux/net/frontend.py
+++ b/lanemux/net/frontend.py
@@ -12,6 +12,8 @@
 log = logging.getLogger(__name__)
 
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
+LAST_ACCEPTS_S = 0.5  # for connections that could not be accepted by then
+LAST_ACCEPTS_LOOK_S = 0.01
 LAST_READ_S = 0.05  # for what those have sent already
 FLUSH_LOOK_S = 0.01
 UNUSED_S = 0.7  # a connection idle for so long is seldom used: a request hardly crosses its closing
@@ -89,11 +91,16 @@
             await self._hand_over(end_s)
             return
         await asyncio.sleep(LATE_ARRIVALS_S)
-        self.server.accept_last()  # after a standstill more may wait than one turn accepts
+        await self._accept_last(min(end_s - HASTE_S, self._loop.time() + LAST_ACCEPTS_S))
         self.server.stop_listening()
         await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
         self.server.close_idle()
 
+    async def _accept_last(self, latest_s: float) -> None:
+        """After a standstill, or while accepting fails, more may wait than one turn accepts."""
+        while not self.server.accept_last() and self._loop.time() < latest_s:
+            await asyncio.sleep(LAST_ACCEPTS_LOOK_S)
+
     async def _hand_over(self, end_s: float) -> None:
         """Another process serves the same listener: what waits there is its own. Who is here is let go without haste,
         since a request that crosses the closing of its connection has to be asked again."""
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -384,41 +384,42 @@
             if for_s is not None:
                 asyncio.get_running_loop().call_later(for_s, self._resume)
 
-    def _accept(self, most: int = 0) -> None:
-        """Take in connections that have come up: so many (0: a turn's) at the most."""
+    def _accept(self, most: int = 0) -> bool:
+        """Take in connections that have come up: so many (0: a turn's) at the most. True if none waits any more."""
         doors, before = self._doors, self._entered
         if doors is None:
-            self._let_in(most or ACCEPTS)
-        else:
-            self._let_in(max(most, doors.turn(now_ns())))
-            doors.done(self._entered - before, now_ns())
+            return self._let_in(most or ACCEPTS)
+        none_waits = self._let_in(max(most, doors.turn(now_ns())))
+        doors.done(self._entered - before, now_ns())
+        return none_waits
 
-    def _let_in(self, most: int) -> None:
+    def _let_in(self, most: int) -> bool:
         assert self._listener is not None
         failed, accepted_some = 0, False
         for _ in range(most):
             if len(self._connections) >= self._capacity and self._dispensable() is None:
                 # Where all are busy, the first to end lets the next one in.
                 self._pause(FRESH_S if self._awaited else None)
-                return
+                return False
             try:
                 accepted = self._listener.accept()
             except BlockingIOError:
                 self._not_accepting_since = None
-                return
+                return True
             except OSError as error:
                 self._counter.call_failed("accept", name_of(error))
                 failed += 1
                 if not is_out_of_descriptors(error) and failed < FAILED_ACCEPTS:
                     continue  # the next one may be sound
                 if accepted_some and not is_out_of_descriptors(error):
-                    return  # on in the loop's next turn
+                    return False  # on in the loop's next turn
                 self._accept_later(error)
-                return
+                return False
             accepted_some = True
             if len(self._connections) >= self._capacity:
                 self._evict()  # not before one has come: it might be the last that came
             self._adopt(accepted)
+        return False
 
     def _accept_later(self, error: OSError) -> None:
         """The machine gives no connection now (asyncio's own server would stop for a second)."""
@@ -567,10 +568,11 @@
         """Connections on which a request may still come."""
         return len(self._idle) + len(self._awaited) + len(self._adopting)
 
-    def accept_last(self) -> None:
-        """Accept whoever has come up before the listener closes: closing would reset them, requests and all."""
-        if self._listener is not None and self._accepting:
-            self._accept(BACKLOG)
+    def accept_last(self) -> bool:
+        """Accept whoever has come up before the listener closes: closing would reset them, requests and all.
+
+        True if none waits any more."""
+        return self._listener is None or self._accept(BACKLOG)
 
     def stop_listening(self) -> None:
         if self._opening is not None:
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -91,3 +91,25 @@
                 writer.close()
 
     run(test())
+
+
+def test_who_waits_in_the_backlog_when_accepting_fails_at_the_end_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closing the listener would reset them, requests and all."""
+
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        async with node(sends_once(), upstream) as client:
+            plain, end = socket.socket.accept, time.monotonic() + 0.8
+
+            def accept(self: socket.socket) -> tuple[socket.socket, Any]:
+                if self.getsockname()[1] == client.port and time.monotonic() < end:
+                    raise OSError(errno.EMFILE, "EMFILE")
+                return plain(self)
+
+            monkeypatch.setattr(socket.socket, "accept", accept)
+            draining = asyncio.create_task(client.node.drain())
+            asked = [asyncio.create_task(ask(client.port, request())) for _ in range(5)]
+            assert [(await one).status for one in asked] == [200] * 5
+            await draining
+
+    run(test())
