A lack of descriptors that ending a connection does not cure ends few connections

Cause: making place resumes accepting at once, whatever pause had been set for the failure. One connection makes place and accept is tried again in the loop's next turn, as fast as before where that helps; where it fails again nobody else goes, and accepting rests for 50 ms, which nothing else cuts short.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -309,6 +309,8 @@
         self._tick_due = 0.0  # by the loop's clock
         self._awake_from = -FRESH_S  # it woke from a standstill then
         self._standstill_s = 0.0  # which had lasted so long at the most
+        self._accept_again: asyncio.TimerHandle | None = None  # accepting has failed, and rests until then
+        self._evicted_for_accept = False  # a connection made place for one that could not be accepted
         self._not_accepting_since: float | None = None  # connections may wait in the backlog since then
         self._put_off = False  # the last look at the times above was put off for a standstill
         self.draining = False
@@ -371,7 +373,7 @@
         self._ticking = loop.call_at(self._tick_due, self._tick)
 
     def _resume(self) -> None:
-        if self._listener is not None and not self._accepting:
+        if self._listener is not None and not self._accepting and self._accept_again is None:
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._listener, self._accept)
 
@@ -416,6 +418,7 @@
                 self._accept_later(error)
                 return False
             accepted_some = True
+            self._evicted_for_accept = False
             if len(self._connections) >= self._capacity:
                 self._evict()  # not before one has come: it might be the last that came
             self._adopt(accepted)
@@ -423,10 +426,19 @@
 
     def _accept_later(self, error: OSError) -> None:
         """The machine gives no connection now (asyncio's own server would stop for a second)."""
+        if is_out_of_descriptors(error) and not self._evicted_for_accept:
+            self._evicted_for_accept = self._evict()  # the loop's next turn finds its descriptor free
+            if self._evicted_for_accept:
+                return
         log.warning("accept: %s", error)
-        if is_out_of_descriptors(error):
-            self._evict()
-        self._pause(ACCEPT_PAUSE_S)
+        self._evicted_for_accept = False
+        self._pause()
+        if self._accept_again is None:
+            self._accept_again = asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume_after_failure)
+
+    def _resume_after_failure(self) -> None:
+        self._accept_again = None
+        self._resume()
 
     def _dispensable(self) -> ClientConnection | None:
         """Who makes place for a new one: first who is leaving, then who owes a request, then who is idle."""
@@ -577,6 +589,9 @@
     def stop_listening(self) -> None:
         if self._opening is not None:
             self._opening.cancel()
+        if self._accept_again is not None:
+            self._accept_again.cancel()
+            self._accept_again = None
         self._pause()
         if self._listener is not None:
             self._listener.close()
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -113,3 +113,26 @@
             await draining
 
     run(test())
+
+
+def test_a_lack_of_descriptors_that_no_end_of_a_connection_cures_ends_few_of_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            idle = [await asyncio.open_connection(HOST, client.port) for _ in range(30)]
+            await asyncio.sleep(0.2)
+            plain, end = socket.socket.accept, time.monotonic() + 0.3
+
+            def accept(self: socket.socket) -> tuple[socket.socket, Any]:
+                if self.getsockname()[1] == client.port and time.monotonic() < end:
+                    raise OSError(errno.EMFILE, "EMFILE")
+                return plain(self)
+
+            monkeypatch.setattr(socket.socket, "accept", accept)
+            assert (await ask(client.port, b"GET /health/ready HTTP/1.1\r\n\r\n")).status == 200
+            assert sum(reader.at_eof() for reader, _ in idle) <= 8  # one for each pause of 50 ms
+            for _, writer in idle:
+                writer.close()
+
+    run(test())
