--- a/lanemux/net/frontend.py
+++ b/lanemux/net/frontend.py
@@ -63,7 +63,7 @@
         await asyncio.sleep(EASE_S)
         while True:
             gone_s = self._loop.time() - begun
-            await self.server.ease(UNUSED_S if gone_s < AWAY_S - UNUSED_S else 0.0)
+            await self.server.close_unused(UNUSED_S if gone_s < AWAY_S - UNUSED_S else 0.0)
             if gone_s >= AWAY_S:
                 self.front.away()
             await asyncio.sleep(EASE_LOOK_S)
@@ -107,7 +107,7 @@
         self.server.stop_listening()
         await asyncio.sleep(LAST_READ_S)
         while self.server.waited_for and self._loop.time() < end_s - HASTE_S:
-            await self.server.ease(UNUSED_S)
+            await self.server.close_unused(UNUSED_S)
             await asyncio.sleep(EASE_LOOK_S)
         self.server.close_idle()
 
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -13,12 +13,13 @@
 from lanemux.core.source import MakeSource
 from lanemux.core.system import Machine, System
 from lanemux.core.tally import Tally
+from lanemux.net.client_connection import ClientConnection
 from lanemux.net.config import Config
 from lanemux.net.frontend import Frontend
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
 from lanemux.net.plugs import Plugs
-from lanemux.net.server import ClientConnection, Doors, Server
+from lanemux.net.server import Doors, Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
 from lanemux.net.upstream_set import UpstreamSet
@@ -490,7 +491,7 @@
             call.moved_ns = now_ns()
             self._passing[call.id] = call
 
-            def roomy() -> None:
+            def writable() -> None:
                 call.moved_ns = now_ns()
                 exchange.hold(False)
 
@@ -499,7 +500,7 @@
                 if not call.client.pass_on(data):
                     exchange.hold(True)
 
-            call.client.begin([(k, v) for k, v in head.end_to_end() if k != b"srv-load"], head.length, roomy)
+            call.client.begin([(k, v) for k, v in head.end_to_end() if k != b"srv-load"], head.length, writable)
             self.feed(api.AnswerBegun(call.id, number, upstream, call.moved_ns - sent_ns))
             return pass_on
 
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -1,51 +1,37 @@
-"""The side of the clients: listening, their connections, and `/health/ready`."""
+"""The side of the clients: listening, and the connections that are there."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, Protocol
 
 from lanemux.core.clock import now_ns
 from lanemux.core.failures import FailureCounter, is_out_of_descriptors, name_of
 from lanemux.core.system import Listener, System
-from lanemux.net.http import Headers, Message, MessageReader, write_response, write_stream_head
+from lanemux.net.client_connection import ClientConnection, Service
+from lanemux.net.connection_table import ConnectionTable
 
 if TYPE_CHECKING:
     import socket
 
 log = logging.getLogger(__name__)
 
-SECOND = 1_000_000_000
-READY_PATH = b"/health/ready"
 BACKLOG = 1024
-ACCEPTS = 16  # connections accepted before other work gets its turn
+ACCEPTS_PER_TURN = 16  # connections accepted before other work gets its turn
 FAILED_ACCEPTS = 8  # failures before other work gets its turn
 ACCEPT_PAUSE_S = 0.05  # after the system had no descriptor to give
 LINGER_S = 0.5  # a client that was turned away may still read the answer for so long
-DRAIN = 256 * 1024  # and so much of what it goes on sending is read: unread input would reset the answer
 FLUSH_S = 3.0  # and for the last bytes of a large answer to go out
-SPEAK_S = 2.25  # from connecting, or a request's first byte, to its last one
-IDLE_S = 2.0  # between requests, the least that is promised: some keep theirs for good
-ROOMY = 0.6  # of the places; while more are taken, answers end their connections
+REQUEST_TIMEOUT_S = 2.25  # from connecting, or a request's first byte, to its last one
+IDLE_TIMEOUT_S = 2.0  # between requests, the least that is promised: some keep theirs for good
+CROWDED_SHARE = 0.6  # of the places; while more are taken, answers end their connections
 FRESH_S = 0.05  # so young a connection makes no place for others: its request may be on the way
-EASED = 4  # connections closed in a turn of the loop, where clients are sent away
+CLOSES_PER_TURN = 4  # connections closed in a turn of the loop, where clients are sent away
 SILENT_S = 0.3  # so old a connection without a first request is not one on which it is on the way
 TICK_S = 0.1  # how often the times above are looked at
 
 
-class Service(Protocol):
-    """What answers the requests."""
-
-    @property
-    def ready(self) -> bool: ...
-
-    def take(self, client: ClientConnection, request: Message, received_ns: int) -> None: ...
-
-    def gone(self, client: ClientConnection) -> None: ...
-
-
 class Doors(Protocol):
     """Who is let in when many connect at once, where operators have that bounded. A source is a host's address."""
 
@@ -68,220 +54,6 @@
         """Who goes for one more of this source: a silent one of its own, if it holds its part of the places."""
 
 
-class ClientConnection(asyncio.Protocol):
-    """One client's connection: one request at a time. Sending one ahead of an answer ends it."""
-
-    def __init__(self, server: Server, service: Service) -> None:
-        self._server = server
-        self._service = service
-        self._reader = MessageReader()
-        self._current: Message | None = None
-        self._ended = False
-        self._drained = 0  # bytes read since its end
-        self._roomy: Callable[[], None] | None = None  # an answer passes in pieces: told when one has gone out
-        self._chunked = self._last = False  # how it passes
-        self._transport: asyncio.Transport | None = None
-        self.unread_at_most_s = 0.0  # what came first may have waited so long for its connection to be accepted
-        self.since = 0.0  # it has been in its place of the server's tables since then
-        self.source = ""  # the address it comes from, where doors are kept
-
-    @property
-    def busy(self) -> bool:
-        return self._current is not None
-
-    @property
-    def speaking(self) -> bool:
-        """A request has begun to come."""
-        return self._reader.begun
-
-    @property
-    def flushing(self) -> bool:
-        """Part of an answer is still to be written."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-        if self._ended:  # it had to make place before it came up
-            self._transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        if self._ended:
-            self._drained += len(data)
-            if self._drained > DRAIN and self._transport is not None:
-                self._transport.pause_reading()
-            return
-        received, began = now_ns(), self._reader.begun
-        requests = self._reader.feed(data)
-        if self.busy:
-            if requests or self._reader.begun or self._reader.bad:  # an empty line is none of these
-                self._ahead()
-        elif self._reader.bad:
-            self.turn_away(self._reader.bad)
-        elif len(requests) > 1 or (requests and self._reader.begun):
-            self.turn_away(400)
-        elif requests:
-            self._begin(requests[0], received)
-        elif self._reader.begun and not began:
-            self._server.await_request(self)
-
-    def _ahead(self) -> None:
-        """More came while a request is in hand: neither is served."""
-        self._current = None
-        self._service.gone(self)
-        if self._roomy is not None:
-            self.cut()
-        else:
-            self.turn_away(400)
-
-    def eof_received(self) -> None:
-        """A client that ends its sending has gone away: the transport closes."""
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self._ended = True
-        self._server.forget(self)
-        if self.busy:
-            self._current = None
-            self._service.gone(self)
-
-    def pause_writing(self) -> None:
-        """It does not read its answers: no more requests of it, and its time runs."""
-        if self._transport is not None and not self._ended:
-            self._transport.pause_reading()
-
-    def resume_writing(self) -> None:
-        if self._transport is not None and not self._ended:
-            self._transport.resume_reading()
-        if self._roomy is not None:
-            self._roomy()
-
-    def _begin(self, request: Message, received_ns: int) -> None:
-        received_ns -= self._unread_ns()
-        self._current = request
-        self._server.mark(self)
-        if request.target.partition(b"?")[0] == READY_PATH:
-            self.answer(200 if self._service.ready else 503)
-        else:
-            self._service.take(self, request, received_ns)
-
-    def _unread_ns(self) -> int:
-        """How long the request that has just been read lay in the kernel: its client's time has run since it came."""
-        at_most_s = max(self.unread_at_most_s, self._server.unread_at_most_s())
-        self.unread_at_most_s = 0.0
-        if at_most_s < FRESH_S or self._transport is None:
-            return 0
-        connection = self._transport.get_extra_info("socket")
-        return int(min(at_most_s, self._server.system.since_last_data_s(connection)) * SECOND)
-
-    def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
-        """The final answer of the current request."""
-        if self._current is None or self._transport is None:
-            return
-        last = not self._current.keep_alive or self._server.draining or self._server.crowded
-        self._current = None
-        self._transport.write(write_response(status, headers, body, last))
-        if last:
-            self.close()
-        else:
-            self._server.mark(self)
-
-    def begin(self, headers: Headers, length: int | None, roomy: Callable[[], None]) -> None:
-        """The current request's 200, whose body follows in pieces; `roomy` is told when what was written has gone."""
-        if self._current is None or self._transport is None:
-            return
-        self._chunked = length is None and not self._current.old
-        self._last = (
-            not self._current.keep_alive
-            or self._server.draining
-            or self._server.crowded
-            or (length is None and not self._chunked)
-        )
-        self._roomy = roomy
-        self._transport.set_write_buffer_limits(high=0)  # to be told when all that was written has gone
-        self._transport.write(write_stream_head(200, headers, length, self._last, self._chunked))
-
-    def pass_on(self, data: bytes) -> bool:
-        """One piece of the body; True if it has gone out already."""
-        if self._transport is None or self._roomy is None:
-            return True
-        self._transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
-        return self._transport.get_write_buffer_size() == 0
-
-    def end_answer(self) -> None:
-        """All of the body has been passed on."""
-        if self._current is None or self._transport is None:
-            return
-        self._current = self._roomy = None
-        if self._chunked:
-            self._transport.write(b"0\r\n\r\n")
-        self._transport.set_write_buffer_limits()
-        if self._last or self._server.draining:
-            self.close()
-        else:
-            self._server.mark(self)
-
-    def cut(self) -> None:
-        """The answer can't be finished: its end is missing, by which the client can tell."""
-        self._current = self._roomy = None
-        self._server.forget(self)
-        self.abort()
-
-    def turn_away(self, status: int) -> None:
-        """Say what is wrong and end the connection."""
-        if self._ended:
-            return
-        self._ended = True
-        self._server.leave(self)
-        if self._transport is None:
-            return
-        self._transport.write(write_response(status, (), b"", True))
-        # Closing at once, with unread input, resets the connection: the answer would be lost on its way.
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-
-    def close(self) -> None:
-        """Close the connection between requests; what has been answered is still written, for a while."""
-        self._ended = True
-        self._server.leave(self, self.flushing)
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        self._ended = True
-        if self._transport is not None:
-            self._transport.abort()
-
-
-class Table:
-    """Connections in the order in which they came to it."""
-
-    def __init__(self) -> None:
-        self._members: dict[ClientConnection, None] = {}
-
-    def __len__(self) -> int:
-        return len(self._members)
-
-    def __contains__(self, client: ClientConnection) -> bool:
-        return client in self._members
-
-    def add(self, client: ClientConnection) -> None:
-        self._members.pop(client, None)
-        client.since = asyncio.get_running_loop().time()
-        self._members[client] = None
-
-    def discard(self, client: ClientConnection) -> None:
-        self._members.pop(client, None)
-
-    def members(self) -> list[ClientConnection]:
-        return list(self._members)
-
-    def oldest(self, age_s: float = 0.0) -> ClientConnection | None:
-        """The first that came, if it has been here for so long."""
-        client = next(iter(self._members), None)
-        if client is None or asyncio.get_running_loop().time() - client.since < age_s:
-            return None
-        return client
-
-
 class Server:
     """Listens, bounds the connections and the times that clients may take for what they owe."""
 
@@ -296,10 +68,10 @@
         self._capacity = capacity
         self.system = system
         self._connections: dict[ClientConnection, None] = {}  # in the order in which they came
-        self._idle = Table()  # between requests
-        self._awaited = Table()  # a request of theirs is due: the first one, or one that has begun
-        self._leaving = Table()  # closed or turned away, their last bytes still on the way
-        self._flushing = Table()  # closed, but a good part of an answer is still to be written
+        self._idle = ConnectionTable()  # between requests
+        self._awaited = ConnectionTable()  # a request of theirs is due: the first one, or one that has begun
+        self._leaving = ConnectionTable()  # closed or turned away, their last bytes still on the way
+        self._flushing = ConnectionTable()  # closed, but a good part of an answer is still to be written
         self._adopting: dict[asyncio.Task[object], None] = {}
         self._listener: Listener | None = None
         self._entered = 0  # connections so far
@@ -352,12 +124,12 @@
         if self._put_off:
             self._tick_again(FRESH_S)
             return
-        while (client := self._awaited.oldest(SPEAK_S)) is not None:
-            if client.speaking:
+        while (client := self._awaited.oldest(REQUEST_TIMEOUT_S)) is not None:
+            if client.receiving:
                 client.turn_away(408)
             else:
                 client.close()
-        while (client := self._idle.oldest(IDLE_S)) is not None:
+        while (client := self._idle.oldest(IDLE_TIMEOUT_S)) is not None:
             client.close()
         for table, limit_s in ((self._leaving, LINGER_S), (self._flushing, FLUSH_S)):
             while (client := table.oldest(limit_s)) is not None:
@@ -390,12 +162,12 @@
         """Take in connections that have come up: so many (0: a turn's) at the most. True if none waits any more."""
         doors, before = self._doors, self._entered
         if doors is None:
-            return self._let_in(most or ACCEPTS)
-        none_waits = self._let_in(max(most, doors.turn(now_ns())))
+            return self._accept_connections(most or ACCEPTS_PER_TURN)
+        none_waits = self._accept_connections(max(most, doors.turn(now_ns())))
         doors.done(self._entered - before, now_ns())
         return none_waits
 
-    def _let_in(self, most: int) -> bool:
+    def _accept_connections(self, most: int) -> bool:
         assert self._listener is not None
         failed, accepted_some = 0, False
         for _ in range(most):
@@ -445,7 +217,7 @@
         if self._stood_still():
             return self._leaving.oldest()
         owing = self._leaving.oldest() or self._awaited.oldest(FRESH_S)
-        idle = self._idle.oldest(SPEAK_S if self._awaited else 0.0)
+        idle = self._idle.oldest(REQUEST_TIMEOUT_S if self._awaited else 0.0)
         return owing or (idle if idle is not None and not idle.flushing else None)
 
     def _adopt(self, accepted: socket.socket) -> None:
@@ -466,7 +238,7 @@
             client.source = str(accepted.getpeername()[0])
         except OSError:
             return False
-        scarce = len(self._connections) > ROOMY * self._capacity
+        scarce = len(self._connections) > CROWDED_SHARE * self._capacity
         other = doors.instead(client.source) if scarce else None
         if isinstance(other, ClientConnection):
             self.forget(other)
@@ -522,7 +294,7 @@
     def crowded(self) -> bool:
         """So many connections are held that clients without one may find none. Those in the lobby make place for them:
         a flood of silent ones must not end the others'."""
-        return len(self._connections) - len(self._lobby) > ROOMY * self._capacity
+        return len(self._connections) - len(self._lobby) > CROWDED_SHARE * self._capacity
 
     @property
     def held(self) -> int:
@@ -559,7 +331,7 @@
             while (client := table.oldest()) is not None:
                 client.close()
 
-    async def ease(self, idle_s: float) -> None:
+    async def close_unused(self, idle_s: float) -> None:
         """Close all on which no request is open or comes, and none has been for so long, a few in a turn of the loop.
 
         Whoever is in use meets the end with its next answer, which crosses nothing: waiting for that spares most.
@@ -569,10 +341,10 @@
         for table, age_s in ((self._idle, idle_s), (self._awaited, SILENT_S)):
             for client in table.members():
                 old = asyncio.get_running_loop().time() - client.since >= age_s
-                if old and client in table and not client.speaking:
+                if old and client in table and not client.receiving:
                     client.close()
                     closed += 1
-                    if closed % EASED == 0:
+                    if closed % CLOSES_PER_TURN == 0:
                         await asyncio.sleep(0)
 
     @property
--- a/tests/rehearsal/broken/answers_twice.py
+++ b/tests/rehearsal/broken/answers_twice.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from lanemux.net import daemon
-from lanemux.net.server import ClientConnection
+from lanemux.net.client_connection import ClientConnection
 
 answer = ClientConnection.answer
 count = [0]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,7 @@
 from lanemux.net.discovery import read_listing
 from lanemux.net.frontend import LATE_ARRIVALS_S
 from lanemux.net.node import Node
-from lanemux.net.server import ACCEPTS
+from lanemux.net.server import ACCEPTS_PER_TURN
 from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
@@ -835,7 +835,7 @@
         async with node(script, upstream) as client:
             draining = asyncio.create_task(client.node.drain())
             await until(lambda: not client.node.ready)
-            callers = [socket.create_connection(("127.0.0.1", client.port)) for _ in range(3 * ACCEPTS)]
+            callers = [socket.create_connection(("127.0.0.1", client.port)) for _ in range(3 * ACCEPTS_PER_TURN)]
             for caller in callers:
                 caller.sendall(request())
             time.sleep(LATE_ARRIVALS_S)  # the standstill: nothing else runs
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -11,7 +11,8 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.net.server import ClientConnection, Table
+from lanemux.net.client_connection import ClientConnection
+from lanemux.net.connection_table import ConnectionTable
 from tests.sockets import HOST, PATIENCE_S, Script, node, request, run, until
 
 READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
@@ -151,11 +152,11 @@
     run(test())
 
 
-def first(table: Table) -> ClientConnection:
+def first(table: ConnectionTable) -> ClientConnection:
     return next(iter(table._members))
 
 
-def ages(table: Table, seconds: float) -> None:
+def ages(table: ConnectionTable, seconds: float) -> None:
     """As if all that is in the table had been there for so much longer."""
     for member in table._members:
         member.since -= seconds
@@ -175,7 +176,7 @@
             await client.send(data)
             if served and not data:
                 return  # that one is idle, and may be for long
-            await until(lambda: server._awaited and (not data or first(server._awaited).speaking))
+            await until(lambda: server._awaited and (not data or first(server._awaited).receiving))
             server._tick()
             assert server._awaited
             ages(server._awaited, 2.3)
@@ -196,7 +197,7 @@
         async with node(Script()) as client:
             server = client.node.server
             await client.send(b"GET /re")
-            await until(lambda: server._awaited and first(server._awaited).speaking)
+            await until(lambda: server._awaited and first(server._awaited).receiving)
             ages(server._awaited, 2.3)
             server._tick_due -= 1.0  # the loop comes to it so late
             server._tick()
@@ -234,7 +235,7 @@
             ages(server._awaited, 2.0)
             since = first(server._awaited).since
             await client.send(b"GET")
-            await until(lambda: first(server._awaited).speaking)
+            await until(lambda: first(server._awaited).receiving)
             assert first(server._awaited).since == since
 
     run(test())
