--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -55,7 +55,7 @@
     except (CannotRun, OSError) as error:
         print(f"lanemux: {error}", file=sys.stderr)
         return BAD_USE
-    except _Ended as error:
+    except EndedBySignal as error:
         print(f"lanemux: ended by {error.by.name} before the run was over", file=sys.stderr)
         return BY_SIGNAL + error.by
     _show(run, name)
@@ -71,9 +71,9 @@
 def _run(scenario: Scenario, seed: int, command: Sequence[str]) -> Run:
     """Play it; a terminal is shown how far it is."""
     if not sys.stderr.isatty():
-        return asyncio.run(_played(scenario, seed, command, None))
+        return asyncio.run(rehearse_until_told(scenario, seed, command, None))
     if not installed("rich"):
-        run = asyncio.run(_played(scenario, seed, command, _progress))
+        run = asyncio.run(rehearse_until_told(scenario, seed, command, _progress))
         print(file=sys.stderr)
         return run
     from rich.console import Console
@@ -81,7 +81,7 @@
     from lanemux.rehearsal.terminal import Bar
 
     with Bar(Console(stderr=True)) as bar:
-        return asyncio.run(_played(scenario, seed, command, bar.tell))
+        return asyncio.run(rehearse_until_told(scenario, seed, command, bar.tell))
 
 
 def _show(run: Run, name: str) -> None:
@@ -96,17 +96,23 @@
     show(run, name, Console())
 
 
-class _Ended(Exception):
+class EndedBySignal(Exception):
     """A signal ended the rehearsal."""
 
     def __init__(self, by: signal.Signals) -> None:
         self.by = by
 
 
-async def _played(scenario: Scenario, seed: int, command: Sequence[str], progress: Progress | None) -> Run:
+async def rehearse_until_told(
+    scenario: Scenario,
+    seed: int,
+    command: Sequence[str],
+    progress: Progress | None = None,
+    folder: Path | None = None,
+) -> Run:
     """The rehearsal; a signal calls it off, so that it leaves no balancer and no box behind."""
     loop = asyncio.get_running_loop()
-    task = asyncio.create_task(rehearse(scenario, seed, command, progress))
+    task = asyncio.create_task(rehearse(scenario, seed, command, progress, folder))
     ended: list[signal.Signals] = []
 
     def end(by: signal.Signals) -> None:
@@ -120,7 +126,7 @@
         return await task
     except asyncio.CancelledError:
         if ended:
-            raise _Ended(ended[0]) from None
+            raise EndedBySignal(ended[0]) from None
         raise
 
 
--- a/lanemux/rehearsal/soak/command.py
+++ b/lanemux/rehearsal/soak/command.py
@@ -14,8 +14,9 @@
 from pathlib import Path
 
 from lanemux.rehearsal import report
+from lanemux.rehearsal.command import BY_SIGNAL, EndedBySignal, rehearse_until_told
 from lanemux.rehearsal.rules import counts
-from lanemux.rehearsal.run import CannotRun, Run, rehearse
+from lanemux.rehearsal.run import CannotRun, Run
 from lanemux.rehearsal.soak.draw import SECONDS, SoakRun, draw
 
 KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
@@ -62,7 +63,11 @@
             print(f"time is over: {len(seeds) - len(outcomes)} of {len(seeds)} seeds were not played")
             break
         run, keep = draw(seed, options.seconds), options.replay is not None
-        outcomes.append(_play(run, options.module, Path(options.evidence), keep))
+        try:
+            outcomes.append(_play(run, options.module, Path(options.evidence), keep))
+        except EndedBySignal as error:
+            print(f"lanemux: ended by {error.by.name} during seed {seed}", file=sys.stderr)
+            return BY_SIGNAL + error.by
         print(_line(outcomes[-1]), flush=True)
     if options.json:
         Path(options.json).write_text(json.dumps({"outcomes": [asdict(o) for o in outcomes]}, indent=1) + "\n")
@@ -95,7 +100,9 @@
         began = time.monotonic()
         try:
             outcome = _judged(
-                run.seed, asyncio.run(rehearse(run.scenario, run.seed, command, folder=logs)), evidence / str(run.seed)
+                run.seed,
+                asyncio.run(rehearse_until_told(run.scenario, run.seed, command, folder=logs)),
+                evidence / str(run.seed),
             )
         except CannotRun as error:
             outcome = Outcome(run.seed, valid=True, kept=False, crashes=[str(error)])
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -86,3 +89,34 @@
     for outcome in outcomes:
         accused = outcome["valid"] and outcome["faults"]
         assert not accused or (tmp_path / "evidence" / str(outcome["seed"]) / "timeline.txt").exists()
+
+
+def test_a_soak_that_is_ended_by_a_signal_leaves_no_balancer_behind(tmp_path: Path) -> None:
+    soaking = subprocess.Popen(
+        [sys.executable, "-m", "lanemux", "soak", "--seeds", "1-3", "--evidence", str(tmp_path)],
+        cwd=ROOT,
+        env={**os.environ, "TMPDIR": str(tmp_path)},
+    )
+    try:
+        end = time.monotonic() + TIMEOUT_S
+        while not balancers(tmp_path):
+            assert time.monotonic() < end
+            time.sleep(0.05)
+        soaking.send_signal(signal.SIGTERM)
+        assert soaking.wait(TIMEOUT_S) == 128 + signal.SIGTERM
+        assert balancers(tmp_path) == []
+    finally:
+        soaking.kill()
+
+
+def balancers(folder: Path) -> list[str]:
+    """The processes that were started with a plan of this folder."""
+    found = []
+    for process in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            words = process.read_bytes().split(b"\0")
+        except OSError:
+            continue
+        if b"lanemux.rehearsal.injection" in words and any(w.startswith(str(folder).encode()) for w in words):
+            found.append(process.parent.name)
+    return found
