Tests of several balancers: no member takes another one's operators' address

A full run in a clean checkout failed once: `test_a_balancer_without_fleet_among_others_harms_nobody`, a member whose second address did not answer for 20 s. Its log: "operators' address: Address already in use; is tried again"; its address was 127.0.0.1:39189, and another member logged "ready on port 39189": it had been given, as its clients' port 0, the port that the rig had found free. No check is changed.

--- a/tests/cluster/rig.py
+++ b/tests/cluster/rig.py
@@ -26,6 +26,7 @@
 
 START_S = 20.0  # a process is up by then, also where many start at once on a busy machine
 LOOK_S = 0.05
+ADMIN_HOST = "127.0.9.1"  # no other socket of a balancer is bound there: none takes a port that was free
 
 
 @dataclass(slots=True)
@@ -76,12 +77,12 @@
         super().close()
 
 
-def free_ports(kind: socket.SocketKind, count: int) -> list[int]:
-    """Ports that nobody has now."""
+def free_ports(kind: socket.SocketKind, count: int, host: str = HOST) -> list[int]:
+    """Ports of that host that nobody has now."""
     with contextlib.ExitStack() as stack:
         taken = [stack.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
         for sock in taken:
-            sock.bind((HOST, 0))
+            sock.bind((host, 0))
         return [sock.getsockname()[1] for sock in taken]
 
 
@@ -91,7 +92,7 @@
     def __init__(self, folder: Path, count: int, seed: int, operators: str) -> None:
         self.folder, self.count = folder, count
         self.listens = [(HOST, port) for port in free_ports(socket.SOCK_DGRAM, count)]
-        self.admin = free_ports(socket.SOCK_STREAM, count)
+        self.admin = free_ports(socket.SOCK_STREAM, count, ADMIN_HOST)
         self.links = Links(self.listens, seed)
         self.processes: dict[int, Process] = {}
         self._peers: list[list[tuple[str, int]]] = []
@@ -110,7 +111,7 @@
                 config(
                     name=f"n{i}",
                     settings=settings,
-                    admin_addr=f"{HOST}:{self.admin[i]}",
+                    admin_addr=f"{ADMIN_HOST}:{self.admin[i]}",
                     peer_listen=f"{HOST}:{self.listens[i][1]}",
                     peers=[f"{h}:{p}" for h, p in self._peers[i]],
                 )
@@ -137,7 +138,7 @@
 
     async def call(self, i: int, target: str) -> Any:
         try:
-            reader, writer = await asyncio.open_connection(HOST, self.admin[i])
+            reader, writer = await asyncio.open_connection(ADMIN_HOST, self.admin[i])
             writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
             answer = await asyncio.wait_for(reader.read(), 2.0)
             writer.close()
--- a/tests/cluster/test_who_is_there.py
+++ b/tests/cluster/test_who_is_there.py
@@ -8,8 +8,7 @@
 import sys
 from pathlib import Path
 
-from tests.cluster.rig import cluster
-from tests.sockets import HOST
+from tests.cluster.rig import ADMIN_HOST, cluster
 
 LIMIT_S = 60.0
 KNOWN_S = 12.0  # a death is known to all by then: at most 6.6 s of suspicion, and a look in each period before
@@ -39,7 +38,7 @@
             assert back is not None and back[2][1] > was
             shown = await asyncio.to_thread(
                 subprocess.run,
-                [sys.executable, "-m", "lanemux", "fleet", "show", f"{HOST}:{fleet.admin[2]}"],
+                [sys.executable, "-m", "lanemux", "fleet", "show", f"{ADMIN_HOST}:{fleet.admin[2]}"],
                 capture_output=True,
                 text=True,
                 check=True,
