A test of signals in series no longer takes the exit status from its own watcher

The run's log: "Unknown child process pid 29201, will report returncode 255": `Process.send_signal` polls the child, and takes its status where it has just ended before asyncio's watcher does. The test sends its signals with `os.kill`; what it asks (status 0) is as it was.

--- a/tests/faults/test_start_and_stop.py
+++ b/tests/faults/test_start_and_stop.py
@@ -116,7 +116,8 @@
             while program.process.returncode is None:
                 for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
                     try:
-                        program.process.send_signal(number)
+                        # Not `send_signal`: it may take the exit status away from who waits for it (255 then).
+                        os.kill(program.process.pid, number)
                     except ProcessLookupError:
                         break
                 await asyncio.sleep(0.001)
