Failing tests of a life in which single calls of the C library fail, and the tool that plays them

Seen: status 1 out of imports (open, opendir, readdir, read, stat, dlopen, close), no service (epoll_ctl), no end after SIGTERM (write), requests without an answer (send, recv), status 1 out of `set_wakeup_fd` (fcntl) and `sigaction`.

--- a/lanemux/rehearsal/soak/command.py
+++ b/lanemux/rehearsal/soak/command.py
@@ -20,6 +20,7 @@
 from lanemux.rehearsal.soak.draw import SECONDS, SoakRun, draw
 
 KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
+EVERY_CALL = "--every-call"  # instead of seeds: each call of one balancer fails in turn
 DEFAULT_SEEDS = "1-5"
 MAX_SEEDS = 10_000
 MAX_PROOF = 400  # characters of the proofs on a seed's line
@@ -50,6 +51,10 @@
 
 def main(argv: Sequence[str]) -> int:
     """Play the seeds. 0: none failed; 1: some did; 2: bad use; 3: not one run was valid."""
+    if EVERY_CALL in argv:
+        from lanemux.rehearsal.calls.command import main as every_call
+
+        return every_call(argv)
     options = _options(argv)
     try:
         seeds = [options.replay] if options.replay is not None else list(read_seeds(options.seeds))
@@ -176,6 +181,7 @@
         allow_abbrev=False,
         description=("Play short runs drawn from seeds against balancers with failing system calls, and judge them."),
     )
+    parser.add_argument(EVERY_CALL, action="store_true", help="lives with single failing calls; has options of its own")
     parser.add_argument("--seeds", default=DEFAULT_SEEDS, metavar="A-B")
     parser.add_argument("--replay", type=int, metavar="SEED", help="one seed; its evidence is kept in any case")
     parser.add_argument("--minutes", type=float, metavar="M", help="begin no further seed after so long")
--- /dev/null
+++ b/tests/faults/test_every_call.py
@@ -0,0 +1,108 @@
+"""No single failing call of the C library ends a balancer, keeps it from starting, hangs it or costs a request."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+
+from lanemux.rehearsal.calls.command import play_all
+from lanemux.rehearsal.calls.library import COMPILERS, build
+from lanemux.rehearsal.calls.rules import ERRORS, BadRules, Rule, combination, one_by_one, places, read, written
+
+AT_ONCE = 6
+PLACES = 4  # of each kind of call that fail here, a life each; `lanemux soak --every-call` plays more
+IMPORTS_MS = 400
+COMMAND = [sys.executable, "-m", "lanemux"]
+needs_compiler = pytest.mark.skipif(not any(map(shutil.which, COMPILERS)), reason="no C compiler")
+
+
+@pytest.fixture(scope="module")
+def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    return build(tmp_path_factory.mktemp("library"))
+
+
+@pytest.fixture(scope="module")
+def calls(library: Path, tmp_path_factory: pytest.TempPathFactory) -> dict[str, int]:
+    """How often a life in which nothing fails makes each kind of call."""
+    (life,) = asyncio.run(play_all(COMMAND, [[]], library, tmp_path_factory.mktemp("plain"), 1))
+    assert not life.faults, life.log
+    return {kind: counts.since for kind, counts in life.counts.items()}
+
+
+def bad_lives(lives: Sequence[Sequence[Rule]], library: Path, folder: Path) -> list[str]:
+    """What was wrong with the lives that went wrong; a life that could not be judged counts too."""
+    played = asyncio.run(play_all(COMMAND, lives, library, folder, AT_ONCE))
+    assert any(life.failed_calls for life in played)
+    return [
+        f"{life.rules}: {life.faults} {life.not_valid} {life.log[-4:]}"
+        for life in played
+        if life.faults or life.not_valid
+    ]
+
+
+@needs_compiler
+@pytest.mark.parametrize("kind", ERRORS)
+def test_single_failing_calls_leave_a_life_as_it_is(
+    kind: str, library: Path, calls: dict[str, int], tmp_path: Path
+) -> None:
+    lives = [rules for rules in one_by_one(calls, PLACES) if rules[0].kind == kind and not rules[0].timed]
+    assert lives, f"a life makes no call of this kind: {calls}"
+    assert bad_lives(lives, library, tmp_path) == []
+
+
+@needs_compiler
+@pytest.mark.parametrize(("kind", "most"), [("epoll_ctl", 12), ("write", 8), ("setsockopt", 6), ("fcntl", 12)])
+def test_each_of_the_first_calls_may_fail(kind: str, most: int, library: Path, tmp_path: Path) -> None:
+    lives = [[Rule(kind, error, number, number)] for error in ERRORS[kind][:2] for number in range(1, most + 1)]
+    assert bad_lives(lives, library, tmp_path) == []
+
+
+@needs_compiler
+@pytest.mark.parametrize("kind", ["open", "opendir", "read", "stat", "dlopen", "close"])
+def test_a_start_whose_imports_fail_for_a_while_comes_up(kind: str, library: Path, tmp_path: Path) -> None:
+    lives = [[Rule(kind, error, 0, IMPORTS_MS, timed=True)] for error in ERRORS[kind]]
+    assert bad_lives(lives, library, tmp_path) == []
+
+
+@needs_compiler
+@pytest.mark.parametrize("kind", ["epoll_ctl", "socket", "bind", "accept", "fcntl", "write", "setsockopt"])
+def test_a_start_whose_sockets_fail_for_a_while_comes_up(kind: str, library: Path, tmp_path: Path) -> None:
+    lives = [[Rule(kind, error, 0, 1500, timed=True)] for error in ERRORS[kind]]
+    assert bad_lives(lives, library, tmp_path) == []
+
+
+@needs_compiler
+@pytest.mark.parametrize(("kind", "error"), [("send", "ENOBUFS"), ("send", "ENOMEM"), ("recv", "ENOMEM")])
+def test_a_write_or_read_that_fails_for_a_moment_costs_no_request(
+    kind: str, error: str, library: Path, tmp_path: Path
+) -> None:
+    lives = [[Rule(kind, error, 0, 60_000, True, share)] for share in (50, 100, 300)]
+    assert bad_lives(lives, library, tmp_path) == []
+
+
+@needs_compiler
+@pytest.mark.parametrize("first", range(1, 25, 6))
+def test_random_combinations_leave_a_life_as_it_is(
+    first: int, library: Path, calls: dict[str, int], tmp_path: Path
+) -> None:
+    assert bad_lives([combination(seed, calls) for seed in range(first, first + 6)], library, tmp_path) == []
+
+
+def test_rules_are_read_as_they_were_written() -> None:
+    for seed in range(50):
+        rules = combination(seed, dict.fromkeys(ERRORS, 40))
+        assert read(written(rules)) == rules
+    for text in ("x:5:k1-2", "read:5", "read:5:z1-2", "read:99999:k1-2"):
+        with pytest.raises(BadRules):
+            read(text)
+
+
+def test_the_places_of_failing_calls_are_spread_over_all() -> None:
+    assert places(3, 60) == [1, 2, 3]
+    assert places(600, 3) == [1, 300, 600] or places(600, 3) == [1, 301, 600]
+    assert len(places(600, 60)) == 60
