--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -63,15 +63,13 @@
     return USAGE_STATUS
 
 
-def _hold_signals() -> None:
-    """Before anything large is imported: a signal that asks for the end waits until the daemon can take it."""
-    import signal
-
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+def preload(argv: Sequence[str]) -> None:
+    """Import what a balancer needs to start, where these arguments start one."""
+    if not argv or argv[0] == "serve" or argv[0].startswith("--") and argv[0] != "--help":
+        import lanemux.net.daemon  # noqa: F401
 
 
 def _daemon() -> int:
-    _hold_signals()
     from lanemux.net.daemon import main as daemon
 
     return daemon(extend=_extend)
@@ -119,7 +117,6 @@
 
 
 def _serve(rest: Sequence[str]) -> int:
-    _hold_signals()
     import logging
 
     from lanemux.checked import Faulty
