An event loop of our own: momentary failures are retried, signals need no descriptor

What callers saw, each from a single failing call: no service (`epoll_ctl`, the third call of a life); requests read and then closed without an answer (`send`, `recv` with ENOBUFS or ENOMEM: asyncio takes any error of them for the end of the connection); SIGTERM without effect (the byte that wakes the loop could not be written); status 1 out of `set_wakeup_fd` (`fcntl`) and `sigaction`; status 1 after an orderly stop (`close`).

`lanemux/eventloop/`: a selector that keeps what is registered and makes the kernel follow, if need be later; sockets on which a momentary failure shows as one that would block, left out of the selector for 10 ms so that nothing spins; signal handlers in Python that the loop's own wake-up every 0.1 s makes heard; one last line for what a callback lets out, logged with its trace at a limited rate and counted in `failed_calls`. The daemon starts a balancer anew, five times, where a fault of the program ends it unasked, and an end that fails answers what is open.

`signals_end_it`, a build broken on purpose, sets the default action itself now, since the handlers no longer go with the loop.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -21,6 +21,7 @@
 
 # struct tcp_info of Linux: tcpi_last_data_recv, in ms, stands behind eight bytes and eleven numbers of four (tcp(7)).
 TCP_INFO_BYTES, LAST_DATA_OFFSET = 104, 52
+UNBLOCK_TRIES = 5  # of telling the kernel that a connection must not block
 READ_BYTES = 64 * 1024  # of a file at once: memory follows what is there, not what is allowed
 
 
@@ -114,11 +115,15 @@
 
     def accept(self) -> socket.socket:
         accepted, _ = self._socket.accept()
-        accepted.setblocking(False)
+        for _ in range(UNBLOCK_TRIES):  # a connection that was accepted is not given up for it
+            with contextlib.suppress(OSError):
+                accepted.setblocking(False)
+                break
         return accepted
 
     def close(self) -> None:
-        self._socket.close()
+        with contextlib.suppress(OSError):  # it is closed also where `close` fails (close(2))
+            self._socket.close()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/lanemux/eventloop/loop.py
@@ -0,0 +1,123 @@
+"""The event loop of service."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from lanemux.core.failures import name_of
+from lanemux.eventloop.selector import ResilientSelector
+from lanemux.eventloop.stream_socket import StreamSocket
+
+log = logging.getLogger(__name__)
+
+SIGNAL_TRIES = 20  # of installing a handler
+SIGNALS_LOOK_S = 0.1  # a signal is acted on within this, whether or not the byte that wakes the loop could be written
+REPORT_AGAIN_S = 10.0  # one place's failures are logged so often at the most
+MAX_REPORTED = 256  # places of which it is remembered
+
+
+class FailureCounter(Protocol):
+    """Counts failed calls, by what was called and the error's name."""
+
+    def call_failed(self, call: str, error: str) -> None: ...
+
+
+class EventLoop(asyncio.SelectorEventLoop):
+    """asyncio's loop, with calls that may fail for a moment, signals that need no descriptor, and a last line.
+
+    An exception that a callback lets out is logged with its trace and counted; the loop goes on."""
+
+    def __init__(self) -> None:
+        """OSError where the machine has no descriptors for it."""
+        self.counter: FailureCounter | None = None
+        self._made = False
+        self._signal_callbacks: dict[int, asyncio.Handle] = {}
+        self._looking: asyncio.TimerHandle | None = None
+        self._reported_s: dict[str, float] = {}  # what failed -> when it was last logged
+        self._resilient = ResilientSelector(self._call_failed)
+        super().__init__(self._resilient)
+        self._made = True
+        self.set_exception_handler(lambda loop, context: self._report(context))
+
+    def close(self) -> None:
+        """Close it. What the machine says to that has no consequence. The destructor does so too, for one half made."""
+        if not self._made:
+            return
+        with contextlib.suppress(OSError, ValueError):
+            signal.set_wakeup_fd(-1)
+        try:
+            super().close()
+        except OSError as error:
+            self._call_failed("close", error)
+
+    # -- signals --
+
+    def add_signal_handler(self, sig: int, callback: Callable[..., Any], *args: Any) -> None:  # type: ignore[override]
+        """Call back on a signal. Signals that come once the loop is closed have no effect."""
+        self._signal_callbacks[sig] = asyncio.Handle(callback, args, self, None)
+        for _ in range(SIGNAL_TRIES):
+            try:
+                signal.signal(sig, self._on_signal)
+                break
+            except OSError as error:
+                self._call_failed("sigaction", error)
+        with contextlib.suppress(OSError, ValueError):  # it only makes a signal heard sooner
+            signal.set_wakeup_fd(self._csock.fileno(), warn_on_full_buffer=False)  # type: ignore[attr-defined]
+        if self._looking is None:
+            self._look()
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        """A signal has no effect any more; False if it had none."""
+        return self._signal_callbacks.pop(sig, None) is not None
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        """Python runs it between two steps of the program, at the latest when the loop next wakes."""
+        handle = self._signal_callbacks.get(number)
+        if handle is not None and not self.is_closed():
+            self._add_callback_signalsafe(handle)  # type: ignore[attr-defined]
+
+    def _look(self) -> None:
+        """Wake up, so that signals are seen."""
+        self._looking = self.call_later(SIGNALS_LOOK_S, self._look)
+
+    # -- connections --
+
+    def _make_socket_transport(
+        self, sock: socket.socket, protocol: Any, waiter: Any = None, *, extra: Any = None, server: Any = None
+    ) -> Any:
+        stream = StreamSocket(sock, self._resilient.defer, self._call_failed)
+        return super()._make_socket_transport(  # type: ignore[misc]
+            stream, protocol, waiter, extra=extra, server=server
+        )
+
+    # -- what fails --
+
+    def _call_failed(self, call: str, error: OSError) -> None:
+        if self.counter is not None:
+            self.counter.call_failed(call, name_of(error))
+        if self._tell_again(call):
+            log.warning("%s: %s", call, error)
+
+    def _report(self, context: dict[str, Any]) -> None:
+        """The last line: what a callback, a task or a transport let out."""
+        error = context.get("exception")
+        what = f"{context.get('message')}: {error!r}"
+        if self.counter is not None:
+            self.counter.call_failed("callback", type(error).__name__)
+        if self._tell_again(what):
+            log.error("%s (%s)", what, context.get("handle") or context.get("task") or "", exc_info=error)
+
+    def _tell_again(self, what: str) -> bool:
+        now_s = self.time()
+        if len(self._reported_s) > MAX_REPORTED:
+            self._reported_s.clear()
+        if now_s < self._reported_s.get(what, -REPORT_AGAIN_S) + REPORT_AGAIN_S:
+            return False
+        self._reported_s[what] = now_s
+        return True
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -8,19 +8,21 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Protocol
 
 from lanemux.core.clock import now_ns
-from lanemux.core.failures import Unobtainable
+from lanemux.core.failures import Backoff, Unobtainable
 from lanemux.core.system import Machine, System
+from lanemux.eventloop.loop import EventLoop
 from lanemux.interface import Settings
 from lanemux.net.config import BadConfig, Config, from_environment, read_config
 from lanemux.net.log_limit import LogRateLimit
 from lanemux.net.node import MakeDoors, Module, Node
 from lanemux.net.reload import Lists, Reloader
 from lanemux.net.stages import Stages
-from lanemux.net.startup import EventLoop, Interrupted, wait_for
+from lanemux.net.startup import Interrupted, wait_for
 from lanemux.policy import Balancer
 
 log = logging.getLogger(__name__)
@@ -31,6 +33,7 @@
 END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 HANDLED_SIGNALS = (*END_SIGNALS, signal.SIGHUP)  # blocked while there is nothing that could handle them
 
+STARTS = 5  # of one process, where what ends one is a fault of the program
 FAILED_STATUS = 1
 UNUSABLE_STATUS = 2
 
@@ -84,6 +87,8 @@
         loop.add_signal_handler(number, stop.set)
     source = lists.now if lists is not None else None
     node = Node(config, module(config.settings, config.seed, now_ns()), source, system, doors)
+    if isinstance(loop, EventLoop):
+        loop.counter = node.tally
     made(node)
     reloader = Reloader(path, config, node, lists, system)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
@@ -108,7 +113,10 @@
                 reporting = loop.create_task(_report_standing(config.name, node))
             await stop.wait()
         log.info("%s: stopping", config.name)
-        await node.drain()
+        await _end(node)
+    except Exception:
+        node.close()
+        raise
     finally:
         reloader.stop()
         if reporting is not None:
@@ -118,6 +126,15 @@
         log.info("%s: ended: %s; %d requests open", config.name, stages.told_at_end(), node.outstanding)
 
 
+async def _end(node: Node) -> None:
+    """A planned end. What fails in it leaves no request without its answer."""
+    try:
+        await node.drain()
+    except Exception:
+        log.exception("%s: the end failed; what is open is answered now", node.config.name)
+        node.close()
+
+
 async def _start(node: Node, for_s: float, stop: asyncio.Event) -> bool:
     """Start the node; False if the process is told to end before the node serves."""
     starting = asyncio.create_task(node.start(for_s))
@@ -172,10 +189,17 @@
     stages = Stages(system)
     stages.passed("imports")
     path = os.environ.get("RELAY_CONFIG")
+
+    async def run(config: Config) -> None:
+        try:
+            await serve(config, path or "", lists, module=module, made=made, doors=doors, extend=extend, stages=stages)
+        finally:
+            hold_signals()  # what comes while the process ends waits for nobody
+
     try:
         config = _read_configuration(path, system)
         stages.passed("configuration")
-        loop = wait_for("event loop", EventLoop, system)
+        return _run_until_ended(lambda: run(config), config.name, system)
     except Interrupted:
         log.info("ended before it had started")
         return 0
@@ -183,20 +207,23 @@
         print(f"lanemux: {error}", file=sys.stderr)
         return UNUSABLE_STATUS
 
-    async def run() -> None:
-        try:
-            await serve(config, path or "", lists, module=module, made=made, doors=doors, extend=extend, stages=stages)
-        finally:
-            # The loop takes its handlers along when it closes: a signal that came then would end the process.
-            hold_signals()
 
-    try:
-        with asyncio.Runner(loop_factory=lambda: loop) as runner:
-            runner.run(run())
-    except Unobtainable as error:
-        print(f"lanemux: {config.name}: {error}", file=sys.stderr)
-        return UNUSABLE_STATUS
-    except OSError as error:
-        print(f"lanemux: {config.name}: {error}", file=sys.stderr)
-        return FAILED_STATUS
-    return 0
+def _run_until_ended(run: Callable[[], Coroutine[None, None, None]], name: str, system: System) -> int:
+    """Run one balancer, and again where a fault of the program ended it without being told to; gives the status."""
+    backoff = Backoff()
+    for _ in range(STARTS):
+        try:
+            with asyncio.Runner(loop_factory=partial(wait_for, "event loop", EventLoop, system)) as runner:
+                runner.run(run())
+            return 0
+        except Interrupted:
+            return 0
+        except Unobtainable as error:
+            raise Unobtainable(f"{name}: {error}") from error
+        except Exception:
+            log.exception("%s: failed; it starts anew", name)
+        system.sleep(backoff.next_s())
+        if system.told_to_end():
+            return 0
+    log.error("%s: failed %d times; it ends", name, STARTS)
+    return FAILED_STATUS
--- a/lanemux/net/startup.py
+++ b/lanemux/net/startup.py
@@ -19,20 +19,6 @@
     """A signal asks the process to end before what it waited for was there."""
 
 
-class EventLoop(asyncio.SelectorEventLoop):
-    """An event loop whose making may fail for want of descriptors, without a trace on standard error."""
-
-    def __init__(self) -> None:
-        self._complete = False
-        super().__init__()
-        self._complete = True
-
-    def close(self) -> None:
-        """Close it. Its destructor does so too, also where there is nothing to close yet."""
-        if self._complete:
-            super().close()
-
-
 def wait_for(what: str, attempt: Callable[[], T], system: System) -> T:
     """Call `attempt` until it succeeds, where no event loop runs yet.
 
--- a/tests/rehearsal/broken/signals_end_it.py
+++ b/tests/rehearsal/broken/signals_end_it.py
@@ -7,6 +7,8 @@
 
 
 def hold_nothing() -> None:
+    for number in daemon.HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_DFL)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, daemon.HANDLED_SIGNALS)
 
 
--- a/tests/rehearsal/broken/waits_by_wall_clock.py
+++ b/tests/rehearsal/broken/waits_by_wall_clock.py
@@ -3,8 +3,8 @@
 import sys
 import time
 
+from lanemux.eventloop.loop import EventLoop
 from lanemux.net import daemon
-from lanemux.net.startup import EventLoop
 
 
 def wall(self: EventLoop) -> float:
