State changes follow the call that makes them true; what keeps itself going can't stop

Cause of the deaf listener: `_resume` set `_accepting` before `add_reader`, so that a failure there left nobody to try again. The same order stood in `_pause`; the ticks of the server and of the node set their next timer last, so that one exception ended them for good. A fault while a request was taken in ended its connection without an answer, one while actions were carried out lost the actions behind it, one in a list ended the watch.

Flags change after the call, timers are set first, each of the four places has its last line (answer 500, next action, failed call of discovery), and a balancer that should accept and does not for a second says so and mends it.

--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol, cast
 
@@ -12,6 +13,8 @@
 if TYPE_CHECKING:
     from lanemux.net.server import Server
 
+log = logging.getLogger(__name__)
+
 SECOND = 1_000_000_000
 READY_PATH = b"/health/ready"
 DRAIN_BYTES = 256 * 1024  # of what a client that was turned away goes on sending: unread input would reset the answer
@@ -66,6 +69,20 @@
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        try:
+            self._take_in(data)
+        except Exception:  # a fault of ours: the transport would end the connection, and the request with it
+            log.exception("a request could not be taken")
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Answer what may have been read with a failure, and end the connection."""
+        if self.busy:
+            self._current = None
+            self._service.gone(self)
+        self.turn_away(500)
+
+    def _take_in(self, data: bytes) -> None:
         if self._ended:
             self._drained += len(data)
             if self._drained > DRAIN_BYTES and self._transport is not None:
--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -68,6 +68,9 @@
         except ValueError as error:
             log.warning("discovery: %.120s", error)
             return None
+        except Exception:  # a fault of ours is a failed call: the watch goes on
+            log.exception("discovery: an answer could not be taken up")
+            return None
 
     def close(self) -> None:
         self._pool.close_idle()
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -159,13 +159,13 @@
             self.background.start("peers' address", bind)
 
     def _sweep_idle(self) -> None:
+        self._sweep = self._loop.call_later(SWEEP_S, self._sweep_idle)
         self._hub.expire()
         self.upstream_set.sweep()
         stale = now_ns() - PASSING_IDLE_NS
         for call in [c for c in self._passing.values() if c.moved_ns < stale]:
             log.info("an answer is cut: nothing of it has moved for %d s", PASSING_IDLE_NS // SECOND)
             self._finish(call, 504)
-        self._sweep = self._loop.call_later(SWEEP_S, self._sweep_idle)
 
     @property
     def ready(self) -> bool:
@@ -264,7 +264,7 @@
             while self._events:
                 batch, self._events = self._events, []
                 for action in self._decide(batch):
-                    self._carry_out(action)
+                    self._carry_out_or_report(action)
         finally:
             self._feeding = False
 
@@ -295,6 +295,14 @@
             log.exception("the module failed on what is true")
             return []
 
+    def _carry_out_or_report(self, action: api.Action) -> None:
+        """A fault in one action costs neither the others nor a request's answer: its timer still runs."""
+        try:
+            self._carry_out(action)
+        except Exception as error:
+            self.tally.call_failed("action", type(error).__name__)
+            log.exception("the action failed: %.200r", action)
+
     def _carry_out(self, action: api.Action) -> None:
         match action:
             case api.Send():
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -29,6 +29,7 @@
 FRESH_S = 0.05  # so young a connection makes no place for others: its request may be on the way
 CLOSES_PER_TURN = 4  # connections closed in a turn of the loop, where clients are sent away
 SILENT_S = 0.3  # so old a connection without a first request is not one on which it is on the way
+DEAF_S = 1.0  # not accepting without a reason for so long is a fault
 TICK_S = 0.1  # how often the times above are looked at
 
 
@@ -84,6 +85,7 @@
         self._accept_again: asyncio.TimerHandle | None = None  # accepting has failed, and rests until then
         self._evicted_for_accept = False  # a connection made place for one that could not be accepted
         self._not_accepting_since: float | None = None  # connections may wait in the backlog since then
+        self._deaf_since_s: float | None = None  # it should accept and does not, since then
         self._put_off = False  # the last look at the times above was put off for a standstill
         self.draining = False
 
@@ -97,7 +99,7 @@
     def inherit(self, descriptor: int, after_s: float) -> int:
         """Accept, after a while, from the socket that the platform holds: until then another process may serve it."""
         self._listener = self.system.inherit(descriptor)
-        self._opening = asyncio.get_running_loop().call_later(after_s, self._resume)
+        self._opening = asyncio.get_running_loop().call_later(after_s, self._open)
         self._tick_again(TICK_S)
         return self._listener.port
 
@@ -118,8 +120,31 @@
         return self._standstill_s + asyncio.get_running_loop().time() - self._awake_from
 
     def _tick(self) -> None:
+        try:
+            self._look_at_times()
+            self._look_at_listening()
+        finally:
+            if self._ticking is None:
+                self._tick_again(TICK_S)
+
+    def _look_at_listening(self) -> None:
+        """A balancer that should accept and does not has lost its registration somewhere: it is made anew."""
+        now_s = asyncio.get_running_loop().time()
+        rests = self._opening is not None or self._accept_again is not None or len(self._connections) >= self._capacity
+        if self._listener is None or self._accepting or rests:
+            self._deaf_since_s = None
+        elif self._deaf_since_s is None:
+            self._deaf_since_s = now_s
+        elif now_s - self._deaf_since_s > DEAF_S:
+            log.error(
+                "the listening socket was not looked at for %.1f s; it is from now on", now_s - self._deaf_since_s
+            )
+            self._resume()
+
+    def _look_at_times(self) -> None:
         # One look in a row is put off at the most: a loop that is always late has read its sockets in between, and
         # would never close anybody.
+        self._ticking = None
         self._put_off = self._stood_still() and not self._put_off
         if self._put_off:
             self._tick_again(FRESH_S)
@@ -135,7 +160,6 @@
             while (client := table.oldest(limit_s)) is not None:
                 self.forget(client)
                 client.abort()
-        self._tick_again(TICK_S)
 
     def _tick_again(self, wait_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -144,17 +168,21 @@
         self._tick_due = loop.time() + wait_s
         self._ticking = loop.call_at(self._tick_due, self._tick)
 
+    def _open(self) -> None:
+        self._opening = None
+        self._resume()
+
     def _resume(self) -> None:
         if self._listener is not None and not self._accepting and self._accept_again is None:
-            self._accepting = True
             asyncio.get_running_loop().add_reader(self._listener, self._accept)
+            self._accepting = True
 
     def _pause(self, for_s: float | None = None) -> None:
         if self._listener is not None and self._accepting:
+            asyncio.get_running_loop().remove_reader(self._listener)
             self._accepting = False
             if self._not_accepting_since is None:
                 self._not_accepting_since = asyncio.get_running_loop().time()
-            asyncio.get_running_loop().remove_reader(self._listener)
             if for_s is not None:
                 asyncio.get_running_loop().call_later(for_s, self._resume)
 
