Kit: an exception of the kit's own fails the run; a box waits for its addresses

Nothing listened to what callbacks of the kit let out.

Both processes of the kit note it now, and a run with such a note fails. A box tries its addresses again for a second; one that does not get them makes the run not valid. The report of a balancer that ended by itself, or with another status, tells the status and the last lines of its log in every case.

--- a/lanemux/rehearsal/books.py
+++ b/lanemux/rehearsal/books.py
@@ -94,6 +94,8 @@
     held: list[tuple[int, int, int]] = field(default_factory=list)  # (time, box, requests it holds), sampled
     pushed_most: float = 0.0  # of a cold box's budget
     lag_ns: list[int] = field(default_factory=list)  # how late its loop ran
+    faults: list[str] = field(default_factory=list)  # exceptions of the kit's own in the boxes' process
+    unstarted: list[str] = field(default_factory=list)  # boxes that did not get their addresses back
 
 
 @dataclass(slots=True)
@@ -107,6 +109,7 @@
     late_ns: list[int] = field(default_factory=list)  # how late asks were sent
     lag_ns: list[int] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)  # exceptions of the kit's own in the callers' process
     flooded: list[dict[str, int]] = field(default_factory=list)  # of each flood: came up, closed by the balancer, ...
     waited_share: float = 0.0  # of any second, the most that a process of the run waited for a processor
     pressed_share: float = 0.0  # of the run, how long anything on the machine waited for a processor
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -27,6 +27,7 @@
 
 MS = 1_000_000
 BACKLOG = 128
+START_TRIES, START_PAUSE_S = 20, 0.05  # of having its addresses back
 ACCEPTS = 16  # before other work has its turn
 SAMPLE_S = 0.1  # how often the books note what each box holds
 SWEEP_S = 1.0  # and connections that stood idle are looked for
@@ -234,6 +235,7 @@
         self._thaw: asyncio.TimerHandle | None = None
         self._unseen_ns = 0  # the listeners are on the loop since
         self._life: dict[str, Life] = {}
+        self._start_tries = 0
 
     # -- the process --
 
@@ -241,24 +243,46 @@
         """The process comes up at its addresses."""
         if self.model is not None:
             return
+        try:
+            self._listen()
+        except OSError as error:  # another process on this machine holds one of its addresses
+            self._start_later(cold, error)
+            return
         now = self.world.now()
         self.model = BoxModel(self.box, self.world.plan.scenario.fleet, now, cold, self.world.plan.cancels_queued)
         self._end_life("down")
-        for address in self.addresses:
-            listener = bound(address, self.world.socket)
-            listener.listen(BACKLOG)
-            self._listeners.append(listener)
         if cold:
             self._begin_life("cold")
         self._watch()
 
+    def _listen(self) -> None:
+        """At all of its addresses, or none."""
+        try:
+            for address in self.addresses:
+                listener = bound(address, self.world.socket)
+                self._listeners.append(listener)
+                listener.listen(BACKLOG)
+        except OSError:
+            self._stop_listening()
+            raise
+
+    def _stop_listening(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+
+    def _start_later(self, cold: bool, error: OSError) -> None:
+        self._start_tries += 1
+        if self._start_tries < START_TRIES:
+            self.world.loop.call_later(START_PAUSE_S, self.start, cold)
+        else:
+            self.world.books.unstarted.append(f"box {self.box.host} could not start: {error}")
+
     def die(self) -> None:
         """The process is gone: its connections are reset, new ones refused."""
         self._unwatch()
         self._unplug()
-        for listener in self._listeners:
-            listener.close()
-        self._listeners.clear()
+        self._stop_listening()
         for connection in list(self._connections):
             if connection.attempt is not None:
                 self._end(connection.attempt, "died")
--- a/lanemux/rehearsal/boxes_process.py
+++ b/lanemux/rehearsal/boxes_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import traceback
 from multiprocessing.connection import Connection
 from typing import Any
 
@@ -35,6 +36,7 @@
     world = World(
         loop, plan, looks, BoxBooks(), int(loop.time() * 1e9), asks, lambda box, at: pipe.send(("fell", box, at))
     )
+    loop.set_exception_handler(lambda _, context: world.books.faults.append(fault_text(context)))
     addresses = reserve(plan, prefix)
     boxes = Boxes(world, addresses)
     boxes.open()
@@ -47,6 +49,14 @@
     await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
 
+def fault_text(context: dict[str, Any]) -> str:
+    """What a callback or task of the kit let out, and where."""
+    error = context.get("exception")
+    last = traceback.extract_tb(error.__traceback__)[-1:] if error is not None else []
+    where = "".join(f" at {frame.filename}:{frame.lineno}" for frame in last)
+    return f"{context.get('message')}: {error!r}{where}"
+
+
 async def receive(loop: asyncio.AbstractEventLoop, pipe: Connection) -> tuple[Any, ...]:
     """The next message of a pipe, without blocking the loop."""
     ready = asyncio.Event()
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -117,6 +117,7 @@
 
     async def open(self) -> None:
         """Start everybody, and wait until the balancers are ready."""
+        self._loop.set_exception_handler(lambda _, context: self.books.faults.append(boxes_process.fault_text(context)))
         await self._start_boxes()
         count = self.plan.scenario.fleet.balancers
         hosts = [f"{self._prefix}.200.{b + 1}" for b in range(count)]
@@ -232,7 +233,7 @@
             found,
             check(self.plan, boxes, self.books),
             judge(boxes, self.books),
-            self.books.crashes,
+            self.books.crashes + [f"the kit itself: {fault}" for fault in (*boxes.faults, *self.books.faults)],
             missed(self.plan, found),
         )
 
@@ -340,12 +341,17 @@
         for balancer in self._balancers:
             if balancer.crashed:
                 balancer.meant_down = True  # told once
-                self.books.crashes.append(f"balancer {balancer.number} ended by itself: {_tail(balancer)}")
+                status = balancer.process.returncode if balancer.process is not None else None
+                self.books.crashes.append(
+                    f"balancer {balancer.number} ended by itself with status {status}: {_tail(balancer)}"
+                )
 
     async def _stop_balancers(self) -> None:
         self._note_crashes()
         faults = await asyncio.gather(*(balancer.stop() for balancer in self._balancers))
-        self.books.crashes += [fault for fault in faults if fault]
+        for balancer, fault in zip(self._balancers, faults, strict=True):
+            if fault:
+                self.books.crashes.append(f"{fault}: {_tail(balancer)}")
 
     # -- end --
 
--- a/lanemux/rehearsal/validity.py
+++ b/lanemux/rehearsal/validity.py
@@ -49,5 +49,6 @@
         found.reasons.append(f"a process waited for a processor for {callers.waited_share:.0%} of a second")
     if callers.pressed_share > PRESSED_MOST:
         found.reasons.append(f"the machine's processors were taken for {callers.pressed_share:.0%} of the run")
+    found.reasons += boxes.unstarted
     found.valid = not found.reasons
     return found
