Requests that lie unread at the end of a process are read and answered

Cause: connections were closed 50 ms after the listener whether or not their bytes had been read; accepting was given up after 0.5 s; asyncio gave a connection up whose socket could not be told not to block.

At the end a connection is closed once nothing lies unread in it (FIONREAD), within the time that the end has; accepting goes on as long where it fails; connections get their tolerant socket before asyncio touches them. The loop unblocks a signal once its handler is there, and tries that again; `asyncio.Runner` went, which sets a handler of its own.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import errno
+import fcntl
 import os
 import resource
 import signal
@@ -21,6 +22,7 @@
 
 # struct tcp_info of Linux: tcpi_last_data_recv, in ms, stands behind eight bytes and eleven numbers of four (tcp(7)).
 TCP_INFO_BYTES, LAST_DATA_OFFSET = 104, 52
+FIONREAD, INT_BYTES = 0x541B, 4  # of ioctl_tty(2): how many bytes lie unread
 UNBLOCK_TRIES = 5  # of telling the kernel that a connection must not block
 READ_BYTES = 64 * 1024  # of a file at once: memory follows what is there, not what is allowed
 
@@ -42,6 +44,8 @@
 class ConnectedSocket(Protocol):
     """What is asked of a connection's socket."""
 
+    def fileno(self) -> int: ...
+
     def getsockopt(self, level: int, option: int, size: int) -> bytes: ...
 
 
@@ -60,6 +64,9 @@
     def since_last_data_s(self, connection: ConnectedSocket) -> float:
         """How long ago the last bytes came on a connection, read or not; 0 where that can't be told."""
 
+    def has_unread(self, connection: ConnectedSocket) -> bool:
+        """Do bytes lie in the kernel that have not been read? True where that can't be told."""
+
     def sleep(self, for_s: float) -> None:
         """Do nothing for so long. Only where no event loop runs."""
 
@@ -147,6 +154,13 @@
             return 0.0
         return float(last_ms) / 1000
 
+    def has_unread(self, connection: ConnectedSocket) -> bool:
+        try:
+            answer = fcntl.ioctl(connection.fileno(), FIONREAD, bytes(INT_BYTES))
+        except (OSError, ValueError):
+            return True
+        return any(answer)
+
     def sleep(self, for_s: float) -> None:
         time.sleep(for_s)
 
--- a/lanemux/eventloop/loop.py
+++ b/lanemux/eventloop/loop.py
@@ -16,7 +16,6 @@
 
 log = logging.getLogger(__name__)
 
-SIGNAL_TRIES = 20  # of installing a handler
 SIGNALS_LOOK_S = 0.1  # a signal is acted on within this, whether or not the byte that wakes the loop could be written
 REPORT_AGAIN_S = 10.0  # one place's failures are logged so often at the most
 MAX_REPORTED = 256  # places of which it is remembered
@@ -38,6 +37,7 @@
         self.counter: FailureCounter | None = None
         self._made = False
         self._signal_callbacks: dict[int, asyncio.Handle] = {}
+        self._uninstalled: set[int] = set()  # signals whose handlers could not be installed yet
         self._looking: asyncio.TimerHandle | None = None
         self._reported_s: dict[str, float] = {}  # what failed -> when it was last logged
         self._resilient = ResilientSelector(self._call_failed)
@@ -59,18 +59,25 @@
     # -- signals --
 
     def add_signal_handler(self, sig: int, callback: Callable[..., Any], *args: Any) -> None:  # type: ignore[override]
-        """Call back on a signal. Signals that come once the loop is closed have no effect."""
+        """Call back on a signal, and unblock it. Signals that come once the loop is closed have no effect."""
         self._signal_callbacks[sig] = asyncio.Handle(callback, args, self, None)
-        for _ in range(SIGNAL_TRIES):
+        self._uninstalled.add(sig)
+        self._install_signal_handlers()
+        with contextlib.suppress(OSError, ValueError):  # it only makes a signal heard sooner
+            signal.set_wakeup_fd(self._csock.fileno(), warn_on_full_buffer=False)
+        if self._looking is None:
+            self._look()
+
+    def _install_signal_handlers(self) -> None:
+        """A signal that was blocked stays so until its handler is there: the default action would end the process."""
+        for sig in list(self._uninstalled):
             try:
                 signal.signal(sig, self._on_signal)
-                break
+                signal.pthread_sigmask(signal.SIG_UNBLOCK, (sig,))
             except OSError as error:
                 self._call_failed("sigaction", error)
-        with contextlib.suppress(OSError, ValueError):  # it only makes a signal heard sooner
-            signal.set_wakeup_fd(self._csock.fileno(), warn_on_full_buffer=False)  # type: ignore[attr-defined]
-        if self._looking is None:
-            self._look()
+            else:
+                self._uninstalled.discard(sig)
 
     def remove_signal_handler(self, sig: int) -> bool:
         """A signal has no effect any more; False if it had none."""
@@ -84,18 +91,25 @@
 
     def _look(self) -> None:
         """Wake up, so that signals are seen."""
+        self._install_signal_handlers()
         self._looking = self.call_later(SIGNALS_LOOK_S, self._look)
 
     # -- connections --
 
-    def _make_socket_transport(
-        self, sock: socket.socket, protocol: Any, waiter: Any = None, *, extra: Any = None, server: Any = None
-    ) -> Any:
-        stream = StreamSocket(sock, self._resilient.defer, self._call_failed)
-        return super()._make_socket_transport(  # type: ignore[misc]
-            stream, protocol, waiter, extra=extra, server=server
+    async def _create_connection_transport(self, sock: socket.socket, *more: Any, **options: Any) -> Any:
+        """What asyncio makes each connection's transport with, accepted or opened."""
+        return await super()._create_connection_transport(  # type: ignore[misc]
+            self._resilient_socket(sock), *more, **options
         )
 
+    def _make_self_pipe(self) -> None:
+        super()._make_self_pipe()  # type: ignore[misc]
+        self._ssock = self._resilient_socket(self._ssock)  # type: ignore[has-type]
+        self._csock = self._resilient_socket(self._csock)  # type: ignore[has-type]
+
+    def _resilient_socket(self, sock: socket.socket) -> StreamSocket:
+        return StreamSocket(sock, self._resilient.defer, self._call_failed)
+
     # -- what fails --
 
     def _call_failed(self, call: str, error: OSError) -> None:
--- a/lanemux/eventloop/stream_socket.py
+++ b/lanemux/eventloop/stream_socket.py
@@ -25,16 +25,7 @@
         family, kind, protocol, wait_s = plain.family, plain.type, plain.proto, plain.gettimeout()
         super().__init__(family, kind, protocol, fileno=plain.detach())
         self._defer, self._failed = defer, failed
-        self._wait_s = wait_s
-        if wait_s is not None:
-            self._stop_blocking()
-
-    def _stop_blocking(self) -> None:
-        """Python's own note of it; the descriptor's flag is as it was."""
-        try:
-            self.settimeout(self._wait_s)
-        except OSError as error:
-            self._failed("ioctl", error)
+        self._without_consequence("ioctl", super().settimeout, wait_s)  # Python's own note: the descriptor has it
 
     def send(self, data: Any, flags: int = 0) -> int:
         try:
@@ -64,6 +55,9 @@
     def setsockopt(self, *arguments: Any) -> None:
         self._without_consequence("setsockopt", super().setsockopt, *arguments)
 
+    def setblocking(self, on: bool) -> None:
+        self._without_consequence("ioctl", super().setblocking, on)
+
     def shutdown(self, how: int) -> None:
         self._without_consequence("shutdown", super().shutdown, how)
 
--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -63,6 +63,13 @@
         """Part of an answer is still to be written."""
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
+    @property
+    def has_unread(self) -> bool:
+        """Bytes of it wait to be read, perhaps a request: it comes up, or the machine has not let them be read yet."""
+        if self._transport is None:
+            return True
+        return self._server.system.has_unread(self._transport.get_extra_info("socket"))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         if self._ended:  # it had to make place before it came up
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -9,7 +9,6 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine
-from functools import partial
 from typing import Protocol
 
 from lanemux.core.clock import now_ns
@@ -92,7 +91,6 @@
     made(node)
     reloader = Reloader(path, config, node, lists, system)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)  # what has come since the start counts now
     reporting: asyncio.Task[None] | None = None
     asked = config.admin is not None or config.listen_fd is not None
     extension = extend(node, system) if extend is not None and asked else None
@@ -208,15 +206,31 @@
         return UNUSABLE_STATUS
 
 
+def _run_on(loop: EventLoop, work: Coroutine[None, None, None]) -> None:
+    """Run to its end, then what it left behind. (`asyncio.run` handles SIGINT itself, which may fail.)"""
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.run_until_complete(_end_tasks())
+        loop.close()
+
+
+async def _end_tasks() -> None:
+    """Cancel the other tasks of this loop, and wait for their ends."""
+    left = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in left:
+        if task is not None:
+            task.cancel()
+    await asyncio.gather(*left, return_exceptions=True)
+
+
 def _run_until_ended(run: Callable[[], Coroutine[None, None, None]], name: str, system: System) -> int:
     """Run one balancer, and again where a fault of the program ended it without being told to; gives the status."""
     backoff = Backoff()
     for _ in range(STARTS):
+        loop = wait_for("event loop", EventLoop, system)
         try:
-            with asyncio.Runner(loop_factory=partial(wait_for, "event loop", EventLoop, system)) as runner:
-                runner.run(run())
-            return 0
-        except Interrupted:
+            _run_on(loop, run())
             return 0
         except Unobtainable as error:
             raise Unobtainable(f"{name}: {error}") from error
--- a/lanemux/net/frontend.py
+++ b/lanemux/net/frontend.py
@@ -12,8 +12,7 @@
 log = logging.getLogger(__name__)
 
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
-LAST_ACCEPTS_S = 0.5  # for connections that could not be accepted by then
-LAST_ACCEPTS_LOOK_S = 0.01
+LAST_LOOK_S = 0.01  # while connections can't be accepted or read by then
 LAST_READ_S = 0.05  # for what those have sent already
 FLUSH_LOOK_S = 0.01
 UNUSED_S = 0.7  # a connection idle for so long is seldom used: a request hardly crosses its closing
@@ -91,15 +90,21 @@
             await self._hand_over(end_s)
             return
         await asyncio.sleep(LATE_ARRIVALS_S)
-        await self._accept_last(min(end_s - HASTE_S, self._loop.time() + LAST_ACCEPTS_S))
+        await self._accept_last(end_s - HASTE_S)
         self.server.stop_listening()
-        await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
-        self.server.close_idle()
+        await self._read_last(end_s - HASTE_S)
 
     async def _accept_last(self, latest_s: float) -> None:
         """After a standstill, or while accepting fails, more may wait than one turn accepts."""
         while not self.server.accept_last() and self._loop.time() < latest_s:
-            await asyncio.sleep(LAST_ACCEPTS_LOOK_S)
+            await asyncio.sleep(LAST_LOOK_S)
+
+    async def _read_last(self, latest_s: float) -> None:
+        """A request that lies in an accepted connection has been taken: it is read, and then answered."""
+        await asyncio.sleep(LAST_READ_S)
+        while not self.server.close_idle(unread_too=False) and self._loop.time() < latest_s:
+            await asyncio.sleep(LAST_LOOK_S)
+        self.server.close_idle(unread_too=True)
 
     async def _hand_over(self, end_s: float) -> None:
         """Another process serves the same listener: what waits there is its own. Who is here is let go without haste,
@@ -109,7 +114,7 @@
         while self.server.waited_for and self._loop.time() < end_s - HASTE_S:
             await self.server.close_unused(UNUSED_S)
             await asyncio.sleep(EASE_LOOK_S)
-        self.server.close_idle()
+        self.server.close_idle(unread_too=True)
 
     async def flush(self, end_s: float) -> None:
         """A large answer is whole only when its last byte is out."""
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -353,11 +353,13 @@
         client.abort()
         return True
 
-    def close_idle(self) -> None:
-        """Close all on which no whole request has come."""
+    def close_idle(self, unread_too: bool) -> bool:
+        """Close all on which no whole request has come, those with unread bytes only if told so; True: none is left."""
         for table in (self._idle, self._awaited):
-            while (client := table.oldest()) is not None:
-                client.close()
+            for client in table.members():
+                if unread_too or not client.has_unread:
+                    client.close()
+        return not self._idle and not self._awaited
 
     async def close_unused(self, idle_s: float) -> None:
         """Close all on which no request is open or comes, and none has been for so long, a few in a turn of the loop.
--- a/lanemux/takeover/pace.py
+++ b/lanemux/takeover/pace.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import time
 
@@ -38,11 +39,13 @@
 
 def begin(pace: Pace | None = None) -> None:
     """From now on whatever this process does is paced. Only the main thread may call it (`signal.signal`)."""
-    signal.signal(signal.SIGPROF, pace or Pace())
-    signal.setitimer(signal.ITIMER_PROF, WORK_S, WORK_S)
+    with contextlib.suppress(OSError):  # a start that is not paced is better than none
+        signal.signal(signal.SIGPROF, pace or Pace())
+        signal.setitimer(signal.ITIMER_PROF, WORK_S, WORK_S)
 
 
 def end() -> None:
     """No longer: what is done in service is not to make the loop wait."""
-    signal.setitimer(signal.ITIMER_PROF, 0.0)
-    signal.signal(signal.SIGPROF, signal.SIG_IGN)  # one may still be on its way, and would end the process
+    with contextlib.suppress(OSError):  # then the handler stays, and sleeps once more at the most
+        signal.setitimer(signal.ITIMER_PROF, 0.0)
+        signal.signal(signal.SIGPROF, signal.SIG_IGN)  # one may still be on its way, and would end the process
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -121,6 +121,9 @@
     def since_last_data_s(self, connection: object) -> float:
         return 0.0  # a virtual kernel keeps no such time
 
+    def has_unread(self, connection: object) -> bool:
+        return False  # a virtual loop reads what has come before anything else
+
     def sleep(self, for_s: float) -> None:
         """A virtual process has its loop from the first moment on: nothing waits without one."""
 
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -70,7 +70,7 @@
         "reset-at-drain",
         "this issue's mend: who waits to be accepted when a drain ends is answered",
         FRONTEND,
-        "        await self._accept_last(min(end_s - HASTE_S, self._loop.time() + LAST_ACCEPTS_S))",
+        "        await self._accept_last(end_s - HASTE_S)",
         "        pass",
     ),
     _one(
