--- a/lanemux/rehearsal/relay.py
+++ b/lanemux/rehearsal/relay.py
@@ -1,7 +1,7 @@
 """The network between balancers: datagrams that come late or not at all.
 
-Each balancer sees the others under addresses of its own. What one sends to such an address comes out at the
-other's, from the address under which that one knows the sender.
+Each balancer is reached at an address of the relay's, and what it sends comes out at the others' from there. What it
+knows as its own is where it really listens.
 """
 
 from __future__ import annotations
@@ -14,26 +14,28 @@
 from lanemux.rehearsal.scenario import Network
 
 MAX_DATAGRAM = 256  # bytes; a larger one is dropped, as the platform does
+EVERYONE = -1
 MAX_ON_WAY = 10_000  # datagrams in flight; more are lost
 
 
 class Port(asyncio.DatagramProtocol):
-    """One address: here `owner` reaches `other` (-1: all), and hears from it."""
+    """One address: here all others reach `owner` (-1: everyone), and from it they hear of it."""
 
-    def __init__(self, relay: Relay, owner: int, other: int) -> None:
-        self._relay, self._owner, self._other = relay, owner, other
+    def __init__(self, relay: Relay, owner: int) -> None:
+        self._relay, self._owner = relay, owner
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, address: tuple[str | object, int]) -> None:
-        if cast(Address, address[:2]) == self._relay.listens[self._owner]:
-            self._relay.carry(self._owner, self._other, data)
+        sender = self._relay.numbers.get(cast(Address, address[:2]))
+        if sender is not None:
+            self._relay.carry(sender, self._owner, data)
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, to: Address) -> None:
         if self._transport is not None:
-            self._transport.sendto(data, self._relay.listens[self._owner])
+            self._transport.sendto(data, to)
 
     def close(self) -> None:
         if self._transport is not None:
@@ -44,9 +46,10 @@
     """All ports, and the loss and delay between them."""
 
     def __init__(self, network: Network, listens: list[Address], seed: int) -> None:
-        self.listens = listens  # where each balancer hears datagrams
+        self.listens = listens  # where each balancer hears datagrams, and sends them from
+        self.numbers = {address: number for number, address in enumerate(listens)}
         self._network, self._rng = network, random.Random(f"{seed}/relay")
-        self._ports: dict[tuple[int, int], Port] = {}
+        self._ports: dict[int, Port] = {}
         self._on_way: dict[int, asyncio.TimerHandle] = {}
         self._count = 0
         self.sent_bytes = 0
@@ -54,21 +57,16 @@
     async def open(self, host: str) -> tuple[list[list[Address]], list[Address]]:
         """The addresses of its peers as each balancer sees them (its own among them), and that of all."""
         loop = asyncio.get_running_loop()
-        count = len(self.listens)
-        peers: list[list[Address]] = []
-        everyone: list[Address] = []
-        for owner in range(count):
-            row: list[Address] = []
-            for other in (*range(count), -1):
-                if other == owner:
-                    row.append(self.listens[owner])
-                    continue
-                port = Port(self, owner, other)
-                transport, _ = await loop.create_datagram_endpoint(lambda p=port: p, (host, 0))  # type: ignore[misc]
-                self._ports[owner, other] = port
-                (row if other >= 0 else everyone).append(transport.get_extra_info("sockname"))
-            peers.append(row)
-        return peers, everyone
+        addresses: dict[int, Address] = {}
+        for owner in (*range(len(self.listens)), EVERYONE):
+            port = self._ports[owner] = Port(self, owner)
+            transport, _ = await loop.create_datagram_endpoint(lambda p=port: p, (host, 0))  # type: ignore[misc]
+            addresses[owner] = transport.get_extra_info("sockname")
+        peers = [
+            [self.listens[owner] if other == owner else addresses[other] for other in range(len(self.listens))]
+            for owner in range(len(self.listens))
+        ]
+        return peers, [addresses[EVERYONE]] * len(self.listens)
 
     def carry(self, sender: int, to: int, data: bytes) -> None:
         """Deliver to one, or to all others: each copy is late or lost by itself."""
@@ -81,13 +79,11 @@
             self.sent_bytes += len(data)
             delay_s = self._rng.uniform(*self._network.peer_ms) / 1000
             self._count += 1
-            self._on_way[self._count] = loop.call_later(
-                delay_s, self._deliver, self._count, self._ports[other, sender], data
-            )
+            self._on_way[self._count] = loop.call_later(delay_s, self._deliver, self._count, sender, other, data)
 
-    def _deliver(self, number: int, port: Port, data: bytes) -> None:
+    def _deliver(self, number: int, sender: int, to: int, data: bytes) -> None:
         del self._on_way[number]
-        port.send(data)
+        self._ports[sender].send(data, self.listens[to])
 
     def close(self) -> None:
         for handle in self._on_way.values():
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -13,7 +13,7 @@
 Range = tuple[float, float]
 
 MAX_BOXES = 120  # with their successors at most 250: one byte of a loopback address numbers them
-MAX_BALANCERS = 16  # each pair has a datagram socket of its own
+MAX_BALANCERS = 192  # one byte of a loopback address numbers them; from 200 on it stands for parts of the kit
 MAX_ASKS = 200_000  # the books of a run stay in memory, some KiB for each ask
 FAULTS = ("freeze", "neighbour", "heavy", "deploy", "crash", "vanish", "kill", "flood", "partner", "restart")
 AT_BALANCERS = ("kill", "revive", "flood", "restart")  # what befalls balancers and not boxes
--- a/lanemux/rehearsal/soak/command.py
+++ b/lanemux/rehearsal/soak/command.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 
 from lanemux.rehearsal import report
+from lanemux.rehearsal.calls.library import NoCompiler, build
+from lanemux.rehearsal.calls.rules import written
 from lanemux.rehearsal.command import BY_SIGNAL, EndedBySignal, rehearse_until_told
 from lanemux.rehearsal.rules import counts
 from lanemux.rehearsal.run import CannotRun, Run
@@ -42,6 +44,7 @@
     descriptors_most: int = 0
     memory_most_mb: float = 0.0
     wall_s: float = 0.0
+    not_valid: list[str] = field(default_factory=list)  # why the run can't be judged
 
     @property
     def failed(self) -> bool:
@@ -67,7 +70,7 @@
         if time.monotonic() >= end_s:
             print(f"time is over: {len(seeds) - len(outcomes)} of {len(seeds)} seeds were not played")
             break
-        run, keep = draw(seed, options.seconds), options.replay is not None
+        run, keep = draw(seed, options.seconds, options.balancers), options.replay is not None
         try:
             outcomes.append(_play(run, options.module, Path(options.evidence), keep))
         except EndedBySignal as error:
@@ -99,7 +102,8 @@
     with tempfile.TemporaryDirectory(prefix=f"soak-{run.seed}-") as folder:
         plan = Path(folder) / "injection.json"
         plan.write_text(run.injection.text())
-        command = [sys.executable, "-m", "lanemux.rehearsal.injection", str(plan), module]
+        preload = _preload(run, Path(folder))
+        command = [*preload, sys.executable, "-m", "lanemux.rehearsal.injection", str(plan), module]
         logs = Path(folder) / "logs"
         logs.mkdir()
         began = time.monotonic()
@@ -117,6 +121,23 @@
     return outcome
 
 
+def _preload(run: SoakRun, folder: Path) -> list[str]:
+    """The words before a balancer's command that make its calls fail; none where no compiler is installed."""
+    if not run.calls:
+        return []
+    try:
+        library = build(folder)
+    except NoCompiler as error:
+        print(f"lanemux: {error}: no calls of the C library fail", file=sys.stderr)
+        return []
+    return [
+        "/usr/bin/env",
+        f"LD_PRELOAD={library}",
+        f"LANEMUX_FAIL={written(run.calls)}",
+        f"LANEMUX_FAIL_SEED={run.seed}",
+    ]
+
+
 def _judged(seed: int, run: Run, evidence: Path) -> Outcome:
     if run.callers.busiest_share > BUSY_SHARE:
         run.crashes.append(f"a balancer kept a processor busy for {run.callers.busiest_share:.0%} of a second")
@@ -131,6 +152,7 @@
         run.callers.busiest_share,
         run.callers.descriptors_most,
         run.callers.memory_most_mb,
+        not_valid=run.validity.reasons,
     )
     if outcome.failed:
         evidence.mkdir(parents=True, exist_ok=True)
@@ -171,7 +193,7 @@
         f"memory {outcome.memory_most_mb:.0f} MB",
         f"{outcome.wall_s:.0f} s",
     ]
-    proofs = "; ".join(dict.fromkeys([*outcome.faults, *outcome.crashes]))[:MAX_PROOF]
+    proofs = "; ".join(dict.fromkeys([*outcome.not_valid, *outcome.faults, *outcome.crashes]))[:MAX_PROOF]
     return "  ".join([f"seed {outcome.seed}: {state}", *figures, str(broken or ""), proofs]).rstrip()
 
 
@@ -186,6 +208,7 @@
     parser.add_argument("--replay", type=int, metavar="SEED", help="one seed; its evidence is kept in any case")
     parser.add_argument("--minutes", type=float, metavar="M", help="begin no further seed after so long")
     parser.add_argument("--seconds", type=float, default=SECONDS, metavar="S", help="length of each run")
+    parser.add_argument("--balancers", type=int, metavar="N", help="so many in each run, instead of a drawn number")
     parser.add_argument("--module", metavar="NAME", default="lanemux", help="what starts one balancer")
     parser.add_argument("--json", metavar="FILE")
     parser.add_argument("--evidence", metavar="DIR", default="soak-evidence", help="of failed seeds, a folder each")
--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 
+from lanemux.rehearsal.calls.rules import ERRORS, WHOLE_LIFE_MS, Rule
 from lanemux.rehearsal.injection_plan import HOLD_UP_S, ClockStep, Plan, Window
 from lanemux.rehearsal.scenario import (
     USUAL_PARTNERS,
@@ -41,6 +43,23 @@
 WALL_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 DEADLINES_MS = (300.0, 600.0, 1500.0)
 MANY_BALANCERS = 12
+FEW_RESTARTED = (0.05, 0.15)
+START_CALLS = ("open", "opendir", "read", "stat", "dlopen", "close", "epoll_ctl", "socket", "bind", "fcntl")
+START_CALLS_MS = (100, 2000)
+SERVICE_CALLS = (
+    "send",
+    "recv",
+    "close",
+    "write",
+    "epoll_ctl",
+    "epoll_wait",
+    "accept",
+    "setsockopt",
+    "shutdown",
+    "stat",
+)
+SERVICE_PER_MILLE = (2, 10, 30)
+BURST_CALLS = ("send", "recv", "epoll_ctl", "open", "write", "setsockopt", "close")
 
 
 @dataclass(frozen=True)
@@ -50,14 +69,43 @@
     seed: int
     scenario: Scenario
     injection: Plan
+    calls: Sequence[Rule] = ()  # calls of the C library that fail in the balancers
 
 
-def draw(seed: int, seconds: float = SECONDS) -> SoakRun:
-    """What this seed plays; the same for the same seed and length."""
+def draw(seed: int, seconds: float = SECONDS, balancers: int | None = None) -> SoakRun:
+    """What this seed plays; the same for the same seed, length and number of balancers (None: a drawn one)."""
     rng = random.Random(f"soak/{seed}")
     deadline_ms = rng.choice(DEADLINES_MS)
     injection = _draw_injection(seed, rng, deadline_ms)
-    return SoakRun(seed, _draw_scenario(seed, rng, seconds, deadline_ms, injection), injection)
+    scenario = _draw_scenario(seed, rng, seconds, deadline_ms, injection)
+    if balancers is not None:
+        scenario = _with_balancers(scenario, balancers, seconds)
+    return SoakRun(seed, scenario, injection, _draw_calls(random.Random(f"soak-calls/{seed}")))
+
+
+def _with_balancers(scenario: Scenario, balancers: int, seconds: float) -> Scenario:
+    """The same with so many. Where they are many, a smaller part is restarted, over a longer span, and without a
+    flood beside it: this machine's processors must bear the starts."""
+    faults = scenario.faults
+    if balancers > MANY_BALANCERS:
+        restart = replace(faults[0], part=FEW_RESTARTED, for_s=seconds * 0.4)
+        faults = (restart, *(fault for fault in faults[1:] if fault.kind != "flood"))
+    return replace(scenario, fleet=replace(scenario.fleet, balancers=balancers), faults=faults)
+
+
+def _draw_calls(rng: random.Random) -> list[Rule]:
+    """Calls that fail from the first one of a process on, a share of them in service, and all of a kind for a while."""
+    rules = []
+    if rng.random() < 0.6:
+        for kind in rng.sample(START_CALLS, rng.choice((1, 2, 3))):
+            rules.append(Rule(kind, rng.choice(ERRORS[kind]), 0, rng.randint(*START_CALLS_MS), timed=True))
+    for kind in rng.sample(SERVICE_CALLS, rng.choice((0, 1, 2, 3))):
+        rules.append(Rule(kind, rng.choice(ERRORS[kind]), 0, WHOLE_LIFE_MS, True, rng.choice(SERVICE_PER_MILLE)))
+    if rng.random() < 0.3:
+        begin_ms = rng.randint(2000, 5000)
+        kind = rng.choice(BURST_CALLS)
+        rules.append(Rule(kind, rng.choice(ERRORS[kind]), begin_ms, begin_ms + rng.randint(100, 400), timed=True))
+    return rules
 
 
 def _draw_injection(seed: int, rng: random.Random, deadline_ms: float) -> Plan:
--- /dev/null
+++ b/tests/rehearsal/broken/write_error_ends_connection.py
@@ -0,0 +1,9 @@
+"""Takes any failed read or write for the end of its connection."""
+
+import sys
+
+from lanemux.eventloop import stream_socket
+from lanemux.net import daemon
+
+stream_socket.MOMENTARY = frozenset()
+sys.exit(daemon.main())
