A log that nobody reads no longer stops a balancer

What was seen: with standard error on a pipe that is full, the process hung in its next log line: the test's request had no answer. Cause: `logging.StreamHandler` writes whether or not the descriptor takes it.

Lines are written while `poll` says that the pipe takes them (PIPE_BUF bytes without blocking), else counted and told later.

--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -14,6 +14,7 @@
 from lanemux.core.clock import now_ns
 from lanemux.core.failures import Backoff, Unobtainable
 from lanemux.core.system import Machine, System
+from lanemux.eventloop.log_handler import NonBlockingHandler
 from lanemux.eventloop.loop import EventLoop
 from lanemux.interface import Settings
 from lanemux.net.config import BadConfig, Config, from_environment, read_config
@@ -159,7 +160,7 @@
 
 
 def _log_to_standard_error(level: str) -> None:
-    handler = logging.StreamHandler()
+    handler = NonBlockingHandler()
     handler.addFilter(LogRateLimit())
     logging.basicConfig(level=level.upper(), handlers=[handler], format="%(asctime)s %(levelname)s %(message)s")
     logging.raiseExceptions = False  # a log that can't be written must not be answered with more output
