--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -31,6 +31,7 @@
 # longer each time that comes at once again. 200 ms are a new watch.
 BREATH_S, LONGEST_BREATH_S = 0.02, 0.15
 AT_ONCE = 16  # answers in a row with news each, as a release brings them, before that
+REPAIR_S = 1.0  # after a list that could not be taken up
 FIRST_RETRY_S, LAST_RETRY_S = 0.05, 1.0
 
 
@@ -222,5 +223,10 @@
         self._retry = asyncio.get_running_loop().call_later(wait_s, self.watch)
 
     def _tell(self, listing: Listing | None) -> None:
-        if listing is not None or not self._pushed:
+        if listing is None and self._pushed:
+            return
+        try:
             self._heard(listing)
+        except Exception:  # a fault of ours: what was told is lost, so the whole list is asked for again
+            log.exception("discovery: a list could not be taken up")
+            asyncio.get_running_loop().call_later(REPAIR_S, self.fetch)
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from typing import TYPE_CHECKING, Protocol
 
@@ -292,8 +293,15 @@
         try:
             await asyncio.get_running_loop().connect_accepted_socket(lambda: client, accepted)
         except OSError:  # it has gone in the meantime
+            self._give_up(client, accepted)
+        except Exception:
+            log.exception("a connection could not be taken up")
+            self._give_up(client, accepted)
+
+    def _give_up(self, client: ClientConnection, accepted: socket.socket) -> None:
+        self.forget(client)
+        with contextlib.suppress(OSError):
             accepted.close()
-            self.forget(client)
 
     def mark(self, client: ClientConnection) -> None:
         """The connection has become busy or idle."""
