Rename: what plugs into a balancer is a plugin, and what carries it a plugin host

`core/plugs.py` is `core/plugin.py` (`Plugin`), `net/plugs.py` is `net/plugin_host.py` (`PluginHost`), `fleet.setup.plug` is `add_membership`. No behaviour changes; the operators' section and its messages have the names they had.

--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -38,7 +38,7 @@
         """Back to work; False for a process that ends."""
 
 
-class Plugs(Protocol):
+class PluginHost(Protocol):
     """What is plugged into the balancer."""
 
     def section(self, name: str) -> Mapping[str, object] | None:
@@ -57,7 +57,7 @@
     def frontend(self) -> Frontend: ...
 
     @property
-    def plugs(self) -> Plugs: ...
+    def plugins(self) -> PluginHost: ...
 
     @property
     def outstanding(self) -> int:
@@ -144,7 +144,7 @@
         wanted, act = PLAIN[name]
         return act(balancer) if method == wanted else Reply(405, b"another method\n", wanted)
     if name not in OF_ONE:
-        section = balancer.plugs.section(name) if not rest else None
+        section = balancer.plugins.section(name) if not rest else None
         if section is None:
             return _said(404, "no such call")
         if method != b"GET":
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -106,14 +106,14 @@
 
 
 def _fleet(operators: Operators) -> Callable[[Node], None]:
-    """What is plugged into the node, with [fleet] or without."""
+    """What adds plugins to the node, with [fleet] or without."""
     if operators.fleet is None:
         return lambda node: None
     from functools import partial
 
-    from lanemux.fleet.setup import plug
+    from lanemux.fleet.setup import add_membership
 
-    return partial(plug, told=operators.fleet)
+    return partial(add_membership, told=operators.fleet)
 
 
 def _serve(rest: Sequence[str]) -> int:
--- a/lanemux/core/plugs.py
+++ b/lanemux/core/plugin.py
@@ -1,7 +1,7 @@
 """The seam for what plugs into a running balancer beside its requests. No I/O and no clock.
 
-A plug gets the peers' messages of its own first byte, ticks at the times it asks for, and a section of the operators'
-second address. It is a state machine: what carries its messages and sets its timer is `net/plugs.py`, the virtual
+A plugin gets the peers' messages of its own first byte, ticks at the times it asks for, and a section of the operators'
+second address. It is a state machine: what carries its messages and sets its timer is `net/plugin_host.py`, the virtual
 clock or a model in tests.
 """
 
@@ -13,7 +13,7 @@
 from lanemux.core.words import FORM
 
 
-class Plug(Protocol):
+class Plugin(Protocol):
     """One of them."""
 
     @property
--- a/lanemux/fleet/setup.py
+++ b/lanemux/fleet/setup.py
@@ -1,4 +1,4 @@
-"""Plugs who is there into a running balancer, where the operators' file has [fleet]."""
+"""Adds the plugin that tells who is there to a balancer, where the operators' file has [fleet]."""
 
 from __future__ import annotations
 
@@ -29,11 +29,11 @@
     )
 
 
-def plug(node: Node, told: Fleet) -> None:
+def add_membership(node: Node, told: Fleet) -> None:
     """Before the node starts. Without peers there is nobody to look at: that is logged, and nothing is plugged in."""
     config = node.config
     if config.peer_listen is None or len(config.peers) < 2:
         log.warning("%s: [fleet] is without effect: the configuration names no peers", config.name)
         return
     rng = random.Random(f"{config.seed} {now_ns()}")  # each process is another one, also of the same balancer
-    node.plugs.add(View(config.settings.me, len(config.peers), rng, now_ns(), told.council, told.lease_ms * MS))
+    node.plugins.add(View(config.settings.me, len(config.peers), rng, now_ns(), told.council, told.lease_ms * MS))
--- a/lanemux/fleet/view.py
+++ b/lanemux/fleet/view.py
@@ -1,4 +1,4 @@
-"""Who is there and who leads, as a plug of a running balancer: logged and shown. No I/O and no clock."""
+"""Who is there and who leads, as a plugin of a running balancer: logged and shown. No I/O and no clock."""
 
 from __future__ import annotations
 
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -18,7 +18,7 @@
 from lanemux.net.frontend import Frontend
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
-from lanemux.net.plugs import Plugs
+from lanemux.net.plugin_host import PluginHost
 from lanemux.net.server import Doors, Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
@@ -119,7 +119,7 @@
         self.background = BackgroundAcquisition(self.tally)
         self.port = 0  # where it listens for clients, once it does
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
-        self.plugs = Plugs(self._peers.tell)
+        self.plugins = PluginHost(self._peers.tell)
         self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
 
@@ -201,7 +201,7 @@
         """A planned end: go on with what still comes, answer all of it, then close everything."""
         end = self._loop.time() + LEAVE_S
         self._stopping = True
-        self.plugs.leave()
+        self.plugins.leave()
         await self.frontend.close_in_order(end)
         if self._calls:
             self._quiet.clear()  # it may have been quiet before the last ones came
@@ -243,7 +243,7 @@
         self._looks.clear()
         for pool in self._hub.pools.values():
             pool.close_idle()
-        self.plugs.close()
+        self.plugins.close()
         self._peers.close()
         self.server.abort()
 
@@ -555,7 +555,7 @@
         """A peer's message is read with whatever is decided next, or by itself a little later.
 
         Nothing is decided on it alone but who of those that wait goes next, and most are followed at once."""
-        if self._closed or self.plugs.heard(sender, data):
+        if self._closed or self.plugins.heard(sender, data):
             return
         self._events.append(api.PeerMessage(sender, data))
         if len(self._events) >= MAX_WORDS_KEPT:
