Rename: `checked` is `validation`, and its exception a ValidationError

The module that reads tables into dataclasses had the name of a participle; `Faulty` said nothing of its cause. No behaviour changes.

--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -119,11 +119,11 @@
 def _serve(rest: Sequence[str]) -> int:
     import logging
 
-    from lanemux.checked import Faulty
     from lanemux.net.daemon import main
     from lanemux.net.reload import Lists
     from lanemux.net.startup import Interrupted
     from lanemux.operators import load
+    from lanemux.validation import ValidationError
 
     options = _arguments("serve", rest)
 
@@ -137,7 +137,7 @@
     try:
         first = _load_when_readable(options.operators)
         lists = Lists(read)
-    except Faulty as error:
+    except ValidationError as error:
         return _faults(error.faults)
     except Interrupted:
         return 0
@@ -147,17 +147,17 @@
 
 
 def _load_when_readable(path: str | None) -> Operators:
-    """The operators' file. Reading that fails for a moment is tried again; Faulty for a file that can't be used."""
-    from lanemux.checked import Faulty
+    """The operators' file, once it can be read. ValidationError for one that can't be used."""
     from lanemux.core.failures import MomentaryError
     from lanemux.core.system import Machine
     from lanemux.net.startup import wait_for
     from lanemux.operators import load
+    from lanemux.validation import ValidationError
 
     def attempt() -> Operators:
         try:
             return load(path)
-        except Faulty as error:
+        except ValidationError as error:
             if error.momentary:
                 raise MomentaryError(str(error)) from None
             raise
@@ -179,16 +179,16 @@
 
 
 def _check(rest: Sequence[str]) -> int:
-    from lanemux.checked import Faulty
     from lanemux.net.config import BadConfig, read_config
     from lanemux.operators import load
+    from lanemux.validation import ValidationError
 
     options = _arguments("check", rest)
     faults: list[str] = []
     path = options.config or os.environ.get("RELAY_CONFIG")
     try:
         faults += _misfits(load(options.operators), options.operators, path)
-    except Faulty as error:
+    except ValidationError as error:
         faults += error.faults
     try:
         if path:
--- a/lanemux/operators.py
+++ b/lanemux/operators.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from lanemux.checked import Faulty, bounded, build, installed, parse
 from lanemux.core.address import BadAddress, read_address
+from lanemux.validation import ValidationError, bounded, build, installed, parse
 
 MAX_FILE = 1024 * 1024  # bytes; a file by hand has some KiB, and a larger one is the wrong file
 
@@ -105,7 +105,7 @@
 def load(path: str | None) -> Operators:
     """The file, read and checked whole; with no path, everything off.
 
-    Raises Faulty with one line for each fault: file, key and what is allowed."""
+    Raises ValidationError with one line for each fault: file, key and what is allowed."""
     if not path:
         return Operators()
     made = build(Operators, parse(read_text(Path(path)), path), path)
@@ -115,20 +115,20 @@
     if made.etcd is not None:
         found += [f"{path}: etcd.{fault}" for fault in made.etcd.faults()]
     if found:
-        raise Faulty(found)
+        raise ValidationError(found)
     return made
 
 
 def read_text(path: Path) -> str:
-    """A configuration file's text; Faulty where it can't be read, isn't UTF-8 or is absurdly large."""
+    """A configuration file's text; ValidationError where it can't be read, isn't UTF-8 or is absurdly large."""
     try:
         with path.open("rb") as file:
             data = file.read(MAX_FILE + 1)
         if len(data) > MAX_FILE:
-            raise Faulty([f"{path}: over {MAX_FILE} bytes"])
+            raise ValidationError([f"{path}: over {MAX_FILE} bytes"])
         return data.decode()
     except OSError as error:
         lasting = isinstance(error, FileNotFoundError | PermissionError | IsADirectoryError | NotADirectoryError)
-        raise Faulty([f"{path}: {error.strerror}"], momentary=not lasting) from None
+        raise ValidationError([f"{path}: {error.strerror}"], momentary=not lasting) from None
     except UnicodeDecodeError:
-        raise Faulty([f"{path}: not UTF-8"]) from None
+        raise ValidationError([f"{path}: not UTF-8"]) from None
--- a/lanemux/rehearsal/command.py
+++ b/lanemux/rehearsal/command.py
@@ -14,12 +14,12 @@
 from importlib import resources
 from pathlib import Path
 
-from lanemux.checked import Faulty, installed
 from lanemux.operators import load, read_text
 from lanemux.rehearsal import report
 from lanemux.rehearsal.callers import Callers
 from lanemux.rehearsal.run import CannotRun, Progress, Run, rehearse
 from lanemux.rehearsal.scenario import MAX_BALANCERS, MAX_BOXES, Scenario, checked, read_scenario
+from lanemux.validation import ValidationError, installed
 
 KEPT, BROKEN, BAD_USE, NOT_VALID = 0, 1, 2, 3
 BY_SIGNAL = 128  # and the signal's number, as shells tell it
@@ -39,7 +39,7 @@
             return KEPT
         name = options.scenario
         scenario = _overridden(find(name, operators.rehearsal.scenarios_directory), options)
-    except Faulty as error:
+    except ValidationError as error:
         for fault in error.faults:
             print(f"lanemux: {fault}", file=sys.stderr)
         return BAD_USE
@@ -146,7 +146,7 @@
         return read_scenario(read_text(own), str(own))
     ours = resources.files("lanemux.rehearsal") / "scenarios" / f"{name}.toml"
     if "/" in name or not ours.is_file():
-        raise Faulty([f"no scenario {name!r}; there are {', '.join(sorted(_known(directory)))}"])
+        raise ValidationError([f"no scenario {name!r}; there are {', '.join(sorted(_known(directory)))}"])
     return read_scenario(ours.read_text(), name)
 
 
@@ -159,7 +159,7 @@
     for path in Path(directory).glob("*.toml") if directory else ():
         try:
             titles[path.stem] = read_scenario(read_text(path), str(path)).title
-        except Faulty as error:  # one bad file must not hide the others
+        except ValidationError as error:  # one bad file must not hide the others
             titles[path.stem] = f"(can't be used: {error.faults[0]})"
     return titles
 
@@ -200,7 +200,7 @@
         if value is not None and not low <= value <= high
     ]
     if faults:
-        raise Faulty(faults)
+        raise ValidationError(faults)
     fleet = dataclasses.replace(
         scenario.fleet,
         balancers=options.balancers or scenario.fleet.balancers,
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -8,7 +8,7 @@
 import dataclasses
 from dataclasses import dataclass, field
 
-from lanemux.checked import Faulty, bounded, build, chosen, parse
+from lanemux.validation import ValidationError, bounded, build, chosen, parse
 
 Range = tuple[float, float]
 
@@ -206,7 +206,7 @@
 
 
 def read_scenario(text: str, where: str) -> Scenario:
-    """The scenario that a TOML text spells out; Faulty with a line for each fault.
+    """The scenario that a TOML text spells out; ValidationError with a line for each fault.
 
     Where it names no classes or no partners, those of the quote service hold."""
     scenario = build(Scenario, parse(text, where), where)
@@ -217,7 +217,7 @@
 
 
 def checked(scenario: Scenario, where: str) -> Scenario:
-    """The same scenario, if its parts fit together; else Faulty."""
+    """The same scenario, if its parts fit together; else ValidationError."""
     faults = [
         f"{where}: {name}: the low end lies above the high end"
         for name, value in _ranges(scenario)
@@ -244,7 +244,7 @@
     if scenario.load.rate * scenario.seconds > MAX_ASKS:
         faults.append(f"{where}: load.rate x seconds is over {MAX_ASKS} asks")
     if faults:
-        raise Faulty(faults)
+        raise ValidationError(faults)
     return scenario
 
 
--- a/lanemux/checked.py
+++ b/lanemux/validation.py
@@ -18,7 +18,7 @@
 MAX_ITEMS = 4096  # of one list: four times the members of the largest fleet foreseen; each is a fault at worst
 
 
-class Faulty(ValueError):
+class ValidationError(ValueError):
     """What was read can't be used; `faults` has a line for each reason."""
 
     def __init__(self, faults: Sequence[str], momentary: bool = False) -> None:
@@ -43,17 +43,17 @@
     try:
         return tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
-        raise Faulty([f"{where}: {error or 'nested too deep'}"]) from None
+        raise ValidationError([f"{where}: {error or 'nested too deep'}"]) from None
 
 
 def build(kind: type[T], table: Mapping[str, Any], where: str) -> T:
     """The dataclass that a table spells out.
 
-    Raises Faulty with a line for each unknown, missing or wrong key: place, key and what is allowed."""
+    Raises ValidationError with a line for each unknown, missing or wrong key: place, key and what is allowed."""
     faults: list[str] = []
     made = _table(kind, table, where, "", faults)
     if faults:
-        raise Faulty(faults)
+        raise ValidationError(faults)
     return cast(T, made)
 
 
--- a/lanemux/virtual/command.py
+++ b/lanemux/virtual/command.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from lanemux.checked import installed
+from lanemux.validation import installed
 from lanemux.virtual.script import EVENTS, FAULTS, Script, as_test, draw, needs_etcd
 from lanemux.virtual.shrink import MOST_TRIES, shrink
 from lanemux.virtual.stage import Result, play
--- a/tests/rehearsal/test_pure.py
+++ b/tests/rehearsal/test_pure.py
@@ -10,7 +10,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lanemux.checked import Faulty
 from lanemux.rehearsal import framing
 from lanemux.rehearsal.books import Attempt, BoxBooks, CallerBooks, Try
 from lanemux.rehearsal.box import BoxModel
@@ -19,6 +18,7 @@
 from lanemux.rehearsal.scenario import Fleet, Scenario, read_scenario
 from lanemux.rehearsal.service import figures, missed, results
 from lanemux.rehearsal.validity import judge
+from lanemux.validation import ValidationError
 
 BOX = Box("q-1", "woodbrook", 0, "box-a", 0, 1.0, 2, 0.0, 100.0, 0.31, 8 * SECOND, 10**18, 0.0, 2 * MS, 0, 0, 1)
 MEAN = 75 * MS
@@ -169,7 +169,7 @@
     ],
 )
 def test_a_bad_scenario_is_told_with_file_key_and_what_is_allowed(text: str, fault: str) -> None:
-    with pytest.raises(Faulty) as caught:
+    with pytest.raises(ValidationError) as caught:
         read_scenario(text, "my.toml")
     assert len(caught.value.faults) == 1 and fault in caught.value.faults[0]
     assert caught.value.faults[0].startswith("my.toml: ")
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from lanemux.checked import Faulty, build
 from lanemux.operators import MAX_FILE, Operators, Storm, load
+from lanemux.validation import ValidationError, build
 from tests.test_process import config
 
 ROOT = Path(__file__).parent.parent
@@ -20,7 +20,7 @@
     "tomllib",
     "lanemux.rehearsal",
     "lanemux.operators",
-    "lanemux.checked",
+    "lanemux.validation",
     "lanemux.etcd",
     "grpclib",
     "google.protobuf",
@@ -41,7 +41,7 @@
 def faults(tmp_path: Path, text: str) -> list[str]:
     path = tmp_path / "operators.toml"
     path.write_text(text)
-    with pytest.raises(Faulty) as caught:
+    with pytest.raises(ValidationError) as caught:
         load(str(path))
     return caught.value.faults
 
