Rename: the front's state is the readiness

`core/front.py` is `core/readiness.py`, `Front` is `Readiness`. The kit's `Front`, which stands for the platform's front layer, keeps its name. No behaviour changes.

--- a/lanemux/core/front.py
+++ b/lanemux/core/readiness.py
@@ -15,7 +15,7 @@
 
 
 class Phase(Enum):
-    """The state of the front."""
+    """Whether clients are served, sent away, or refused."""
 
     READY = "ready"
     SENDING_AWAY = "sending away"  # still serves all that comes, and ends each connection with its answer
@@ -23,7 +23,7 @@
     ENDING = "ending"  # the process leaves: nothing brings it back
 
 
-class Front:
+class Readiness:
     """The phase, and its legal changes."""
 
     def __init__(self) -> None:
--- a/lanemux/net/frontend.py
+++ b/lanemux/net/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from lanemux.core.front import AWAY_S, EASE_S, Front, Phase
+from lanemux.core.readiness import AWAY_S, EASE_S, Phase, Readiness
 from lanemux.net.config import Config
 from lanemux.net.server import Server
 
@@ -25,7 +25,7 @@
 
     def __init__(self, config: Config, server: Server) -> None:
         self._config, self.server = config, server
-        self.front = Front()
+        self.readiness = Readiness()
         self._loop = asyncio.get_running_loop()
         self._rested_s = 0.0  # not ready before, by the loop's clock
         self._easing: asyncio.Task[None] | None = None  # sends clients away
@@ -33,12 +33,12 @@
     @property
     def ready(self) -> bool:
         """Are clients to come?"""
-        return self.front.open and self._loop.time() >= self._rested_s
+        return self.readiness.open and self._loop.time() >= self._rested_s
 
     @property
     def away(self) -> bool:
         """Is whoever still comes refused at once?"""
-        return self.front.phase is Phase.AWAY
+        return self.readiness.phase is Phase.AWAY
 
     def rest(self, for_s: float) -> None:
         """Not ready for so long from now on, whatever else."""
@@ -52,7 +52,7 @@
 
     def quiesce(self) -> None:
         """Send clients away: answers end their connections, idle ones are closed, and nobody new is to come."""
-        if self.front.quiesce():
+        if self.readiness.quiesce():
             log.info("%s: sending clients away", self._config.name)
             self.server.draining = True
             self._easing = self._loop.create_task(self._send_away())
@@ -64,16 +64,16 @@
             gone_s = self._loop.time() - begun
             await self.server.close_unused(UNUSED_S if gone_s < AWAY_S - UNUSED_S else 0.0)
             if gone_s >= AWAY_S:
-                self.front.away()
+                self.readiness.away()
             await asyncio.sleep(EASE_LOOK_S)
 
     def resume(self) -> bool:
         """Back to work; False for a process that ends."""
-        if self.front.resume():
+        if self.readiness.resume():
             log.info("%s: back to work", self._config.name)
             self.server.draining = False
             self.stop()
-        return self.front.open
+        return self.readiness.open
 
     def stop(self) -> None:
         """Clients are sent away no longer."""
@@ -84,7 +84,7 @@
     async def close_in_order(self, end_s: float) -> None:
         """The process leaves, by `end_s` of the loop's clock: take what still comes, then nobody any more."""
         self.server.draining = True
-        self.front.end()
+        self.readiness.end()
         self.stop()
         if self._config.listen_fd is not None:
             await self._hand_over(end_s)
--- a/tests/admin/test_server.py
+++ b/tests/admin/test_server.py
@@ -14,7 +14,7 @@
 from lanemux import interface as api
 from lanemux.admin.server import MAX_CONNECTIONS, AdminServer
 from lanemux.core.cordons import Word
-from lanemux.core.front import AWAY_S
+from lanemux.core.readiness import AWAY_S
 from lanemux.core.system import Machine
 from lanemux.net.node import Node
 from lanemux.policy import Balancer
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -8,8 +8,8 @@
 
 from lanemux import interface as api
 from lanemux.core.cordons import MAX_CORDONS, Cordons, Word
-from lanemux.core.front import Front, Phase
 from lanemux.core.membership import Entry
+from lanemux.core.readiness import Phase, Readiness
 from lanemux.core.tally import Tally
 
 SECOND = 1_000_000_000
@@ -83,11 +83,11 @@
     ],
 )
 def test_the_front_changes_only_in_legal_ways(calls: str, phase: Phase) -> None:
-    front = Front()
+    readiness = Readiness()
     for call in calls.split():
-        getattr(front, call)()
-    assert front.phase is phase
-    assert front.open is (phase is Phase.READY)
+        getattr(readiness, call)()
+    assert readiness.phase is phase
+    assert readiness.open is (phase is Phase.READY)
 
 
 def test_ends_are_counted_by_class_and_kind() -> None:
