Rename: what admits connections is the connection admission, silent ones are pending

`storm/doors.py` is `storm/connection_admission.py`; its calls say what happens to a connection. The operators' section keeps its keys.

--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -23,7 +23,7 @@
     from lanemux.core.source import MakeSource
     from lanemux.core.system import System
     from lanemux.net.daemon import Extension, MakeModule
-    from lanemux.net.node import MakeDoors, Node
+    from lanemux.net.node import MakeConnectionAdmission, Node
     from lanemux.operators import Operators
 
 USAGE_STATUS = 2
@@ -94,7 +94,7 @@
     return Make(Target(tuple(map(read_address, told.endpoints)), told.prefix, told.user, told.password_file))
 
 
-def _storm(operators: Operators) -> tuple[MakeModule, MakeDoors | None]:
+def _storm(operators: Operators) -> tuple[MakeModule, MakeConnectionAdmission | None]:
     """What decides, and who lets connections in, with [storm] or without."""
     from lanemux.policy import Balancer
 
--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -47,7 +47,7 @@
         self._transport: asyncio.Transport | None = None
         self.unread_at_most_s = 0.0  # what came first may have waited so long for its connection to be accepted
         self.since = 0.0  # it has been in its place of the server's tables since then
-        self.source = ""  # the address it comes from, where doors are kept
+        self.source = ""  # the address it comes from, where there is a ConnectionAdmission
 
     @property
     def busy(self) -> bool:
--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -19,7 +19,7 @@
 from lanemux.interface import Settings
 from lanemux.net.config import BadConfig, Config, from_environment, read_config
 from lanemux.net.log_limit import LogRateLimit
-from lanemux.net.node import MakeDoors, Module, Node
+from lanemux.net.node import MakeConnectionAdmission, Module, Node
 from lanemux.net.reload import Lists, Reloader
 from lanemux.net.stages import Stages
 from lanemux.net.startup import Interrupted, wait_for
@@ -73,7 +73,7 @@
     system: System | None = None,
     module: MakeModule = Balancer,
     made: Callable[[Node], None] = lambda node: None,
-    doors: MakeDoors | None = None,
+    admission: MakeConnectionAdmission | None = None,
     extend: MakeExtension | None = None,
     stages: Stages | None = None,
 ) -> None:
@@ -86,7 +86,7 @@
     for number in END_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     source = lists.now if lists is not None else None
-    node = Node(config, module(config.settings, config.seed, now_ns()), source, system, doors)
+    node = Node(config, module(config.settings, config.seed, now_ns()), source, system, admission)
     if isinstance(loop, EventLoop):
         loop.counter = node.tally
     made(node)
@@ -176,7 +176,7 @@
 def main(
     lists: Lists | None = None,
     module: MakeModule = Balancer,
-    doors: MakeDoors | None = None,
+    admission: MakeConnectionAdmission | None = None,
     extend: MakeExtension | None = None,
     level: str = "info",
     made: Callable[[Node], None] = lambda node: None,
@@ -191,7 +191,9 @@
 
     async def run(config: Config) -> None:
         try:
-            await serve(config, path or "", lists, module=module, made=made, doors=doors, extend=extend, stages=stages)
+            await serve(
+                config, path or "", lists, module=module, made=made, admission=admission, extend=extend, stages=stages
+            )
         finally:
             hold_signals()  # what comes while the process ends waits for nobody
 
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -19,7 +19,7 @@
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
 from lanemux.net.plugin_host import PluginHost
-from lanemux.net.server import Doors, Server
+from lanemux.net.server import ConnectionAdmission, Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
 from lanemux.net.upstream_set import UpstreamSet
@@ -73,7 +73,7 @@
         """Why it does what it does, in figures."""
 
 
-MakeDoors = Callable[[int], Doors]  # of the number of places for connections
+MakeConnectionAdmission = Callable[[int], ConnectionAdmission]  # of the number of places for connections
 
 
 class Node:
@@ -85,7 +85,7 @@
         module: Module,
         source: MakeSource | None = None,
         system: System | None = None,
-        doors: MakeDoors | None = None,
+        admission: MakeConnectionAdmission | None = None,
     ) -> None:
         system = system or Machine()
         self.config = config
@@ -113,7 +113,7 @@
             room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True, counter=self.tally
         )
         self._passing: dict[str, Call] = {}  # whose answers pass in pieces
-        self.server = Server(self, room, system, self.tally, doors(room) if doors is not None else None)
+        self.server = Server(self, room, system, self.tally, admission(room) if admission is not None else None)
         self.frontend = Frontend(config, self.server)
         self.upstream_set = UpstreamSet(config, self._hub, system, source, self.feed, self._call_off_waiting)
         self.background = BackgroundAcquisition(self.tally)
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -34,25 +34,25 @@
 TICK_S = 0.1  # how often the times above are looked at
 
 
-class Doors(Protocol):
+class ConnectionAdmission(Protocol):
     """Who is let in when many connect at once, where operators have that bounded. A source is a host's address."""
 
-    def turn(self, now: int) -> int:
+    def begin_accepting(self, now: int) -> int:
         """Accepting begins: how many connections at the most before other work has its turn."""
 
-    def done(self, accepted: int, now: int) -> None:
+    def end_accepting(self, accepted: int, now: int) -> None:
         """And ends, with so many accepted."""
 
-    def entered(self, source: str, who: object) -> None:
+    def opened(self, source: str, who: object) -> None:
         """A connection has come up; it is silent so far."""
 
-    def spoke(self, source: str, who: object) -> None:
+    def became_active(self, source: str, who: object) -> None:
         """It is silent no longer."""
 
-    def left(self, source: str, who: object) -> None:
+    def closed(self, source: str, who: object) -> None:
         """Its place is free."""
 
-    def instead(self, source: str) -> object | None:
+    def victim(self, source: str) -> object | None:
         """Who goes for one more of this source: a silent one of its own, if it holds its part of the places."""
 
 
@@ -60,13 +60,18 @@
     """Listens, bounds the connections and the times that clients may take for what they owe."""
 
     def __init__(
-        self, service: Service, capacity: int, system: System, counter: FailureCounter, doors: Doors | None = None
+        self,
+        service: Service,
+        capacity: int,
+        system: System,
+        counter: FailureCounter,
+        admission: ConnectionAdmission | None = None,
     ) -> None:
         """`counter` counts the connections that could not be accepted."""
         self._service = service
         self._counter = counter
-        self._doors = doors
-        self._lobby: dict[ClientConnection, socket.socket] = {}  # behind doors: has said nothing, and costs little
+        self._admission = admission
+        self._pending: dict[ClientConnection, socket.socket] = {}  # with admission: have said nothing, and cost little
         self._capacity = capacity
         self.system = system
         self._connections: dict[ClientConnection, None] = {}  # in the order in which they came
@@ -189,11 +194,11 @@
 
     def _accept(self, most: int = 0) -> bool:
         """Take in connections that have come up: so many (0: a turn's) at the most. True if none waits any more."""
-        doors, before = self._doors, self._entered
-        if doors is None:
+        admission, before = self._admission, self._entered
+        if admission is None:
             return self._accept_connections(most or ACCEPTS_PER_TURN)
-        none_waits = self._accept_connections(max(most, doors.turn(now_ns())))
-        doors.done(self._entered - before, now_ns())
+        none_waits = self._accept_connections(max(most, admission.begin_accepting(now_ns())))
+        admission.end_accepting(self._entered - before, now_ns())
         return none_waits
 
     def _accept_connections(self, most: int) -> bool:
@@ -258,30 +263,30 @@
         self._connections[client] = None
         self._awaited.add(client)
         self._entered += 1
-        if self._doors is None or not self._enter(client, accepted, self._doors):
+        if self._admission is None or not self._enter(client, accepted, self._admission):
             self._attach_soon(client, accepted)
 
-    def _enter(self, client: ClientConnection, accepted: socket.socket, doors: Doors) -> bool:
-        """It waits in the lobby until it speaks; False if it has broken already."""
+    def _enter(self, client: ClientConnection, accepted: socket.socket, admission: ConnectionAdmission) -> bool:
+        """It waits among the pending connections until it speaks; False if it has broken already."""
         try:
             client.source = str(accepted.getpeername()[0])
         except OSError:
             return False
         scarce = len(self._connections) > CROWDED_SHARE * self._capacity
-        other = doors.instead(client.source) if scarce else None
+        other = admission.victim(client.source) if scarce else None
         if isinstance(other, ClientConnection):
             self.forget(other)
-        doors.entered(client.source, client)
-        self._lobby[client] = accepted
+        admission.opened(client.source, client)
+        self._pending[client] = accepted
         asyncio.get_running_loop().add_reader(accepted, self._speaks, client, accepted)
         return True
 
     def _speaks(self, client: ClientConnection, accepted: socket.socket) -> None:
         """Its first bytes are here, or its end."""
         asyncio.get_running_loop().remove_reader(accepted)
-        del self._lobby[client]
-        assert self._doors is not None
-        self._doors.spoke(client.source, client)
+        del self._pending[client]
+        assert self._admission is not None
+        self._admission.became_active(client.source, client)
         self._attach_soon(client, accepted)
 
     def _attach_soon(self, client: ClientConnection, accepted: socket.socket) -> None:
@@ -318,7 +323,7 @@
             self._awaited.add(client)
 
     def leave(self, client: ClientConnection, flushing: bool = False) -> None:
-        if client in self._lobby:
+        if client in self._pending:
             self.forget(client)  # nothing was said on it: there is nobody to wait for
             return
         self._awaited.discard(client)
@@ -328,9 +333,9 @@
 
     @property
     def crowded(self) -> bool:
-        """So many connections are held that clients without one may find none. Those in the lobby make place for them:
-        a flood of silent ones must not end the others'."""
-        return len(self._connections) - len(self._lobby) > CROWDED_SHARE * self._capacity
+        """So many connections are held that clients without one may find none. Pending ones make place for them: a
+        flood of silent ones must not end the others'."""
+        return len(self._connections) - len(self._pending) > CROWDED_SHARE * self._capacity
 
     @property
     def held(self) -> int:
@@ -342,9 +347,9 @@
         return bool(self._flushing) or any(client.flushing for client in self._connections)
 
     def forget(self, client: ClientConnection) -> None:
-        if client in self._connections and client.source and self._doors is not None:
-            self._doors.left(client.source, client)
-        if (waiting := self._lobby.pop(client, None)) is not None:
+        if client in self._connections and client.source and self._admission is not None:
+            self._admission.closed(client.source, client)
+        if (waiting := self._pending.pop(client, None)) is not None:
             asyncio.get_running_loop().remove_reader(waiting)
             waiting.close()
         self._connections.pop(client, None)
--- a/lanemux/storm/doors.py
+++ b/lanemux/storm/connection_admission.py
@@ -16,7 +16,7 @@
 LEARN = 0.2
 
 
-class Doors:
+class ConnectionAdmission:
     """Accepting, and the places by source. A source is an address without its port."""
 
     def __init__(self, capacity: int, source_part: float) -> None:
@@ -27,36 +27,36 @@
         self._held: Counter[str] = Counter()
         self._silent: dict[str, dict[object, None]] = {}  # by source, in the order in which they came
 
-    def turn(self, now: int) -> int:
+    def begin_accepting(self, now: int) -> int:
         """Accepting begins: how many at the most in this turn."""
         self._began_ns = now
         return max(LEAST, min(MOST, int(TURN_NS / self._cost_ns)))
 
-    def done(self, accepted: int, now: int) -> None:
+    def end_accepting(self, accepted: int, now: int) -> None:
         """And ends, with so many accepted."""
         if accepted:
             self._cost_ns += LEARN * (max(1000.0, (now - self._began_ns) / accepted) - self._cost_ns)
 
-    def entered(self, source: str, who: object) -> None:
+    def opened(self, source: str, who: object) -> None:
         """A connection has come up; it is silent so far."""
         self._held[source] += 1
         self._silent.setdefault(source, {})[who] = None
 
-    def spoke(self, source: str, who: object) -> None:
+    def became_active(self, source: str, who: object) -> None:
         """It is silent no longer."""
         silent = self._silent.get(source, {})
         silent.pop(who, None)
         if not silent:
             self._silent.pop(source, None)
 
-    def left(self, source: str, who: object) -> None:
+    def closed(self, source: str, who: object) -> None:
         """Its place is free."""
-        self.spoke(source, who)
+        self.became_active(source, who)
         self._held[source] -= 1
         if self._held[source] <= 0:
             del self._held[source]
 
-    def instead(self, source: str) -> object | None:
+    def victim(self, source: str) -> object | None:
         """Who goes for one more of this source: the silent one of its own that came first, if it holds its part."""
         if self._held[source] < self._most_of_one:
             return None
--- a/lanemux/storm/setup.py
+++ b/lanemux/storm/setup.py
@@ -6,12 +6,12 @@
 
 from lanemux import interface as api
 from lanemux.policy import Balancer
-from lanemux.storm.doors import Doors
+from lanemux.storm.connection_admission import ConnectionAdmission
 from lanemux.storm.module import Plan, Storm
 
 if TYPE_CHECKING:
     from lanemux.net.daemon import MakeModule
-    from lanemux.net.node import MakeDoors
+    from lanemux.net.node import MakeConnectionAdmission
     from lanemux.operators import Storm as Told
 
 MS = 1_000_000
@@ -22,11 +22,11 @@
     return Plan(told.longest_wait_ms * MS, told.whole_seconds)
 
 
-def make(told: Told) -> tuple[MakeModule, MakeDoors]:
-    """The decisions with the storm's module round them, and the doors."""
+def make(told: Told) -> tuple[MakeModule, MakeConnectionAdmission]:
+    """The decisions with the storm's module round them, and what admits connections."""
     made = plan(told)
 
     def module(settings: api.Settings, seed: int, now: int) -> Storm:
         return Storm(Balancer(settings, seed, now), settings, made, seed, now)
 
-    return module, lambda places: Doors(places, told.source_part)
+    return module, lambda places: ConnectionAdmission(places, told.source_part)
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -33,7 +33,7 @@
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation
 from lanemux.rehearsal.service import Figures, figures
-from lanemux.storm.doors import Doors
+from lanemux.storm.connection_admission import ConnectionAdmission
 from lanemux.storm.module import Plan as StormPlan
 from lanemux.storm.module import Storm
 from lanemux.virtual.agenda import START_NS
@@ -447,8 +447,8 @@
 
         async def balancer() -> None:
             lists = Lists(lambda: self._make_source(seat, process))
-            doors = (lambda places: Doors(places, 0.5)) if self.script.storm else None
-            await serve(read_config(CONFIG, process), CONFIG, lists, process, module, up, doors)
+            admission = (lambda places: ConnectionAdmission(places, 0.5)) if self.script.storm else None
+            await serve(read_config(CONFIG, process), CONFIG, lists, process, module, up, admission)
 
         process.run(balancer())
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,7 +13,7 @@
 
 from lanemux import interface as api
 from lanemux.net.config import Config
-from lanemux.net.node import MakeDoors, Module, Node
+from lanemux.net.node import MakeConnectionAdmission, Module, Node
 
 HOST = "127.0.0.1"
 PATIENCE_S = 10.0  # a test that waits longer has failed
@@ -218,7 +218,7 @@
     sockets: int = 1024,
     known_list: object = None,
     rest_s: float = 0.0,
-    doors: MakeDoors | None = None,
+    admission: MakeConnectionAdmission | None = None,
     **limits: Any,
 ) -> AsyncIterator[Client]:
     """A node that knows these upstreams, and a client of it."""
@@ -233,7 +233,7 @@
         settings(**limits),
         known_list or known(*(u.port for u in upstreams)),
     )
-    balancer = Node(config, module, doors=doors)
+    balancer = Node(config, module, admission=admission)
     port = await balancer.start(rest_s)
     client = Client(balancer, port)
     try:
--- a/tests/storm/test_floods.py
+++ b/tests/storm/test_floods.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 
 from lanemux import interface as api
-from lanemux.storm.doors import Doors
+from lanemux.storm.connection_admission import ConnectionAdmission
 from tests.sockets import HOST, Client, Script, node, request, run, until
 
 READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
@@ -19,8 +19,8 @@
     return [api.Refuse(event.request, 1_000_000_000)] if isinstance(event, api.Arrival) else []
 
 
-def doors(places: int) -> Doors:
-    return Doors(places, 0.5)
+def admission(places: int) -> ConnectionAdmission:
+    return ConnectionAdmission(places, 0.5)
 
 
 @contextlib.contextmanager
@@ -53,7 +53,7 @@
 
 def test_established_clients_are_served_through_a_flood_and_places_are_bounded() -> None:
     async def test() -> None:
-        async with node(Script(refuses), sockets=96, doors=doors) as client:
+        async with node(Script(refuses), sockets=96, admission=admission) as client:
             server = client.node.server
             assert (await client.ask(READY)).status == 200
             with silent(client.port, 600, "127.0.0.9"):
@@ -63,14 +63,14 @@
                     assert (await client.ask(request())).status == 503
                     assert len(server._connections) <= PLACES
                 assert (await client.another().ask(READY)).status == 200  # a new one comes through as well
-            await until(lambda: not server._lobby and len(server._connections) <= 2)
+            await until(lambda: not server._pending and len(server._connections) <= 2)
 
     run(test())
 
 
 def test_one_source_does_not_take_the_places_of_others() -> None:
     async def test() -> None:
-        async with node(Script(refuses), sockets=96, doors=doors) as client:
+        async with node(Script(refuses), sockets=96, admission=admission) as client:
             server = client.node.server
             with silent(client.port, 10, "127.0.0.8") as few, silent(client.port, 100, "127.0.0.9") as many:
                 await until(lambda: server._entered >= 110)
@@ -82,11 +82,11 @@
 
 def test_a_silent_connection_costs_no_protocol_and_is_closed_in_time() -> None:
     async def test() -> None:
-        async with node(Script(refuses), doors=doors) as client:
+        async with node(Script(refuses), admission=admission) as client:
             server = client.node.server
             with silent(client.port, 3, "127.0.0.9") as opened:
-                await until(lambda: len(server._lobby) == 3)
-                assert not server._adopting and all(c._transport is None for c in server._lobby)
+                await until(lambda: len(server._pending) == 3)
+                assert not server._adopting and all(c._transport is None for c in server._pending)
                 for member in server._awaited._members:
                     member.since -= 2.3
                 server._tick()
@@ -98,26 +98,26 @@
 
 def test_what_is_said_in_pieces_and_by_one_that_goes_is_met_as_ever() -> None:
     async def test() -> None:
-        async with node(Script(refuses), doors=doors) as client:
+        async with node(Script(refuses), admission=admission) as client:
             server = client.node.server
             whole = request()
             await client.send(whole[:5])
-            await until(lambda: not server._lobby and server._awaited)
+            await until(lambda: not server._pending and server._awaited)
             assert (await client.ask(whole[5:])).status == 503
             other = Client(client.node, client.port)
             await other.send(b"")
-            await until(lambda: server._lobby)
+            await until(lambda: server._pending)
             other.close()
-            await until(lambda: not server._lobby and server.held == 1)
+            await until(lambda: not server._pending and server.held == 1)
 
     run(test())
 
 
 def test_a_drain_answers_what_waits_in_the_lobby() -> None:
     async def test() -> None:
-        async with node(Script(refuses), doors=doors) as client:
+        async with node(Script(refuses), admission=admission) as client:
             with silent(client.port, 5, "127.0.0.9"):
-                await until(lambda: len(client.node.server._lobby) == 5)
+                await until(lambda: len(client.node.server._pending) == 5)
                 drain = asyncio.ensure_future(client.node.drain())
                 assert (await client.ask(request())).status == 503
                 await drain
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -249,7 +249,7 @@
         True,
     ),
     Planted(
-        "lobby-open",
+        "pending-open",
         "the descriptor of a silent connection that makes place stays open",
         (("net/server.py", "            waiting.close()\n", ""),),
         True,
