--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -18,8 +18,9 @@
 from lanemux.eventloop.loop import EventLoop
 from lanemux.interface import Settings
 from lanemux.net.config import BadConfig, Config, from_environment, read_config
+from lanemux.net.decisions import Module
 from lanemux.net.log_limit import LogRateLimit
-from lanemux.net.node import MakeConnectionAdmission, Module, Node
+from lanemux.net.node import MakeConnectionAdmission, Node
 from lanemux.net.reload import Lists, Reloader
 from lanemux.net.stages import Stages
 from lanemux.net.startup import Interrupted, wait_for
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Protocol, assert_never
+from typing import assert_never
 
 from lanemux import interface as api
 from lanemux.core.clock import now_ns
@@ -15,10 +15,12 @@
 from lanemux.core.tally import Tally
 from lanemux.net.client_connection import ClientConnection
 from lanemux.net.config import Config
+from lanemux.net.decisions import Decisions, Module
 from lanemux.net.frontend import Frontend
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
 from lanemux.net.peers import Peers
 from lanemux.net.plugin_host import PluginHost
+from lanemux.net.probes import Probes
 from lanemux.net.server import ConnectionAdmission, Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
@@ -33,14 +35,10 @@
 NODE_EARLY_NS = 3 * MS // 2  # and the node's own, for what the module left open
 LONGEST_DEADLINE_MS = 600_000
 RESERVED_DESCRIPTORS = 32  # for the loop, listening, discovery, peers, logs, and what closes a turn later
-PROBE_TIMEOUT_S = 0.05
-MAX_PROBES = 256  # probes out at once
-PROBE_SPARE = 8  # one in so many places for connections is none for a probe: attempts come first
 FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
 SWEEP_S = 1.0
 WORDS_KEPT_S = 0.02  # a peer's message, which takes up to 33 ms on its way, waits so long to be read with others
 MAX_WORDS_KEPT = 64  # and with so many at most: what the loop holds up meanwhile is bounded
-FAILURES_LOGGED_NS = 10 * SECOND  # one failure of the module in so long is told with its trace
 PASSING_IDLE_NS = 15 * SECOND  # an answer on which nothing has moved for so long has no reader or no writer any more
 LEAVE_S = 3.4  # after SIGTERM, whatever is still open
 
@@ -61,18 +59,6 @@
     moved_ns: int = 0  # its answer passes in pieces, and something last moved then; 0: none does
 
 
-class Module(Protocol):
-    """What decides: the `Balancer` of `lanemux/policy.py`."""
-
-    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]: ...
-
-    def avoided(self, now: int) -> int:
-        """Listed upstreams that it leaves alone now."""
-
-    def standing(self, now: int) -> Mapping[str, object]:
-        """Why it does what it does, in figures."""
-
-
 MakeConnectionAdmission = Callable[[int], ConnectionAdmission]  # of the number of places for connections
 
 
@@ -96,14 +82,11 @@
         self._by_client: dict[ClientConnection, Call] = {}
         self._ids: set[bytes] = set()  # that clients gave to their open requests
         self._count = 0
-        self._looks: dict[Exchange, None] = {}  # probes that are out
         self._closed = False
         self._events: list[api.Event] = []
         self._feeding = False
         self._timers: dict[str, asyncio.TimerHandle] = {}  # the module's, by name
         self._reading: asyncio.TimerHandle | None = None  # peers' messages that wait to be read
-        self._failed_ns, self._failures_untold = -FAILURES_LOGGED_NS, 0  # the module's last failure in the log
-        self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
         self._quiet = asyncio.Event()
         self._sweep: asyncio.TimerHandle | None = None
@@ -120,8 +103,9 @@
         self.port = 0  # where it listens for clients, once it does
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
         self.plugins = PluginHost(self._peers.tell)
-        self._module = module
-        self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
+        self._decisions = Decisions(module, self._facts)
+        probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
+        self._probes = Probes(self._hub, probe_path, self.feed)
 
     # -- start and end --
 
@@ -191,11 +175,11 @@
     @property
     def ejected(self) -> int:
         """Listed upstreams that are avoided now: by hand, or by the decisions."""
-        return self.upstream_set.cordoned + self._module.avoided(now_ns())
+        return self.upstream_set.cordoned + self._decisions.avoided
 
     def standing(self) -> Mapping[str, object]:
         """Why the decisions do what they do, in figures."""
-        return self._module.standing(now_ns())
+        return self._decisions.standing()
 
     async def drain(self) -> None:
         """A planned end: go on with what still comes, answer all of it, then close everything."""
@@ -222,7 +206,7 @@
             "clients' calls": len(self._by_client),
             "ids": len(self._ids),
             "events": len(self._events),
-            "probes": len(self._looks),
+            "probes": len(self._probes),
             "connections": self.server.held,
             "attempts": self._hub.open - len(self._hub.idle),
         }
@@ -238,9 +222,7 @@
         for timer in (*self._timers.values(), self._sweep, self._reading):
             if timer is not None:
                 timer.cancel()
-        for look in list(self._looks):
-            look.abandon()
-        self._looks.clear()
+        self._probes.abandon()
         for pool in self._hub.pools.values():
             pool.close_idle()
         self.plugins.close()
@@ -263,7 +245,7 @@
         try:
             while self._events:
                 batch, self._events = self._events, []
-                for action in self._decide(batch):
+                for action in self._decisions.of(batch):
                     self._carry_out_or_report(action)
         finally:
             self._feeding = False
@@ -272,28 +254,10 @@
         self._timers.pop(name, None)
         self.feed(api.Wake(name))
 
-    def _decide(self, batch: list[api.Event]) -> list[api.Action]:
-        self._decided_ns = now_ns()
-        try:
-            return self._module.handle(self._decided_ns, batch)
-        except Exception:  # a fault in the decisions costs what came with it, not the process
-            return self._mended(batch)
-
-    def _mended(self, batch: list[api.Event]) -> list[api.Action]:
-        """The module failed: tell it what is true, and the whole list, since a drain may be among what it lost.
-
-        Actions of the failed batch are lost. What it began is ended or begun anew by the module."""
-        failed = self._decided_ns >= self._failed_ns + FAILURES_LOGGED_NS
-        if failed:
-            self._failed_ns = self._decided_ns
-            log.exception("the module failed on %.200r (%d times untold)", batch, self._failures_untold)
-        self._failures_untold = 0 if failed else self._failures_untold + 1
+    def _facts(self, now: int) -> list[api.Event]:
+        """All that is true now, for a module that has failed."""
         calls = {c.id: api.Held(c.sends, c.out is not None) for c in self._calls.values()}
-        try:
-            return self._module.handle(self._decided_ns, [api.Truth(calls), self.upstream_set.whole(self._decided_ns)])
-        except Exception:
-            log.exception("the module failed on what is true")
-            return []
+        return [api.Truth(calls), self.upstream_set.whole(now)]
 
     def _carry_out_or_report(self, action: api.Action) -> None:
         """A fault in one action costs neither the others nor a request's answer: its timer still runs."""
@@ -314,7 +278,7 @@
             case api.Cancel():
                 self._cancel(action)
             case api.Probe():
-                self._probe(action.upstream)
+                self._probes.begin(action.upstream)
             case api.Tell():
                 self._peers.tell(action.data, action.peer)
             case api.CloseIdle():
@@ -328,7 +292,7 @@
             case api.FetchList():
                 self.upstream_set.source.fetch()
             case api.SetTimer():
-                due = (self._decided_ns + action.delay_ns) / SECOND
+                due = (self._decisions.decided_ns + action.delay_ns) / SECOND
                 self._timers[action.name] = self._loop.call_at(due, self._wake, action.name)
             case api.Note():
                 log.info("module: %s", action.text)
@@ -439,7 +403,7 @@
         # A stall since the decision must not push the time-out past the deadline: the module is told in time.
         end = call.deadline_ns - NODE_EARLY_NS if call is not None else now
         if action.timeout_ns:
-            end = min(end, self._decided_ns + action.timeout_ns)
+            end = min(end, self._decisions.decided_ns + action.timeout_ns)
         if call is not None:
             call.sends += 1
         if (
@@ -524,27 +488,6 @@
 
     # -- probes, lists, peers --
 
-    def _probe(self, upstream: int) -> None:
-        pool, now = self._hub.pools.get(upstream), now_ns()
-        if pool is None or len(self._looks) >= MAX_PROBES:
-            self.feed(api.ProbeResult(upstream, api.Result.CONNECT_FAILED, 0))
-            return
-
-        def ended(result: api.Result, response: Message | None) -> None:
-            del self._looks[look]
-            report = None
-            if response is not None:
-                result = api.Result.OK if response.status == 200 else api.Result.FULL
-                report = load_report(response.body)
-            self.feed(api.ProbeResult(upstream, result, now_ns() - now, report))
-
-        host = "{}:{}".format(*pool.address).encode()
-        look = Exchange(
-            pool, write_request(b"GET", self._probe_path, [(b"Host", host)]), ended, self._hub.capacity // PROBE_SPARE
-        )
-        self._looks[look] = None
-        look.start(self._loop.time() + PROBE_TIMEOUT_S)
-
     def _call_off_waiting(self) -> None:
         """No first byte may go to an upstream that drains, is gone or has moved, also not when its connection is up."""
         for call in list(self._calls.values()):
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -20,7 +20,8 @@
 from lanemux.core.source import MakeSource
 from lanemux.net.config import read_config
 from lanemux.net.daemon import serve
-from lanemux.net.node import Module, Node
+from lanemux.net.decisions import Module
+from lanemux.net.node import Node
 from lanemux.net.reload import Lists
 from lanemux.policy import Balancer
 from lanemux.rehearsal.balancers import Place, configuration
--- a/tests/rehearsal/broken/old_reports.py
+++ b/tests/rehearsal/broken/old_reports.py
@@ -6,8 +6,9 @@
 from lanemux import interface as api
 from lanemux.net import daemon
 from lanemux.net.node import Node
+from lanemux.net.probes import Probes
 
-probe = Node._probe
+probe = Probes.begin
 feed = Node.feed
 first: dict[int, api.ProbeResult] = {}
 
@@ -28,11 +29,11 @@
 
 def believed(self: Any, upstream: int) -> None:
     if upstream in first:
-        feed(self, first[upstream])
+        self._feed(first[upstream])
     else:
         probe(self, upstream)
 
 
 Node.feed = remembered  # type: ignore[method-assign]
-Node._probe = believed  # type: ignore[method-assign]
+Probes.begin = believed  # type: ignore[method-assign]
 sys.exit(daemon.main())
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,7 +13,8 @@
 
 from lanemux import interface as api
 from lanemux.net.config import Config
-from lanemux.net.node import MakeConnectionAdmission, Module, Node
+from lanemux.net.decisions import Module
+from lanemux.net.node import MakeConnectionAdmission, Node
 
 HOST = "127.0.0.1"
 PATIENCE_S = 10.0  # a test that waits longer has failed
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -85,7 +85,7 @@
             await (breaks if broken else answers(200, b'{"inflight":0}'))(got, writer)
 
         monkeypatch.setattr("lanemux.policy.LOOK_NS", 4 * SECOND)
-        monkeypatch.setattr("lanemux.net.node.PROBE_TIMEOUT_S", 4.0)
+        monkeypatch.setattr("lanemux.net.probes.PROBE_TIMEOUT_S", 4.0)
         upstream = await Upstream(answer).start()
         async with node(Balancer(settings(probes=True), 1, time.monotonic_ns()), upstream) as client:
             begun = time.monotonic_ns()
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -63,7 +63,7 @@
         "timeout-from-send",
         "past mend: the time-out counts from the decision",
         NODE,
-        "end = min(end, self._decided_ns + action.timeout_ns)",
+        "end = min(end, self._decisions.decided_ns + action.timeout_ns)",
         "end = now + action.timeout_ns",
     ),
     _one(
--- a/tests/virtual/test_storms.py
+++ b/tests/virtual/test_storms.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.net.node import Module
+from lanemux.net.decisions import Module
 from lanemux.policy import Balancer
 from lanemux.rehearsal import scenario
 from lanemux.rehearsal.books import Try
