--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -13,6 +13,7 @@
 from lanemux.core.source import MakeSource
 from lanemux.core.system import Machine, System
 from lanemux.core.tally import Tally
+from lanemux.net.admission import ConnectionAdmission
 from lanemux.net.client_connection import ClientConnection
 from lanemux.net.config import Config
 from lanemux.net.decisions import Decisions, Module
@@ -21,7 +22,7 @@
 from lanemux.net.peers import Peers
 from lanemux.net.plugin_host import PluginHost
 from lanemux.net.probes import Probes
-from lanemux.net.server import ConnectionAdmission, Server
+from lanemux.net.server import Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.upstream import Begin, Exchange, Hub, PassOn
 from lanemux.net.upstream_set import UpstreamSet
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -5,11 +5,12 @@
 import asyncio
 import contextlib
 import logging
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from lanemux.core.clock import now_ns
 from lanemux.core.failures import FailureCounter, is_out_of_descriptors, name_of
 from lanemux.core.system import Listener, System
+from lanemux.net.admission import ConnectionAdmission
 from lanemux.net.client_connection import ClientConnection, Service
 from lanemux.net.connection_table import ConnectionTable
 
@@ -34,28 +35,6 @@
 TICK_S = 0.1  # how often the times above are looked at
 
 
-class ConnectionAdmission(Protocol):
-    """Who is let in when many connect at once, where operators have that bounded. A source is a host's address."""
-
-    def begin_accepting(self, now: int) -> int:
-        """Accepting begins: how many connections at the most before other work has its turn."""
-
-    def end_accepting(self, accepted: int, now: int) -> None:
-        """And ends, with so many accepted."""
-
-    def opened(self, source: str, who: object) -> None:
-        """A connection has come up; it is silent so far."""
-
-    def became_active(self, source: str, who: object) -> None:
-        """It is silent no longer."""
-
-    def closed(self, source: str, who: object) -> None:
-        """Its place is free."""
-
-    def victim(self, source: str) -> object | None:
-        """Who goes for one more of this source: a silent one of its own, if it holds its part of the places."""
-
-
 class Server:
     """Listens, bounds the connections and the times that clients may take for what they owe."""
 
