--- a/lanemux/net/daemon.py
+++ b/lanemux/net/daemon.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Protocol
 
 from lanemux.core.clock import now_ns
@@ -53,6 +54,13 @@
 MakeExtension = Callable[[Node, System], Extension]  # where an operators' address or an inherited listener is told
 
 
+@dataclass
+class EndRequest:
+    """Whether a signal has asked the process to end."""
+
+    made: bool = False
+
+
 def rest_s(cores: float, spent_s: float) -> float:
     """How long until the processor time that the start has cost is paid for out of the share of it.
 
@@ -77,15 +85,23 @@
     admission: MakeConnectionAdmission | None = None,
     extend: MakeExtension | None = None,
     stages: Stages | None = None,
+    end_request: EndRequest | None = None,
 ) -> None:
     """One balancer on the running loop, until SIGTERM or SIGINT has ended it; `made` is told of its node before it
-    starts. `stages`: what the start has cost so far. Raises Unobtainable where its address can't be had at all."""
+    starts. `stages`: what the start has cost so far; `end_request` notes such a signal. Raises Unobtainable where its
+    address can't be had at all."""
     system = system or Machine()
     stages = stages or Stages(system)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    request = end_request or EndRequest()
+
+    def end() -> None:
+        request.made = True
+        stop.set()
+
     for number in END_SIGNALS:
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, end)
     source = lists.now if lists is not None else None
     node = Node(config, module(config.settings, config.seed, now_ns()), source, system, admission)
     if isinstance(loop, EventLoop):
@@ -190,10 +206,20 @@
     stages.passed("imports")
     path = os.environ.get("RELAY_CONFIG")
 
+    end_request = EndRequest()
+
     async def run(config: Config) -> None:
         try:
             await serve(
-                config, path or "", lists, module=module, made=made, admission=admission, extend=extend, stages=stages
+                config,
+                path or "",
+                lists,
+                module=module,
+                made=made,
+                admission=admission,
+                extend=extend,
+                stages=stages,
+                end_request=end_request,
             )
         finally:
             hold_signals()  # what comes while the process ends waits for nobody
@@ -201,7 +227,7 @@
     try:
         config = _read_configuration(path, system)
         stages.passed("configuration")
-        return _run_until_ended(lambda: run(config), config.name, system)
+        return _run_until_ended(lambda: run(config), config.name, system, end_request)
     except Interrupted:
         log.info("ended before it had started")
         return 0
@@ -228,7 +254,9 @@
     await asyncio.gather(*left, return_exceptions=True)
 
 
-def _run_until_ended(run: Callable[[], Coroutine[None, None, None]], name: str, system: System) -> int:
+def _run_until_ended(
+    run: Callable[[], Coroutine[None, None, None]], name: str, system: System, end_request: EndRequest
+) -> int:
     """Run one balancer, and again where a fault of the program ended it without being told to; gives the status."""
     backoff = Backoff()
     for _ in range(STARTS):
@@ -239,9 +267,10 @@
         except Unobtainable as error:
             raise Unobtainable(f"{name}: {error}") from error
         except Exception:
-            log.exception("%s: failed; it starts anew", name)
-        system.sleep(backoff.next_s())
-        if system.told_to_end():
+            log.exception("%s: failed", name)
+        if end_request.made or system.told_to_end():
             return 0
+        log.warning("%s: starts anew", name)
+        system.sleep(backoff.next_s())
     log.error("%s: failed %d times; it ends", name, STARTS)
     return FAILED_STATUS
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -100,6 +100,8 @@
     asks: list[Ask] = field(default_factory=list)
     happenings: list[Happening] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
+    began_ns: dict[int, int] = field(default_factory=dict)  # successors of a release: when they start
+    left_ns: dict[int, int] = field(default_factory=dict)  # and those before them: when they leave
     upsets: list[Happening] = field(default_factory=list)  # of each balancer's etcd member: drop, reset, stall, compact
     spread_ns: list[int] = field(default_factory=list)  # how much later each balancer's agent tells
     fronts_notice_ns: int = 0
@@ -144,6 +146,7 @@
             pressing.append((fault, own))
         else:
             DRAW[fault.kind](plan, fault, own, current)
+    _keep_within_lives(plan)
     plan.happenings.sort(key=lambda h: (h.at_ns, h.who, h.what))
     plan.notices.sort(key=lambda n: (n.at_ns, n.box))
     _draw_upsets(plan, _stream(seed, "upsets"))
@@ -250,10 +253,22 @@
             new = _new_box(plan, rng, slot_of_new, slot)
             start = leave + 50 * MS
             plan.happenings.append(Happening(start, "start", new))
+            plan.left_ns[old], plan.began_ns[new] = end, start
             plan.notices.append(Notice(start + _ns(rng, discovery.add_s, SECOND), new, "up", start))
             current[slot] = new
 
 
+def _keep_within_lives(plan: Plan) -> None:
+    """A box that a release has replaced does not come back, and its successor not before its time: their address is
+    another's then."""
+
+    def outside(box: int, at_ns: int) -> bool:
+        return at_ns < plan.began_ns.get(box, 0) or at_ns >= plan.left_ns.get(box, at_ns + 1)
+
+    plan.happenings = [h for h in plan.happenings if h.what != "start" or not outside(h.who, h.at_ns)]
+    plan.notices = [n for n in plan.notices if n.health != "up" or not outside(n.box, n.born_ns or n.at_ns)]
+
+
 def _free_slot(plan: Plan) -> int:
     return max(box.slot for box in plan.boxes) + 1
 
