A request is not sent whose client left while it lay unread; none goes out with a stale deadline

The first request of a connection, and any that may have lain unread, is only begun if the client has not closed (TCP_INFO). The time for which calls that reading needs have failed bounds how long a request may have waited, as a standstill does. An attempt of which the machine takes no byte is begun anew with the time that is left then.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -22,6 +22,7 @@
 
 # struct tcp_info of Linux: tcpi_last_data_recv, in ms, stands behind eight bytes and eleven numbers of four (tcp(7)).
 TCP_INFO_BYTES, LAST_DATA_OFFSET = 104, 52
+PEER_CLOSED_STATES = frozenset({7, 8, 9, 11})  # TCP_CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING: tcpi_state, its first byte
 FIONREAD, INT_BYTES = 0x541B, 4  # of ioctl_tty(2): how many bytes lie unread
 UNBLOCK_TRIES = 5  # of telling the kernel that a connection must not block
 READ_BYTES = 64 * 1024  # of a file at once: memory follows what is there, not what is allowed
@@ -64,6 +65,9 @@
     def since_last_data_s(self, connection: ConnectedSocket) -> float:
         """How long ago the last bytes came on a connection, read or not; 0 where that can't be told."""
 
+    def peer_has_closed(self, connection: ConnectedSocket) -> bool:
+        """Has the other side ended its sending, read so far or not? False where that can't be told."""
+
     def has_unread(self, connection: ConnectedSocket) -> bool:
         """Do bytes lie in the kernel that have not been read? True where that can't be told."""
 
@@ -154,6 +158,12 @@
             return 0.0
         return float(last_ms) / 1000
 
+    def peer_has_closed(self, connection: ConnectedSocket) -> bool:
+        try:
+            return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)[0] in PEER_CLOSED_STATES
+        except (OSError, IndexError):
+            return False
+
     def has_unread(self, connection: ConnectedSocket) -> bool:
         try:
             answer = fcntl.ioctl(connection.fileno(), FIONREAD, bytes(INT_BYTES))
--- a/lanemux/eventloop/loop.py
+++ b/lanemux/eventloop/loop.py
@@ -17,6 +17,8 @@
 log = logging.getLogger(__name__)
 
 SIGNALS_LOOK_S = 0.1  # a signal is acted on within this, whether or not the byte that wakes the loop could be written
+READING_CALLS = frozenset({"recv", "epoll_ctl", "epoll_wait"})
+FAILING_S = 0.1  # failures with less between them are one span
 REPORT_AGAIN_S = 10.0  # one place's failures are logged so often at the most
 MAX_REPORTED = 256  # places of which it is remembered
 
@@ -39,6 +41,7 @@
         self._signal_callbacks: dict[int, asyncio.Handle] = {}
         self._uninstalled: set[int] = set()  # signals whose handlers could not be installed yet
         self._looking: asyncio.TimerHandle | None = None
+        self._reading_failed_from_s, self._reading_failed_last_s = 0.0, -FAILING_S  # by the loop's clock
         self._reported_s: dict[str, float] = {}  # what failed -> when it was last logged
         self._resilient = ResilientSelector(self._call_failed)
         super().__init__(self._resilient)
@@ -130,7 +133,20 @@
 
     # -- what fails --
 
+    def reading_failed_for_s(self) -> float:
+        """How long calls that reading needs have been failing, until just now; 0 where none has."""
+        now_s = self.time()
+        return now_s - self._reading_failed_from_s if now_s < self._reading_failed_last_s + FAILING_S else 0.0
+
+    def _note_reading_failed(self) -> None:
+        now_s = self.time()
+        if now_s >= self._reading_failed_last_s + FAILING_S:
+            self._reading_failed_from_s = now_s
+        self._reading_failed_last_s = now_s
+
     def _call_failed(self, call: str, error: OSError) -> None:
+        if call in READING_CALLS:
+            self._note_reading_failed()
         if self.counter is not None:
             self.counter.call_failed(call, name_of(error))
         if self._tell_again(call):
--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -40,6 +40,7 @@
         self._service = service
         self._reader = MessageReader()
         self._current: Message | None = None
+        self._first = True  # no request has come on it yet
         self._ended = False
         self._drained = 0  # bytes read since its end
         self._writable: Callable[[], None] | None = None  # an answer passes in pieces: told when one has gone out
@@ -140,7 +141,12 @@
             self._writable()
 
     def _begin(self, request: Message, received_ns: int) -> None:
-        received_ns -= self._unread_ns()
+        unread_ns, first = self._unread_ns(), self._first
+        self._first = False
+        if (first or unread_ns) and self._peer_has_closed():
+            self.close()  # it has left while its request lay unread: nobody waits for an answer
+            return
+        received_ns -= unread_ns
         self._current = request
         self._server.mark(self)
         if request.target.partition(b"?")[0] == READY_PATH:
@@ -148,6 +154,11 @@
         else:
             self._service.take(self, request, received_ns)
 
+    def _peer_has_closed(self) -> bool:
+        if self._transport is None:
+            return True
+        return self._server.system.peer_has_closed(self._transport.get_extra_info("socket"))
+
     def _unread_ns(self) -> int:
         """How long the request that has just been read lay in the kernel: its client's time has run since it came."""
         at_most_s = max(self.unread_at_most_s, self._server.unread_at_most_s())
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -10,6 +10,7 @@
 from lanemux.core.clock import now_ns
 from lanemux.core.failures import FailureCounter, is_out_of_descriptors, name_of
 from lanemux.core.system import Listener, System
+from lanemux.eventloop.loop import EventLoop
 from lanemux.net.admission import ConnectionAdmission
 from lanemux.net.client_connection import ClientConnection, Service
 from lanemux.net.connection_table import ConnectionTable
@@ -100,9 +101,11 @@
 
     def unread_at_most_s(self) -> float:
         """How long what is read now may have waited in the kernel, by what this process knows of itself, in s."""
+        loop = asyncio.get_running_loop()
+        failing_s = loop.reading_failed_for_s() if isinstance(loop, EventLoop) else 0.0
         if not self._stood_still():
-            return 0.0
-        return self._standstill_s + asyncio.get_running_loop().time() - self._awake_from
+            return failing_s
+        return max(failing_s, self._standstill_s + loop.time() - self._awake_from)
 
     def _tick(self) -> None:
         try:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -95,8 +95,18 @@
     def _time_out(self) -> None:
         self.finish(Result.MOOT if self._never_asked and self.waiting else Result.TIMEOUT)
 
-    async def _open(self, connection: Connection) -> None:
+    def begin_again(self) -> None:
+        """Nothing of it went out, by no fault of the upstream's: it is sent on a new connection, a moment later."""
+        self._connection = None
+        self._never_asked = True
+        self._coming = Connection(self.pool, self.pool.address)
+        self._opening = asyncio.get_running_loop().create_task(self._open(self._coming, LAST_CONNECT_PAUSE_S))
+        self.pool.hub.own(self._opening)
+
+    async def _open(self, connection: Connection, pause_s: float = 0.0) -> None:
         try:
+            if pause_s:
+                await asyncio.sleep(pause_s)
             await self._connect(connection)
         except (OSError, TimeoutError):
             self._connect_failed()
@@ -209,8 +219,12 @@
         if self._transport is None or not self.usable:
             asyncio.get_running_loop().call_soon(self.lose)  # not at once: its sender still sets it up
             return
-        self._transport.write(exchange.render())
-        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+        data = exchange.render()
+        self._transport.write(data)
+        if not self._transport.is_closing() and self._transport.get_write_buffer_size() >= len(data):
+            self.close()  # the machine took no byte of it: later, it would tell of time that is over
+            exchange.begin_again()
+        elif not self._transport.is_closing() and not self._transport.get_write_buffer_size():
             self._wrote()
 
     def resume_writing(self) -> None:
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -121,6 +121,9 @@
     def since_last_data_s(self, connection: object) -> float:
         return 0.0  # a virtual kernel keeps no such time
 
+    def peer_has_closed(self, connection: object) -> bool:
+        return False  # nor this
+
     def has_unread(self, connection: object) -> bool:
         return False  # a virtual loop reads what has come before anything else
 
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -136,3 +136,28 @@
                 writer.close()
 
     run(test())
+
+
+def test_a_request_whose_client_left_before_it_was_accepted_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        upstream, script = await Upstream(answers(200)).start(), sends_once()
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 200  # an open connection to the upstream stays
+            plain, until_s = socket.socket.accept, time.monotonic() + 0.2
+
+            def accept(self: socket.socket) -> tuple[socket.socket, Any]:
+                if time.monotonic() < until_s:
+                    raise OSError(errno.ENOBUFS, "planned")
+                return plain(self)
+
+            monkeypatch.setattr(socket.socket, "accept", accept)
+            _, writer = await asyncio.open_connection(HOST, client.port)
+            writer.write(request())
+            await writer.drain()
+            writer.close()
+            await asyncio.sleep(0.5)
+            assert len(upstream.got) == 1
+            assert (await ask(client.port, request())).status == 200
+        upstream.stop()
+
+    run(test())
