--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -110,8 +110,9 @@
 
 def _lasting_error(rng: random.Random, kind: str) -> str:
     """One that every call of a span may meet. EINTR is none: it comes with a signal, and Python makes the call again
-    at once, so that a span of it only keeps a processor busy inside the interpreter."""
-    return rng.choice([error for error in ERRORS[kind] if error != "EINTR"])
+    at once, so that a span of it only keeps a processor busy inside the interpreter. Nor is EAGAIN: it says that there
+    is nothing to be read, or no room, and the kernel does not say so for a span where there is."""
+    return rng.choice([error for error in ERRORS[kind] if error not in ("EINTR", "EAGAIN")])
 
 
 def _draw_injection(seed: int, rng: random.Random, deadline_ms: float) -> Plan:
