--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -91,8 +91,8 @@
         "written-unseen",
         "past mend: a reset behind the last byte is no proof that nothing ran",
         UPSTREAM,
-        "        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():",
-        "        if False:",
+        "        elif not self._transport.is_closing() and not self._transport.get_write_buffer_size():",
+        "        elif False:",
     ),
     _one(
         "end-late",
