--- a/lanemux/takeover/pace.py
+++ b/lanemux/takeover/pace.py
@@ -7,10 +7,7 @@
 Harm: the start takes up to SLEEPS_S longer; the platform allows 6 s.
 """
 
-from __future__ import annotations
-
-import contextlib
-import signal
+import _signal as signal  # type: ignore[import-not-found]  # built in: `signal` is a file, and imports more
 import time
 
 TYPE_CHECKING = False  # the less is imported before the first sleep, the better
@@ -25,7 +22,7 @@
 class Pace:
     """What the signal of a timer on the process's own processor time calls: it sleeps, wherever the work stands."""
 
-    def __init__(self, sleep: Callable[[float], None] = time.sleep) -> None:
+    def __init__(self, sleep: "Callable[[float], None]" = time.sleep) -> None:
         self._sleep = sleep
         self._slept_s = 0.0
 
@@ -37,15 +34,19 @@
         self._sleep(SLEEP_S)
 
 
-def begin(pace: Pace | None = None) -> None:
+def begin(pace: "Pace | None" = None) -> None:
     """From now on whatever this process does is paced. Only the main thread may call it (`signal.signal`)."""
-    with contextlib.suppress(OSError):  # a start that is not paced is better than none
+    try:
         signal.signal(signal.SIGPROF, pace or Pace())
         signal.setitimer(signal.ITIMER_PROF, WORK_S, WORK_S)
+    except OSError:
+        pass  # a start that is not paced is better than none
 
 
 def end() -> None:
     """No longer: what is done in service is not to make the loop wait."""
-    with contextlib.suppress(OSError):  # then the handler stays, and sleeps once more at the most
+    try:
         signal.setitimer(signal.ITIMER_PROF, 0.0)
         signal.signal(signal.SIGPROF, signal.SIG_IGN)  # one may still be on its way, and would end the process
+    except OSError:
+        pass  # then the handler stays, and sleeps once more at the most
