Kit: the three calls with a command and an argument are made by one macro

`fcntl`, `fcntl64` and `ioctl` of the preloaded library stood there in the same nine lines each. Need: one place for what such a call does.

--- a/lanemux/rehearsal/calls/interpose.c
+++ b/lanemux/rehearsal/calls/interpose.c
@@ -259,32 +259,19 @@
     return result;
 }
 
-int fcntl(int file, int command, ...) {
-    va_list more;
-    va_start(more, command);
-    void *argument = va_arg(more, void *);
-    va_end(more);
-    FAIL(fcntl, -1);
-    return syscall(SYS_fcntl, file, command, argument);
-}
-
-int fcntl64(int file, int command, ...) {
-    va_list more;
-    va_start(more, command);
-    void *argument = va_arg(more, void *);
-    va_end(more);
-    FAIL(fcntl, -1);
-    return syscall(SYS_fcntl, file, command, argument);
-}
-
-int ioctl(int file, unsigned long request, ...) {
-    va_list more;
-    va_start(more, request);
-    void *argument = va_arg(more, void *);
-    va_end(more);
-    FAIL(ioctl, -1);
-    return syscall(SYS_ioctl, file, request, argument);
-}
+/* Calls with one argument of any kind behind the command. */
+#define COMMANDS(kind, name, command_type, number)                                                                     \
+    int name(int file, command_type command, ...) {                                                                    \
+        va_list more;                                                                                                  \
+        va_start(more, command);                                                                                       \
+        void *argument = va_arg(more, void *);                                                                         \
+        va_end(more);                                                                                                  \
+        FAIL(kind, -1);                                                                                                \
+        return syscall(number, file, command, argument);                                                               \
+    }
+COMMANDS(fcntl, fcntl, int, SYS_fcntl)
+COMMANDS(fcntl, fcntl64, int, SYS_fcntl)
+COMMANDS(ioctl, ioctl, unsigned long, SYS_ioctl)
 
 /* A shared object that can't be loaded: what the loader says is told to whoever asks once. */
 static __thread int load_failed;
