Virtual runs: faults by whom they befall, and what is observed, in modules of their own

A newcomer met one file of 986 lines: the parties of a virtual run, thirty faults reached by a method name made of a text, the module round the decisions, and the checks at the end.

The faults stand in `virtual/faults/` (box, balancer, client, discovery), each with a table from its name to its method; what watches the decisions in `observed.py`, what boxes see in `sight.py`, what is left at the end in `leftovers.py`, a balancer over its restarts (`Seat` before) in `balancer.py`.

--- a/lanemux/virtual/agenda.py
+++ b/lanemux/virtual/agenda.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 START_NS = 1_000_000_000_000  # where the clock begins: as after a quarter of an hour of uptime
+ZERO_NS = START_NS + 1_500_000_000  # the first moment of a run; all are up by then
 NEVER = 1 << 62
 
 
--- /dev/null
+++ b/lanemux/virtual/leftovers.py
@@ -0,0 +1,62 @@
+"""What a balancer still holds or believes where it has nothing to do any more, and what an ended process left."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from lanemux import interface as api
+from lanemux.net.node import Node
+from lanemux.policy import Balancer
+from lanemux.storm.module import Storm
+from lanemux.virtual.observed import Observed
+from lanemux.virtual.process import Process
+
+HEALTH = {api.State.READY: "up", api.State.DRAINING: "draining"}
+
+
+def held_at(node: Node, module: Observed) -> dict[str, int]:
+    """What a balancer keeps of requests, by its kind; nothing of it where all requests have ended."""
+    held = {**node.held(), **_held_by_decisions(module.decides), "sends": len(module.out)}
+    if isinstance(module.inner, Storm):
+        held["storm's"] = module.inner.open
+    return {name: count for name, count in held.items() if count}
+
+
+def _held_by_decisions(module: Balancer) -> dict[str, int]:
+    return {
+        "requests": len(module.requests),
+        "held back": sum(len(t.held) for t in module.throttles.values()),
+        "in line": sum(len(p.line) for p in module.fleet.pools.values()),
+    }
+
+
+def believed_by(node: Node) -> dict[str, str]:
+    """The health of each host as a balancer believes it."""
+    membership = node.upstream_set.membership
+    return {
+        host: HEALTH.get(last.upstream.state, "?")
+        for host in sorted(membership.hosts)
+        if (last := membership.last(host)) is not None
+    }
+
+
+def left_by(process: Process) -> str:
+    """What a process that has ended left behind, or an empty text."""
+    tasks = [task for task in asyncio.all_tasks(process.loop) if task is not process.main]
+    timers = process.loop.timers()
+    if not (tasks or timers or process.sockets):
+        return ""
+    return (
+        f"{process.name} ended with {len(tasks)} tasks {[_name(task) for task in tasks]}, "
+        f"{len(timers)} timers {sorted({_callback(timer) for timer in timers})}, "
+        f"{len(process.sockets)} descriptors"
+    )
+
+
+def _name(task: asyncio.Task[Any]) -> str:
+    return str(getattr(task.get_coro(), "__qualname__", "?"))
+
+
+def _callback(handle: asyncio.TimerHandle) -> str:
+    return str(getattr(handle, "_callback", "?")).partition(" at 0x")[0]
