Kit: a look at hundreds of processes leaves the callers their turns

Once a second the callers' loop read four files of /proc for each balancer in one turn, which holds the loop up the longer the more there are.

`ProcessMonitor` looks at four processes a turn, and takes each share over the span since the last look at that process. Its test counts the turns that others get meanwhile.

--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -17,12 +17,13 @@
 from pathlib import Path
 
 from lanemux.rehearsal import boxes_process
-from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns, spent_s, usage, waited_ns
+from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns
 from lanemux.rehearsal.books import BoxBooks, CallerBooks, Life
 from lanemux.rehearsal.boxes import Address
 from lanemux.rehearsal.callers import Callers, Front
 from lanemux.rehearsal.looks import Lateness, quiet_collector
 from lanemux.rehearsal.plan import MS, SECOND, Happening, Notice, Plan, draw, room_of, settings
+from lanemux.rehearsal.process_monitor import ProcessMonitor
 from lanemux.rehearsal.registry import Agent, ListAgent
 from lanemux.rehearsal.relay import Relay
 from lanemux.rehearsal.rules import Violation, check
@@ -102,8 +103,7 @@
         self._callers: Callers | None = None
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._waited: dict[int, int] = {}
-        self._spent_s: dict[int, float] = {}  # processor time at the last look, by process
+        self._processes = ProcessMonitor(self.books)
         self._down: dict[int, Life] = {}
         self._addresses: list[list[Address]] = []
         self._boxes: multiprocessing.process.BaseProcess | None = None
@@ -313,28 +313,15 @@
     async def _monitor(self, progress: Progress | None) -> None:
         """Once a second: who waits for a processor, what the balancers hold, who has crashed."""
         while True:
-            self._look_at_processes()
+            await self._look_at_processes()
             if progress is not None and self._callers is not None:
                 progress(self.now() / 1e9, self._callers)
             await asyncio.sleep(MONITOR_S)
 
-    def _look_at_processes(self) -> None:
-        pids = [b.process.pid for b in self._balancers if b.process is not None and b.process.poll() is None]
+    async def _look_at_processes(self) -> None:
+        balancers = [b.process.pid for b in self._balancers if b.process is not None and b.process.poll() is None]
         boxes = [self._boxes.pid] if self._boxes is not None and self._boxes.pid else []
-        for pid in (os.getpid(), *boxes, *pids):
-            waited = waited_ns(pid)
-            if pid in self._waited and self.now() > SECOND:
-                share = (waited - self._waited[pid]) / (MONITOR_S * 1e9)
-                self.books.waited_share = max(self.books.waited_share, share)
-            self._waited[pid] = waited
-        for pid in pids:
-            spent, before = spent_s(pid), self._spent_s.get(pid)
-            if before is not None:
-                self.books.busiest_share = max(self.books.busiest_share, (spent - before) / MONITOR_S)
-            self._spent_s[pid] = spent
-            descriptors, memory = usage(pid)
-            self.books.descriptors_most = max(self.books.descriptors_most, descriptors)
-            self.books.memory_most_mb = max(self.books.memory_most_mb, memory)
+        await self._processes.look([os.getpid(), *boxes], balancers, counts=self.now() > SECOND)
         self._note_crashes()
 
     def _note_crashes(self) -> None:
