Kit: the boxes of a rehearsal in modules of one job each

`rehearsal/boxes.py` held 679 lines: the form of requests, loopback addresses, what boxes share, connections, one box and all boxes. They stand in `request_form.py`, `addresses.py`, `box_world.py`, `box_connection.py`, `box_host.py` (406) and `boxes.py` (79).

--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from lanemux.rehearsal.boxes import Address, bound
+from lanemux.rehearsal.addresses import Address, bound
 
 READY_S = 30.0  # a balancer that is not ready by then has failed to start
 LEAVE_S = 4.5  # after SIGTERM: the longest deadline and the platform's 0.7 s
--- a/lanemux/rehearsal/boxes_process.py
+++ b/lanemux/rehearsal/boxes_process.py
@@ -8,8 +8,10 @@
 from multiprocessing.connection import Connection
 from typing import Any
 
+from lanemux.rehearsal.addresses import reserve
 from lanemux.rehearsal.books import BoxBooks
-from lanemux.rehearsal.boxes import Boxes, World, reserve
+from lanemux.rehearsal.box_world import World
+from lanemux.rehearsal.boxes import Boxes
 from lanemux.rehearsal.looks import WatchedSelector, quiet_collector
 from lanemux.rehearsal.plan import draw
 from lanemux.rehearsal.scenario import Scenario
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -11,9 +11,10 @@
 from typing import cast
 
 from lanemux.rehearsal import framing
+from lanemux.rehearsal.addresses import Address
 from lanemux.rehearsal.books import CallerBooks, Oddity, Try
-from lanemux.rehearsal.boxes import Address, digest_of, sent_body, target_of
 from lanemux.rehearsal.plan import MS, Ask, Plan, idempotency_key
+from lanemux.rehearsal.request_form import digest_of, sent_body, target_of
 
 GRACE_NS = 50 * MS  # an answer may come so much after the deadline that the caller named
 CONNECT_S = 1.0
--- a/lanemux/rehearsal/etcd/agent.py
+++ b/lanemux/rehearsal/etcd/agent.py
@@ -11,8 +11,8 @@
 import socket
 from collections.abc import Callable, Sequence
 
+from lanemux.rehearsal.addresses import Address
 from lanemux.rehearsal.books import Told
-from lanemux.rehearsal.boxes import Address
 from lanemux.rehearsal.etcd.server import Listen, StandIn
 from lanemux.rehearsal.etcd.store import Change, Store
 from lanemux.rehearsal.plan import MS, Box, Happening, Notice
--- a/lanemux/rehearsal/registry.py
+++ b/lanemux/rehearsal/registry.py
@@ -14,8 +14,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from lanemux.rehearsal import framing
+from lanemux.rehearsal.addresses import Address
 from lanemux.rehearsal.books import Told
-from lanemux.rehearsal.boxes import Address
 from lanemux.rehearsal.plan import MS, Box, Happening, Notice
 
 TOLD_AT_LATEST_NS = 6_000_000_000  # what an agent has counts as told so much later, read or not
--- a/lanemux/rehearsal/relay.py
+++ b/lanemux/rehearsal/relay.py
@@ -10,7 +10,7 @@
 import random
 from typing import cast
 
-from lanemux.rehearsal.boxes import Address
+from lanemux.rehearsal.addresses import Address
 from lanemux.rehearsal.scenario import Network
 
 MAX_DATAGRAM = 256  # bytes; a larger one is dropped, as the platform does
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -17,9 +17,9 @@
 from pathlib import Path
 
 from lanemux.rehearsal import boxes_process
+from lanemux.rehearsal.addresses import Address
 from lanemux.rehearsal.balancers import Balancer, Place, free_port, pressed_ns
 from lanemux.rehearsal.books import BoxBooks, CallerBooks, Life
-from lanemux.rehearsal.boxes import Address
 from lanemux.rehearsal.callers import Callers, Front
 from lanemux.rehearsal.looks import Lateness, quiet_collector
 from lanemux.rehearsal.plan import MS, SECOND, Happening, Notice, Plan, draw, room_of, settings
--- a/lanemux/virtual/faults/box.py
+++ b/lanemux/virtual/faults/box.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lanemux.rehearsal.boxes import Host
+from lanemux.rehearsal.box_host import Host
 from lanemux.rehearsal.plan import MS, SECOND
 from lanemux.virtual.faults import BoxFault
 from lanemux.virtual.network import End
--- a/lanemux/virtual/stage.py
+++ b/lanemux/virtual/stage.py
@@ -24,10 +24,11 @@
 from lanemux.net.node import Node
 from lanemux.net.reload import Lists
 from lanemux.policy import Balancer
+from lanemux.rehearsal.addresses import reserve
 from lanemux.rehearsal.balancers import Place, configuration
 from lanemux.rehearsal.books import BoxBooks, CallerBooks
-from lanemux.rehearsal.boxes import Boxes, reserve
-from lanemux.rehearsal.boxes import World as BoxWorld
+from lanemux.rehearsal.box_world import World as BoxWorld
+from lanemux.rehearsal.boxes import Boxes
 from lanemux.rehearsal.callers import Callers, Front
 from lanemux.rehearsal.plan import MS, SECOND, Happening, Notice, Plan, draw, room_of, settings
 from lanemux.rehearsal.registry import Agent, ListAgent
--- a/tests/rehearsal/test_boxes.py
+++ b/tests/rehearsal/test_boxes.py
@@ -11,11 +11,15 @@
 import pytest
 
 from lanemux.rehearsal import framing
+from lanemux.rehearsal.addresses import Address, reserve
 from lanemux.rehearsal.books import BoxBooks
-from lanemux.rehearsal.boxes import Address, Boxes, Host, World, reserve, target_of
+from lanemux.rehearsal.box_host import Host
+from lanemux.rehearsal.box_world import World
+from lanemux.rehearsal.boxes import Boxes
 from lanemux.rehearsal.command import find
 from lanemux.rehearsal.looks import WatchedSelector
 from lanemux.rehearsal.plan import MS, draw
+from lanemux.rehearsal.request_form import target_of
 
 SHORT_S = 0.05
 FREEZE_NS = 150 * MS
