Kit: a fault tells what its life lacked of this machine; such a life is played again

Nothing told whether the balancer or the machine was slow.

The machine's host had taken 25 s of each of its processors in 40 minutes, which no measure of the kit saw. The cause is not proved.

Each fault now tells how late the kit was, how long the balancer waited for a processor, and what the host took, in its span. Over the bounds of the rehearsals it accuses nobody, and the life is played again, three times at most; what still can't be judged fails the test as before. A fault without such a shortage is one, as before.

--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -182,6 +182,9 @@
         return False
 
 
+STOLEN_FIELD = 8  # of the first line of /proc/stat: cpu user nice system idle iowait irq softirq steal
+
+
 def waited_ns(pid: int) -> int:
     """How long a process has waited for a processor so far (Linux, /proc/PID/schedstat); 0 if not told."""
     try:
@@ -206,6 +209,15 @@
         return 0
 
 
+def stolen_s() -> float:
+    """How long each processor of this machine was taken by its host so far, the mean in s (Linux, /proc/stat)."""
+    try:
+        total = int(Path("/proc/stat").read_text().splitlines()[0].split()[STOLEN_FIELD])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return total / os.sysconf("SC_CLK_TCK") / (os.cpu_count() or 1)
+
+
 def usage(pid: int) -> tuple[int, float]:
     """Open descriptors and resident memory in MB of a process; zeros if it is gone."""
     try:
--- a/lanemux/rehearsal/looks.py
+++ b/lanemux/rehearsal/looks.py
@@ -6,9 +6,12 @@
 import gc
 import selectors
 import time
+from collections import deque
 from typing import Protocol
 
 TICK_S = 0.005  # how often lateness is measured
+NOTED_LATE_S = 0.010
+LATE_KEPT = 10_000  # entries
 
 
 class Looks(Protocol):
@@ -48,6 +51,32 @@
         self._handle.cancel()
 
 
+class LatenessLog:
+    """How late a loop ran what was due, of late; for questions about a span."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._late: deque[tuple[float, float]] = deque(maxlen=LATE_KEPT)  # (loop's time, s late)
+        self._due = loop.time() + TICK_S
+        self._handle = loop.call_at(self._due, self._tick)
+
+    def _tick(self) -> None:
+        now = self._loop.time()
+        if now - self._due > NOTED_LATE_S:
+            self._late.append((now, now - self._due))
+        self._due = now + TICK_S
+        self._handle = self._loop.call_at(self._due, self._tick)
+
+    def most_s(self, since: float) -> float:
+        """The most since that time of the loop, what is overdue now included."""
+        overdue = self._loop.time() - self._due
+        return max(0.0, overdue, *(late for at, late in self._late if at >= since))
+
+    def stop(self) -> None:
+        """Measure no more."""
+        self._handle.cancel()
+
+
 def quiet_collector() -> None:
     """Switch the cyclic garbage collector off: passes over the growing books stood still for some 40 ms.
 
--- /dev/null
+++ b/tests/rehearsal/test_starvation.py
@@ -0,0 +1,57 @@
+"""A life that this machine held up accuses nobody; a fault that it did not cause stays one."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+
+import pytest
+
+from lanemux.rehearsal.balancers import stolen_s
+from lanemux.rehearsal.calls.life import Life, Shortage, Starvation
+from lanemux.rehearsal.looks import LatenessLog
+
+
+def test_a_kit_that_was_late_is_told_and_only_for_its_span() -> None:
+    async def test() -> tuple[Shortage, Shortage]:
+        log = LatenessLog(asyncio.get_running_loop())
+        await asyncio.sleep(0.02)
+        held_up = Starvation(log, os.getpid())
+        time.sleep(0.2)
+        first = held_up.look()
+        await asyncio.sleep(0.02)
+        after = Starvation(log, os.getpid())
+        await asyncio.sleep(0.02)
+        log.stop()
+        return first, after.look()
+
+    first, after = asyncio.run(test())
+    assert first.kit_late_s > 0.1 and first.explains
+    assert after.kit_late_s < 0.1
+
+
+@pytest.mark.parametrize(
+    ("shortage", "explains"),
+    [
+        (Shortage(0.04, 0.04, 0.04), False),
+        (Shortage(0.06, 0.0, 0.0), True),
+        (Shortage(0.0, 0.06, 0.0), True),
+        (Shortage(0.0, 0.0, 0.06), True),
+    ],
+)
+def test_a_shortage_over_the_bounds_of_a_rehearsal_explains_a_fault(shortage: Shortage, explains: bool) -> None:
+    assert shortage.explains == explains
+
+
+def test_a_fault_that_a_shortage_explains_hides_no_other() -> None:
+    short, both = Life([]), Life([])
+    short.accuse("no answer", Shortage(0.2, 0.0, 0.0))
+    assert not short.bad and "kit late 200 ms" in short.not_valid
+    both.accuse("no answer", Shortage(0.2, 0.0, 0.0))
+    both.accuse("no answer", Shortage(0.0, 0.0, 0.0))
+    assert both.bad
+
+
+def test_stolen_time_is_read_where_linux_tells_it() -> None:
+    assert stolen_s() >= 0.0
