Kit: a life's fault tells which request it was and where the kernel has its connection

A fault now names the client, and tells from /proc/net/tcp both ends of its connection: not accepted, accepted and not read, read and not answered, or closed. The tests print the whole of it with the balancer's log, which an assertion had cut.

--- a/lanemux/rehearsal/calls/life.py
+++ b/lanemux/rehearsal/calls/life.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from lanemux.rehearsal.balancers import stolen_s, waited_ns
+from lanemux.rehearsal.calls import tcp_table
 from lanemux.rehearsal.calls.library import Counts, environment, read_counts
 from lanemux.rehearsal.calls.rules import Rule
 from lanemux.rehearsal.framing import Framer, Message, Unreadable
@@ -176,7 +177,9 @@
 class Client:
     """One connection of a client."""
 
-    def __init__(self, host: str, life: Life, starvation: Callable[[], Starvation]) -> None:
+    def __init__(self, name: str, host: str, life: Life, starvation: Callable[[], Starvation]) -> None:
+        """`name`: which of a life's clients, for who reads of its faults."""
+        self.name = name
         self._host, self._life, self._starvation = host, life, starvation
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
@@ -200,7 +203,8 @@
         if problem and kept and may_cross and problem != NO_ANSWER:
             self.close()
         elif problem:
-            self._life.accuse(f"request on a {'kept' if kept else 'new'} connection: {problem}", starvation.look())
+            where = f"request of {self.name} on a {'kept' if kept else 'new'} connection"
+            self._life.accuse(f"{where}: {problem} [{self._connection()}]", starvation.look())
             self.close()
         return True
 
@@ -227,6 +231,13 @@
             return "an answer that its upstream did not make"
         return ""
 
+    def _connection(self) -> str:
+        """What the kernel knows of the connection."""
+        if self._streams is None:
+            return "no connection"
+        client = self._streams[1].get_extra_info("sockname")
+        return tcp_table.told_of(client, (self._host, PORT)) if client else "no connection"
+
     async def _some(self, reader: asyncio.StreamReader) -> bytes:
         data = await reader.read(READ_BYTES)
         if not data:
@@ -293,7 +304,10 @@
             "not ready" if life.status is None else f"ended with status {life.status} before it was ready"
         )
         return
-    kept, resting = Client(host, life, starvation), Client(host, life, starvation)
+    kept, resting = (
+        Client("the second client", host, life, starvation),
+        Client("the first client", host, life, starvation),
+    )
     await resting.ask()
     for _ in range(4):
         if not await kept.ask():
@@ -301,7 +315,7 @@
     _send_datagrams(host)
     process.send_signal(signal.SIGHUP)
     for _ in range(2):
-        fresh = Client(host, life, starvation)
+        fresh = Client("a client after SIGHUP", host, life, starvation)
         if not await fresh.ask():
             life.faults.append("could not connect")
         fresh.close()
@@ -344,6 +358,7 @@
 async def _end(process: subprocess.Popen[bytes], life: Life, host: str, kept: Client) -> None:
     """SIGTERM, further signals behind it, and requests on the open connection for as long as it stays."""
     loop = asyncio.get_running_loop()
+    kept.name = "the second client after SIGTERM"
     process.send_signal(signal.SIGTERM)
     told_s = loop.time()
     while process.poll() is None and loop.time() < told_s + ENDED_WITHIN_S:
--- a/tests/faults/test_every_call.py
+++ b/tests/faults/test_every_call.py
@@ -34,15 +34,17 @@
     return {kind: counts.since for kind, counts in life.counts.items()}
 
 
-def bad_lives(lives: Sequence[Sequence[Rule]], library: Path, folder: Path) -> list[str]:
-    """What was wrong with the lives that went wrong; a life that could not be judged counts too."""
+def expect_good_lives(lives: Sequence[Sequence[Rule]], library: Path, folder: Path) -> None:
+    """Play them; a life that could not be judged fails the test too, and what was wrong is printed whole."""
     played = asyncio.run(play_all(COMMAND, lives, library, folder, AT_ONCE))
     assert any(life.failed_calls for life in played)
-    return [
-        f"{life.rules}: {life.faults} {life.not_valid} {life.log[-4:]}"
+    bad = [
+        "\n".join([f"{life.rules}: {life.faults} {life.not_valid}", *life.log])
         for life in played
         if life.faults or life.not_valid
     ]
+    if bad:
+        pytest.fail("\n".join(bad), pytrace=False)
 
 
 @needs_compiler
@@ -52,28 +54,28 @@
 ) -> None:
     lives = [rules for rules in one_by_one(calls, PLACES) if rules[0].kind == kind and not rules[0].timed]
     assert lives, f"a life makes no call of this kind: {calls}"
-    assert bad_lives(lives, library, tmp_path) == []
+    expect_good_lives(lives, library, tmp_path)
 
 
 @needs_compiler
 @pytest.mark.parametrize(("kind", "most"), [("epoll_ctl", 12), ("write", 8), ("setsockopt", 6), ("fcntl", 12)])
 def test_each_of_the_first_calls_may_fail(kind: str, most: int, library: Path, tmp_path: Path) -> None:
     lives = [[Rule(kind, error, number, number)] for error in ERRORS[kind][:2] for number in range(1, most + 1)]
-    assert bad_lives(lives, library, tmp_path) == []
+    expect_good_lives(lives, library, tmp_path)
 
 
 @needs_compiler
 @pytest.mark.parametrize("kind", ["open", "opendir", "read", "stat", "dlopen", "close"])
 def test_a_start_whose_imports_fail_for_a_while_comes_up(kind: str, library: Path, tmp_path: Path) -> None:
     lives = [[Rule(kind, error, 0, IMPORTS_MS, timed=True)] for error in ERRORS[kind]]
-    assert bad_lives(lives, library, tmp_path) == []
+    expect_good_lives(lives, library, tmp_path)
 
 
 @needs_compiler
 @pytest.mark.parametrize("kind", ["epoll_ctl", "socket", "bind", "accept", "fcntl", "write", "setsockopt"])
 def test_a_start_whose_sockets_fail_for_a_while_comes_up(kind: str, library: Path, tmp_path: Path) -> None:
     lives = [[Rule(kind, error, 0, 1500, timed=True)] for error in ERRORS[kind]]
-    assert bad_lives(lives, library, tmp_path) == []
+    expect_good_lives(lives, library, tmp_path)
 
 
 @needs_compiler
@@ -82,7 +84,7 @@
     kind: str, error: str, library: Path, tmp_path: Path
 ) -> None:
     lives = [[Rule(kind, error, 0, 60_000, True, share)] for share in (50, 100, 300)]
-    assert bad_lives(lives, library, tmp_path) == []
+    expect_good_lives(lives, library, tmp_path)
 
 
 @needs_compiler
@@ -90,7 +92,7 @@
 def test_random_combinations_leave_a_life_as_it_is(
     first: int, library: Path, calls: dict[str, int], tmp_path: Path
 ) -> None:
-    assert bad_lives([combination(seed, calls) for seed in range(first, first + 6)], library, tmp_path) == []
+    expect_good_lives([combination(seed, calls) for seed in range(first, first + 6)], library, tmp_path)
 
 
 def test_rules_are_read_as_they_were_written() -> None:
