--- a/lanemux/rehearsal/calls/life.py
+++ b/lanemux/rehearsal/calls/life.py
@@ -17,6 +17,7 @@
 from lanemux.rehearsal.balancers import stolen_s, waited_ns
 from lanemux.rehearsal.calls import tcp_table
 from lanemux.rehearsal.calls.library import Counts, environment, read_counts
+from lanemux.rehearsal.calls.process_state import state_of
 from lanemux.rehearsal.calls.rules import Rule
 from lanemux.rehearsal.framing import Framer, Message, Unreadable
 from lanemux.rehearsal.looks import LatenessLog
@@ -161,7 +162,7 @@
     a processor, or the machine's host took its processors. The bounds are those of the rehearsals."""
 
     def __init__(self, lateness: LatenessLog, pid: int) -> None:
-        self._lateness, self._pid = lateness, pid
+        self._lateness, self.pid = lateness, pid
         self._begun_s = asyncio.get_running_loop().time()
         self._waited_ns, self._stolen_s = waited_ns(pid), stolen_s()
 
@@ -169,7 +170,7 @@
         """What the span lacked so far."""
         return Shortage(
             kit_late_s=self._lateness.most_s(self._begun_s),
-            balancer_waited_s=(waited_ns(self._pid) - self._waited_ns) / SECOND,
+            balancer_waited_s=(waited_ns(self.pid) - self._waited_ns) / SECOND,
             stolen_s=stolen_s() - self._stolen_s,
         )
 
@@ -204,7 +205,8 @@
             self.close()
         elif problem:
             where = f"request of {self.name} on a {'kept' if kept else 'new'} connection"
-            self._life.accuse(f"{where}: {problem} [{self._connection()}]", starvation.look())
+            evidence = f"{self._connection()}; {state_of(starvation.pid)}"
+            self._life.accuse(f"{where}: {problem} [{evidence}]", starvation.look())
             self.close()
         return True
 
