Kit: a start or an end that took too long tells what it lacked of this machine

A start and an end are now held to the same bounds, over their whole span, and tell what the balancer waits in.

--- a/lanemux/rehearsal/calls/life.py
+++ b/lanemux/rehearsal/calls/life.py
@@ -30,7 +30,6 @@
 ENDED_WITHIN_S = 4.5  # after SIGTERM; whatever is open is given up before
 NEW_CONNECTIONS_S = 0.3  # after SIGTERM they go on coming for so long
 LOOK_S = 0.02
-WAITED_MOST_S = WAITED_MOST * 1.0  # for a processor, in the span of one answer: what a rehearsal allows in a second
 PORT = 3000
 NO_ANSWER = "no answer"
 KEPT_LINES = 40  # of the log of a balancer whose life was bad
@@ -77,12 +76,14 @@
     kit_late_s: float
     balancer_waited_s: float  # for a processor
     stolen_s: float  # by the machine's host, the mean of its processors
+    span_s: float = 1.0
 
     @property
     def explains(self) -> bool:
         """So much of it that what went wrong in the span accuses nobody."""
-        late = self.kit_late_s * SECOND > LATE_MOST_NS
-        return late or self.balancer_waited_s > WAITED_MOST_S or self.stolen_s > WAITED_MOST_S
+        most_s = WAITED_MOST * max(1.0, self.span_s)
+        late = self.kit_late_s > max(LATE_MOST_NS / SECOND, WAITED_MOST * self.span_s)
+        return late or self.balancer_waited_s > most_s or self.stolen_s > most_s
 
     def __str__(self) -> str:
         return (
@@ -172,6 +173,7 @@
             kit_late_s=self._lateness.most_s(self._begun_s),
             balancer_waited_s=(waited_ns(self.pid) - self._waited_ns) / SECOND,
             stolen_s=stolen_s() - self._stolen_s,
+            span_s=asyncio.get_running_loop().time() - self._begun_s,
         )
 
 
@@ -300,11 +302,13 @@
 
 
 async def _live(process: subprocess.Popen[bytes], life: Life, host: str, starvation: Callable[[], Starvation]) -> None:
+    starting = starvation()
     if not await _ready(process, life, host):
         life.status = process.poll()
-        life.faults.append(
-            "not ready" if life.status is None else f"ended with status {life.status} before it was ready"
-        )
+        if life.status is None:
+            life.accuse(f"not ready [{state_of(process.pid)}]", starting.look())
+        else:
+            life.accuse(f"ended with status {life.status} before it was ready")
         return
     kept, resting = (
         Client("the second client", host, life, starvation),
@@ -324,7 +328,7 @@
     if process.poll() is not None:
         life.faults.append(f"ended with status {process.poll()} in service")
         return
-    await _end(process, life, host, kept)
+    await _end(process, life, host, kept, starvation)
     resting.close()
     kept.close()
 
@@ -357,10 +361,13 @@
         writer.transport.abort()
 
 
-async def _end(process: subprocess.Popen[bytes], life: Life, host: str, kept: Client) -> None:
+async def _end(
+    process: subprocess.Popen[bytes], life: Life, host: str, kept: Client, starvation: Callable[[], Starvation]
+) -> None:
     """SIGTERM, further signals behind it, and requests on the open connection for as long as it stays."""
     loop = asyncio.get_running_loop()
     kept.name = "the second client after SIGTERM"
+    ending = starvation()
     process.send_signal(signal.SIGTERM)
     told_s = loop.time()
     while process.poll() is None and loop.time() < told_s + ENDED_WITHIN_S:
@@ -371,6 +378,6 @@
             os.kill(process.pid, signal.SIGHUP)
     life.status = process.poll()
     if life.status is None:
-        life.faults.append(f"still there {ENDED_WITHIN_S} s after SIGTERM")
+        life.accuse(f"still there {ENDED_WITHIN_S} s after SIGTERM [{state_of(process.pid)}]", ending.look())
     elif life.status:
         life.faults.append(f"ended with status {life.status} after SIGTERM")
--- a/tests/rehearsal/test_starvation.py
+++ b/tests/rehearsal/test_starvation.py
@@ -38,6 +38,9 @@
         (Shortage(0.06, 0.0, 0.0), True),
         (Shortage(0.0, 0.06, 0.0), True),
         (Shortage(0.0, 0.0, 0.06), True),
+        (Shortage(0.4, 0.4, 0.4, span_s=10.0), False),
+        (Shortage(0.6, 0.0, 0.0, span_s=10.0), True),
+        (Shortage(0.0, 0.6, 0.0, span_s=10.0), True),
     ],
 )
 def test_a_shortage_over_the_bounds_of_a_rehearsal_explains_a_fault(shortage: Shortage, explains: bool) -> None:
