--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,6 +19,7 @@
 NOISE = b"%&/ noise, no HTTP \x00\xff"
 REQUESTS, INTERVAL_S = 400, 0.04
 DEADLINE_MS = 661
+IDLE_S = 15.0  # the settings' conn_idle_ns: an upstream closes a connection that rests for longer
 SEED = 70
 
 
@@ -42,11 +43,13 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
-                first, headers = await common.read_head(reader)
+                first, headers = await asyncio.wait_for(common.read_head(reader), IDLE_S)
                 if first.split()[1] == "/stats":
                     writer.write(common.answer(200, b'{"inflight":0,"queue":0}'))
+                elif first.split()[1] == "/health/live":
+                    writer.write(common.answer(200))
                 elif "req-id" not in headers:
                     writer.write(common.answer(404))
                 else:
