A response ends where its message ends: bytes right behind it no longer change it

Callers got status 200 and a long answer that was whole by its framing and wrong: another answer's head in its body, or its end missing. Others got it cut off after some two seconds.

Cause: the reader of an upstream's connection went on parsing behind a complete response, and what it found there shared `head`, `pieces` and `error_status` with the complete one. What can't be parsed set `error_status`, which dropped the last pieces of the complete response, while its end was still returned. The head and first pieces of a second long response went to the same request's client, by a second `start_stream`. A short answer with a long one behind it started the long one's stream; an upgrade behind any answer removed it from the complete ones.

Change: parsing of responses stops at the end of the first final one. The parser is stopped at the first byte of a further message, `has_surplus` is set, and the connection is closed and not reused. No callback can run for a byte that is behind the response, so nothing there can reach it.

--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -72,9 +72,16 @@
         return [(k, v) for k, v in self.headers if k not in HOP_BY_HOP and k not in connection_options]
 
 
+class SurplusBytes(Exception):
+    """Raised to the parser to stop it: bytes follow a complete response."""
+
+
 class MessageReader:
     """Parses a connection's bytes into messages; header names are in lower case.
 
+    With `responses`, parsing stops at the end of the first final response: a connection carries one request at a time,
+    so what follows in the same read belongs to no request. It can't change the response, and `has_surplus` is set.
+
     If `stream` is set, a long response with status 200 is streamed: after each `feed` the caller takes its `head` and
     `pieces`, and the message returned at its end has no body."""
 
@@ -83,6 +90,8 @@
         self.head: Message | None = None  # of a streamed response, until the caller takes it
         self.pieces: list[bytes] = []  # of its body, until the caller takes them
         self._parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
+        self._responses = responses
+        self.has_surplus = False  # responses only: bytes follow a complete response; they are not parsed
         self._max_body = max_body
         self._complete: list[Message] = []
         self._message_bytes = 0  # bytes read of an incomplete message, with its framing
@@ -139,7 +148,10 @@
             self._complete = self._complete[:-1]  # protocol upgrades are not supported
             self._refuse(400)
         except httptools.HttpParserError:
-            self._refuse(400)
+            if self._responses and self._complete:
+                self.has_surplus = True
+            else:
+                self._refuse(400)
         if not self._in_body and self._message_bytes > MAX_HEAD:
             self._refuse(431)  # an endless head must not exhaust the memory
         elif self._message_bytes > MAX_HEAD + MAX_FRAMING_RATIO * (
@@ -158,6 +170,8 @@
     # -- called by httptools --
 
     def on_message_begin(self) -> None:
+        if self._responses and self._complete:
+            raise SurplusBytes
         self.in_message = True
 
     def on_url(self, url: bytes) -> None:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -280,7 +280,7 @@
 
     def _handle_responses(self, responses: list[Message]) -> None:
         exchange = self._exchange
-        if exchange is None or (self._reader.error_status and not responses):
+        if exchange is None or self._reader.error_status:
             self.handle_loss()  # an unsolicited or malformed response
             return
         if (self._reader.head is not None or self._reader.pieces) and not self._forward_stream(exchange):
@@ -295,9 +295,8 @@
                 self._buffering_timer.cancel()
                 self._buffering_timer = None
             self._exchange = None
-            # Data after a complete response does not invalidate it, but must not be taken for the next response.
-            nothing_extra = len(responses) == 1 and not (self._reader.in_message or self._reader.error_status)
-            if nothing_extra and responses[0].keep_alive and self._written:
+            # A connection that has brought surplus bytes may bring the rest of them: they would meet the next request.
+            if not self._reader.has_surplus and responses[0].keep_alive and self._written:
                 self._pool.keep(self)
             else:
                 self.close()
--- /dev/null
+++ b/tests/test_surplus_bytes.py
@@ -0,0 +1,100 @@
+"""Bytes right behind an upstream's answer: they neither change it nor cut it off, and its connection is not reused."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.interface import Result
+from tests.sockets import Answer, Got, Script, Upstream, Writer, node, request, run, sends_raw, until, written
+from tests.test_node import fails_unserved, sends_first
+from tests.test_streams import LONG, body_of, chunked
+
+SURPLUS = {
+    "copy with a length": written(200, LONG),
+    "copy in chunks": chunked(LONG),
+    "short copy": written(200, b"another"),
+    "failure": written(500, b"another"),
+    "noise": b"%&/ noise, no HTTP \x00\xff",
+    "much noise": b"%&/ noise" * 4000,
+    "endless head": b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000,
+    "part of a head": b"HTTP/1.1 2",
+    "length over the limit": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc",
+    "upgrade": b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n\x00",
+    "many interim answers": b"HTTP/1.1 103 E\r\n\r\n" * 20,
+}
+LONG_ANSWERS = {
+    "length": written(200, LONG),
+    "length, close": written(200, LONG, "Connection: close"),
+    "chunks": chunked(LONG),
+}
+CLIENT_TIMEOUT_S = 2.0
+with_surplus = pytest.mark.parametrize("surplus", SURPLUS.values(), ids=SURPLUS)
+
+
+def sends_end_with(data: bytes, surplus: bytes) -> Answer:
+    """Send the end of `data` and the start of `surplus` in one segment, so that they are read at once."""
+
+    async def answer(got: Got, writer: Writer) -> None:
+        writer.write(data[:-1000])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(data[-1000:] + surplus)
+
+    return answer
+
+
+# Guards against clients getting a long answer without its end, cut off, or with another one's head in it (review/1).
+@with_surplus
+@pytest.mark.parametrize("data", LONG_ANSWERS.values(), ids=LONG_ANSWERS)
+def test_bytes_right_behind_a_streamed_answer_neither_spoil_it_nor_cut_it_off(data: bytes, surplus: bytes) -> None:
+    async def test() -> None:
+        upstream = await Upstream(sends_end_with(data, surplus)).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            for number in (1, 2):
+                await client.send(request())
+                _, body, whole = await asyncio.wait_for(body_of(client), CLIENT_TIMEOUT_S)
+                assert whole and body == LONG
+                assert upstream.opened == number and not client.node._pool_manager.idle
+            assert client.node.tally.succeeded["read"] == 2 and client.node._pool_manager.streaming == 0
+        assert [(e.result, e.complete) for e in script.of(api.Outcome)] == [(Result.OK, True)] * 2
+
+    run(test())
+
+
+# Guards against the head of a long answer, or an upgrade, behind a short answer taking the short one's place.
+@with_surplus
+@pytest.mark.parametrize(("status", "result"), [(200, Result.OK), (500, Result.ERROR)])
+def test_bytes_right_behind_a_short_answer_do_not_take_its_place(status: int, result: Result, surplus: bytes) -> None:
+    async def test() -> None:
+        upstream = await Upstream(sends_raw(written(status, b"mine") + surplus)).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream) as client:
+            for number in (1, 2):
+                got = await asyncio.wait_for(client.ask(request()), CLIENT_TIMEOUT_S)
+                assert (got.status, got.body) == ((200, b"mine") if status == 200 else (504, b""))
+                assert upstream.opened == number and not client.node._pool_manager.idle
+        assert not script.of(api.ResponseStarted)
+        assert [e.result for e in script.of(api.Outcome)] == [result] * 2
+
+    run(test())
+
+
+# Guards against a probe that was answered counting as failed because of what followed its answer.
+@with_surplus
+def test_bytes_right_behind_the_answer_of_a_probe_do_not_make_it_fail(surplus: bytes) -> None:
+    async def test() -> None:
+        upstream = await Upstream(sends_raw(written(200, b'{"inflight":7}') + surplus)).start()
+        script = Script()
+        async with node(script, upstream) as client:
+            client.node._execute(api.Probe(script.ids()[0]))
+            await until(lambda: script.of(api.ProbeResult))
+            assert not client.node._pool_manager.idle
+        assert [(e.result, e.report) for e in script.of(api.ProbeResult)] == [(Result.OK, {"inflight": 7})]
+
+    run(test())
