Bytes behind an answer: wherever two reads are cut, streamed or not, it stays as it was

Cause: the tests of the mend put the end of an answer and what follows it into one read. Answers that are buffered whole, as those of discovery are, and other cuts were not covered.

Change: a property test feeds the reader an answer with each form of surplus, cut at drawn places, with and without streaming.

--- a/tests/test_surplus_bytes.py
+++ b/tests/test_surplus_bytes.py
@@ -5,12 +5,16 @@
 import asyncio
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 from lanemux import interface as api
 from lanemux.interface import Result
+from lanemux.net.http import MAX_BUFFERED_RESPONSE, MAX_RESPONSE, MessageReader
 from tests.sockets import Answer, Got, Script, Upstream, Writer, node, request, run, sends_raw, until, written
 from tests.test_node import fails_unserved, sends_first
-from tests.test_streams import LONG, body_of, chunked
+from tests.test_streams import LONG, body_of, chunked, framed
 
 SURPLUS = {
     "copy with a length": written(200, LONG),
@@ -98,3 +102,35 @@
         assert [(e.result, e.report) for e in script.of(api.ProbeResult)] == [(Result.OK, {"inflight": 7})]
 
     run(test())
+
+
+def first_body(data: bytes, cuts: list[int], stream: bool) -> bytes:
+    """The body of the first answer in `data`, which is read in parts of these sizes, in turn."""
+    reader, passed_on, at, reads = MessageReader(responses=True, max_body=MAX_RESPONSE, stream=stream), b"", 0, 0
+    while at < len(data):
+        size = max(cuts[reads % len(cuts)], len(data) // 300)
+        complete = reader.feed(data[at : at + size])
+        assert not reader.error_status
+        passed_on += b"".join(reader.pieces)
+        reader.pieces = []
+        if complete:
+            assert len(complete) == 1
+            return passed_on if complete[0].streamed else complete[0].body
+        at, reads = at + size, reads + 1
+    raise AssertionError("no complete answer")
+
+
+# Guards against a cut between two reads at which what is behind an answer changes it, streamed or buffered (lists too).
+@hypothesis_settings(deadline=None, derandomize=True, database=None)
+@given(
+    st.integers(0, 3),
+    st.sampled_from([0, 1, 900, MAX_BUFFERED_RESPONSE, MAX_BUFFERED_RESPONSE + 1, 200_000]),
+    st.sampled_from(list(SURPLUS.values())),
+    st.lists(st.integers(1, 70_000), min_size=1, max_size=20),
+    st.booleans(),
+)
+def test_however_it_is_cut_surplus_changes_no_answer(
+    form: int, size: int, surplus: bytes, cuts: list[int], stream: bool
+) -> None:
+    body = LONG[:size]
+    assert first_body(framed(body, form) + surplus, cuts, stream) == body
