Storm module: a streamed response that breaks off no longer leaves its request behind

With [storm] on, each request whose streamed response ended without its last byte (reset, time-out) stayed in the module's table for good, and its end was not counted among those not served.

Cause: _record_events drops a request at a complete Outcome that is OK, and at ClientGone, Refuse and Fail. A broken stream ends by a complete Outcome that is not OK, after which none of these comes.

Change: a complete Outcome that is not OK counts the request as not served.

Measured: two cases of test_ended_requests_leave_no_state failed before.

--- a/lanemux/storm/module.py
+++ b/lanemux/storm/module.py
@@ -111,6 +111,8 @@
             elif type(event) is api.Outcome:
                 if event.result is not OK:
                     check_restarts = True
+                    if event.complete:  # a streamed response that broke off
+                        self._count_unserved(event.request)
                 elif event.complete and self._class_by_request.pop(event.request, None) is not None:
                     self.detector.record_end(True)
             elif type(event) is api.ClientGone:
--- a/tests/storm/test_module.py
+++ b/tests/storm/test_module.py
@@ -123,7 +123,13 @@
 
 
 @pytest.mark.parametrize(
-    "end", [lambda name: api.Outcome(name, 0, 1, api.Result.OK, 5, True), lambda name: api.ClientGone(name)]
+    "end",
+    [
+        lambda name: api.Outcome(name, 0, 1, api.Result.OK, 5, True),
+        lambda name: api.Outcome(name, 0, 1, api.Result.RESET, 5, True),  # a streamed response that broke off leaked
+        lambda name: api.Outcome(name, 0, 1, api.Result.TIMEOUT, 5, True),
+        lambda name: api.ClientGone(name),
+    ],
 )
 def test_ended_requests_leave_no_state(end: Callable[[str], api.Event]) -> None:
     driver = Driver(make_settings(), lambda e: api.Send(e.request, 1))
