A short response whose upstream hangs ends with its deadline, not 15 s later

Cause: an answer without a length is streamed 20 ms after its first bytes, and streaming cancelled the attempt's and the request's timers for every kind of answer.

Change: net/streamed_response.py holds a streamed response's state and says from when it counts as stalled. A short one whose upstream is silent for 0.3 s ends at the deadline, or 0.3 s after its last byte; what moves, long answers and `stream` classes go on. Its attempt ends as a time-out, and the decisions back off from the upstream. An HTTP/1.0 client, which took the cut for the end, gets a reset.

Callers tell an answer that is cut from none at all; it is allowed only if its box had interrupted it, until 0.5 s after the deadline. The module monitor's time limit of an attempt becomes that of the final answer once the response has started, as interface.py says.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -24,6 +24,7 @@
 TCP_INFO_BYTES, LAST_DATA_OFFSET = 104, 52
 PEER_CLOSED_STATES = frozenset({7, 8, 9, 11})  # TCP_CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING: tcpi_state, its first byte
 FIONREAD, INT_BYTES = 0x541B, 4  # ioctl_tty(2): number of unread bytes
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time to linger (socket(7))
 UNBLOCK_TRIES = 5  # attempts to make an accepted connection non-blocking
 READ_BYTES = 64 * 1024  # chunk size for files: memory use follows the actual size, not the size limit
 
@@ -49,6 +50,8 @@
 
     def getsockopt(self, level: int, option: int, size: int) -> bytes: ...
 
+    def setsockopt(self, level: int, option: int, value: bytes) -> None: ...
+
 
 class System(Protocol):
     """The operating system services used by a balancer."""
@@ -71,6 +74,10 @@
     def has_unread(self, connection: ConnectedSocket) -> bool:
         """Whether the kernel holds unread bytes; True if unknown."""
 
+    def reset_on_close(self, connection: ConnectedSocket) -> None:
+        """Make closing a connection reset it and drop unsent data, so that its peer does not take the end for a regular
+        one."""
+
     def sleep(self, for_s: float) -> None:
         """Block for this long. Only for use without a running event loop."""
 
@@ -171,6 +178,10 @@
             return True
         return any(unread)
 
+    def reset_on_close(self, connection: ConnectedSocket) -> None:
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def sleep(self, for_s: float) -> None:
         time.sleep(for_s)
 
--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -49,6 +49,7 @@
         self._discarded_bytes = 0  # bytes read and dropped since it ended
         self._on_writable: Callable[[], None] | None = None  # while streaming: called when all written data is sent
         self._chunked = self._closes_after = False  # of the response being streamed
+        self._ends_on_close = False  # the end of the connection marks the end of the response being streamed
         self._transport: asyncio.Transport | None = None
         self.max_unread_s = 0.0  # how long the first data may have waited for the connection to be accepted
         self.since = 0.0  # when it was added to its current table of the server
@@ -190,11 +191,9 @@
         if self._current is None or self._transport is None:
             return
         self._chunked = length is None and not self._current.http_1_0
+        self._ends_on_close = length is None and not self._chunked
         self._closes_after = (
-            not self._current.keep_alive
-            or self._server.draining
-            or self._server.near_capacity
-            or (length is None and not self._chunked)
+            not self._current.keep_alive or self._server.draining or self._server.near_capacity or self._ends_on_close
         )
         self._on_writable = on_writable
         self._transport.set_write_buffer_limits(high=0)  # calls resume_writing when all data is sent
@@ -221,8 +220,10 @@
             self._server.mark_busy_or_idle(self)
 
     def abort_stream(self) -> None:
-        """Abort a streamed response; the client can tell by its missing end."""
+        """Abort a streamed response; the client can tell by its missing end, or else by a reset."""
         self._current = self._on_writable = None
+        if self._ends_on_close and self._transport is not None:
+            self._server.system.reset_on_close(self._transport.get_extra_info("socket"))
         self._server.forget(self)
         self.abort()
 
--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -16,6 +16,7 @@
 MAX_HEAD = 16 * 1024  # bytes of a head, or of a head and its body's trailers
 # Bytes that a chunked message may take, as a multiple of its body's limit; with one byte a chunk it takes six times.
 MAX_FRAMING_RATIO = 8
+LOAD_REPORT_HEADER = b"srv-load"  # from upstreams to balancers; not for clients
 MAX_LOAD_VALUE = 1e12  # largest meaningful number in a load report; larger ones are ignored
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before a final one
 HOP_BY_HOP = frozenset(
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -18,12 +18,13 @@
 from lanemux.net.config import Config
 from lanemux.net.decisions import Module, ModuleRunner
 from lanemux.net.frontend import Frontend
-from lanemux.net.http import Headers, Message, load_report, parse_decimal, write_request
+from lanemux.net.http import LOAD_REPORT_HEADER, Headers, Message, load_report, parse_decimal, write_request
 from lanemux.net.peers import Peers
 from lanemux.net.plugin_host import PluginHost
 from lanemux.net.probes import Probes
 from lanemux.net.server import Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
+from lanemux.net.streamed_response import HANG_TIMEOUT_NS, StreamedResponse
 from lanemux.net.upstream import BodySink, Exchange, OnStreamStart, PoolManager
 from lanemux.net.upstream_set import UpstreamSet
 
@@ -40,7 +41,6 @@
 SWEEP_INTERVAL_S = 1.0
 PEER_MESSAGE_DELAY_S = 0.02  # a peer message waits this long to be batched with others; its transit takes up to 33 ms
 MAX_QUEUED_EVENTS = 64  # events per such batch, which bounds how long handling it blocks the event loop
-STREAM_IDLE_TIMEOUT_NS = 15 * SECOND  # no progress for this long: a streamed response has lost its reader or writer
 DRAIN_TIMEOUT_S = 3.4  # after SIGTERM, requests that are still open then are ended
 
 
@@ -57,7 +57,7 @@
     sends: int = 0  # attempts so far
     exchange: Exchange | None = None
     finished: bool = False
-    last_progress_ns: int = 0  # when data of its streamed response last moved; 0: the response is not streamed
+    stream: StreamedResponse | None = None  # set once its response is being streamed
 
 
 MakeConnectionAdmission = Callable[[int], ConnectionAdmission]  # argument: the maximum number of connections
@@ -149,10 +149,8 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep_idle)
         self._pool_manager.close_expired()
         self.upstream_set.expire_cordons()
-        stale = now_ns() - STREAM_IDLE_TIMEOUT_NS
-        for active in [s for s in self._streaming.values() if s.last_progress_ns < stale]:
-            log.info("response aborted: no data moved for %d s", STREAM_IDLE_TIMEOUT_NS // SECOND)
-            self._finish(active, 504)
+        for active in list(self._streaming.values()):
+            self._end_if_stalled(active)
 
     @property
     def ready(self) -> bool:
@@ -378,7 +376,7 @@
         if not active.finished:
             self._drop(active)
             self.tally.ended(active.class_name, status)
-            if not active.last_progress_ns:
+            if active.stream is None:
                 active.client.answer(status, headers, body)
             elif status == 200:
                 active.client.end_stream()
@@ -451,10 +449,10 @@
             took = now_ns() - sent_ns - local_wait_ns
             if response is not None:
                 result = _result_of(response)
-            if active.last_progress_ns:
+            if active.stream is not None:
                 self._finish(active, 200 if result is api.Result.OK else 504)
             elif result is api.Result.OK and response is not None:
-                headers = [(k, v) for k, v in response.end_to_end() if k != b"srv-load"]
+                headers = [(k, v) for k, v in response.end_to_end() if k != LOAD_REPORT_HEADER]
                 self._finish(active, 200, headers, response.body)
             report = self._load_report(response) if self.config.settings.reports_in_answers else None
             self.feed(api.Outcome(active.id, attempt_number, upstream, result, took, active.finished, report))
@@ -462,35 +460,52 @@
         return on_end
 
     def _stream_handler(self, active: ActiveRequest, attempt_number: int, upstream: int, sent_ns: int) -> OnStreamStart:
-        """The callback for a streamed response: reading pauses while the client has not taken the last piece."""
+        """The callback for a response that is too long to buffer, or whose length is not known."""
 
         def on_start(exchange: Exchange, head: Message) -> BodySink | None:
             if active.finished:
                 return None
-            if active.timer is not None:
-                active.timer.cancel()  # from the first byte on, only the idle timeout applies
-            active.last_progress_ns = now_ns()
+            has_deadline = not self.config.settings.classes[active.class_name].stream
+            stream = StreamedResponse(active.client, exchange, active.deadline_ns if has_deadline else None)
+            active.stream = stream
             self._streaming[active.id] = active
+            stream.begin(head)
+            if active.timer is not None:
+                active.timer.cancel()  # its deadline is now the streamed response's
+            self._watch_deadline(active, stream)
+            self.feed(api.ResponseStarted(active.id, attempt_number, upstream, stream.last_progress_ns - sent_ns))
+            return stream.pass_on
 
-            def writable() -> None:
-                active.last_progress_ns = now_ns()
-                exchange.set_paused(False)
+        return on_start
 
-            def pass_on(data: bytes) -> None:
-                active.last_progress_ns = now_ns()
-                if not active.client.write_piece(data):
-                    exchange.set_paused(True)
+    def _watch_deadline(self, active: ActiveRequest, stream: StreamedResponse) -> None:
+        """Check soon after the deadline whether a streamed response has stalled, and again while the deadline applies.
 
-            active.client.begin_stream(
-                [(k, v) for k, v in head.end_to_end() if k != b"srv-load"], head.length, writable
-            )
-            self.feed(api.ResponseStarted(active.id, attempt_number, upstream, active.last_progress_ns - sent_ns))
-            return pass_on
+        The sweep alone would be too late: the final answer is due within half a second of the deadline."""
+        if stream.deadline_applies:
+            check_ns = max(active.deadline_ns, min(stream.stalled_from_ns(), now_ns() + HANG_TIMEOUT_NS))
+            active.timer = self._loop.call_at(check_ns / SECOND, self._check_deadline, active, stream)
 
-        return on_start
+    def _check_deadline(self, active: ActiveRequest, stream: StreamedResponse) -> None:
+        self._end_if_stalled(active)
+        if not active.finished:
+            self._watch_deadline(active, stream)
+
+    def _end_if_stalled(self, active: ActiveRequest) -> None:
+        """Abort a streamed response on which nothing moves any more."""
+        stream, now = active.stream, now_ns()
+        if active.finished or stream is None or now < stream.stalled_from_ns():
+            return
+        silent_s = (now - stream.last_progress_ns) / SECOND
+        if stream.waits_for_upstream and active.exchange is not None:
+            log.info("response aborted: its upstream sent nothing for %.1f s", silent_s)
+            active.exchange.finish(api.Result.TIMEOUT)  # this ends the request, too
+        else:
+            log.info("response aborted: its client took nothing for %.1f s", silent_s)
+        self._finish(active, 504)
 
     def _load_report(self, response: Message | None) -> dict[str, float] | None:
-        return load_report(response.header(b"srv-load")) if response is not None else None
+        return load_report(response.header(LOAD_REPORT_HEADER)) if response is not None else None
 
     def _cancel(self, action: api.Cancel) -> None:
         active = self._active_requests.get(action.request)
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -945,6 +945,9 @@
         attempt.record_result(event.result, self.settings.rules)
         self._cancel_timer(attempt.overdue_timer)
         if request.answer_begun_ns:  # everything else was recorded when the answer began
+            if event.result is api.Result.TIMEOUT:  # the upstream hangs in the middle of its answer
+                server.last_served = False
+                self._back_off(server, now, self._backoff_ns(attempt))
             self._end(request, now)
             return
         server.last_served = event.result is api.Result.OK
--- a/lanemux/rehearsal/box_connection.py
+++ b/lanemux/rehearsal/box_connection.py
@@ -119,6 +119,14 @@
         if self.transport is not None:
             self.transport.write(data)
 
+    def respond_in_part(self, data: bytes) -> None:
+        """Write the beginning of a response; its end never comes, so the attempt lasts until the balancer closes."""
+        if self.attempt is not None:
+            self.attempt.interrupted = True
+        self.job = None
+        if self.transport is not None:
+            self.transport.write(data)
+
     def reset(self) -> None:
         """Reset the connection, as happens when the process dies."""
         if self.transport is not None:
--- a/lanemux/rehearsal/box_host.py
+++ b/lanemux/rehearsal/box_host.py
@@ -35,6 +35,7 @@
         self.box: Box = context.plan.boxes[number]
         self.model: BoxModel | None = None  # None: no process is running
         self.suspended = False  # frozen or isolated: the loop does not serve it
+        self.hung = False  # it begins its responses and does not end them
         self._listeners: list[socket.socket] = []
         self._blocking_sockets: list[socket.socket] = []
         self._connections: dict[Connection, None] = {}  # in order of arrival
@@ -101,7 +102,7 @@
                 connection.attempt = connection.job = None
             connection.reset()
         self._jobs.clear()
-        self.model, self.suspended = None, False
+        self.model, self.suspended, self.hung = None, False, False
         for timer in (self._timer, self._unfreeze_timer):
             if timer is not None:
                 timer.cancel()
@@ -160,6 +161,17 @@
             self._advance()
             self._schedule()
 
+    def hang(self, for_ns: int) -> None:
+        """Hang in the middle of each response that is due within this time."""
+        if self.model is not None and not self.hung:
+            self.hung = True
+            self._begin_state("hung")
+            self.context.call_at(self.context.now() + for_ns, self._end_hang)
+
+    def _end_hang(self) -> None:
+        self.hung = False
+        self._end_state("hung")
+
     def isolate(self) -> None:
         """Simulate an unreachable machine: open connections stay open and silent, new ones are never established."""
         if self.model is None:
@@ -399,6 +411,9 @@
             connection.respond(framing.response(500))
             return
         body = response_body(attempt.id, self.box.host, self._response_count)
+        if self.hung:
+            connection.respond_in_part(framing.interrupted_response(body))
+            return
         attempt.how, attempt.digest = "answered", body_digest(body)
         connection.respond(framing.response(200, body))
 
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -63,6 +63,8 @@
                 host.reconnect()
             case "freeze":
                 host.freeze(happening.until_ns - happening.at_ns)
+            case "hang":
+                host.hang(happening.until_ns - happening.at_ns)
             case "neighbour":
                 host.add_noisy_neighbour(happening.size, happening.until_ns)
 
--- a/lanemux/rehearsal/callers.py
+++ b/lanemux/rehearsal/callers.py
@@ -110,7 +110,8 @@
         self._callers.forget(self)
         current, self.current_try = self.current_try, None
         if current is not None:
-            current.broken(crossed=self.used and not self._parser.has_partial)
+            begun = self._parser.has_partial
+            current.broken(crossed=self.used and not begun, in_response=begun)
 
     def close(self) -> None:
         self.current_try = None
@@ -188,14 +189,15 @@
             self.entry.digest = body_digest(message.body)
         self._end("answered")
 
-    def broken(self, crossed: bool) -> None:
-        """The connection ended without an answer; `crossed`: the balancer may have closed it while it was idle."""
+    def broken(self, crossed: bool, in_response: bool) -> None:
+        """The connection ended without a whole answer; `crossed`: the balancer may have closed it while it was idle,
+        `in_response`: it ended in the middle of one."""
         if crossed and not self._resent and not self._ended_for_caller:
             self._resent = True
             self.entry.crossed_ns = self._callers.now()
             self._callers.spawn(self.send())
         else:
-            self._end("lost")
+            self._end("cut" if in_response else "lost")
 
     def _give_up(self) -> None:
         if not self.entry.how and not self._ended_for_caller:
--- a/lanemux/rehearsal/framing.py
+++ b/lanemux/rehearsal/framing.py
@@ -154,6 +154,12 @@
     return "\r\n".join(lines).encode("latin-1") + (body or b"")
 
 
+def interrupted_response(body: bytes) -> bytes:
+    """The beginning of a chunked response with status 200: the first half of its body, and no end."""
+    half = body[: len(body) // 2]
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(half), half)
+
+
 def response(status: int, body: bytes = b"", headers: Mapping[str, str] | None = None) -> bytes:
     """Serialize a response with Content-Length."""
     lines = [
--- a/lanemux/rehearsal/page.py
+++ b/lanemux/rehearsal/page.py
@@ -19,6 +19,7 @@
 
 STATE_COLOURS = {
     "frozen": "#2b6cb0",
+    "hung": "#d53f8c",
     "shared": "#b7b7b7",
     "cold": "#38b2ac",
     "draining": "#dd9b1f",
@@ -28,6 +29,7 @@
 }
 STATE_LABELS = {
     "frozen": "frozen",
+    "hung": "hung in its responses",
     "shared": "shared with another program",
     "cold": "cold",
     "draining": "draining",
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -72,9 +72,9 @@
     """An event that happens to a box or a balancer at a given time."""
 
     at_ns: int
-    what: str  # start, drain, leave, die, vanish, return, freeze, neighbour, kill, revive, flood, restart
+    what: str  # start, drain, leave, die, vanish, return, freeze, hang, neighbour, kill, revive, flood, restart
     who: int  # number of the box or balancer
-    until_ns: int = 0  # freeze, neighbour, flood: its end; restart: time of the SIGKILL
+    until_ns: int = 0  # freeze, hang, neighbour, flood: its end; restart: time of the SIGKILL
     size: float = 0.0  # neighbour: share taken; flood: connections; restart: 1 if more signals follow SIGTERM
     sources: int = 0  # flood: number of source addresses
 
@@ -220,6 +220,13 @@
             at_ns = max(end_ns, at_ns + int(interval_ns * rng.uniform(0.8, 1.2)))
 
 
+def _add_hangs(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
+    """Boxes that hang in the middle of each response."""
+    at_ns, end_ns = int(fault.at_s * SECOND), int((fault.at_s + fault.for_s) * SECOND)
+    for slot in _sample_slots(rng, current, fault.part):
+        plan.happenings.append(Happening(at_ns, "hang", current[slot], end_ns))
+
+
 def _add_neighbours(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
     for slot in _sample_slots(rng, current, fault.part):
         at_ns, share_taken = int((fault.at_s + rng.random()) * SECOND), rng.uniform(*fault.take)
@@ -367,6 +374,7 @@
 
 ADD_FAULT = {
     "freeze": _add_freezes,
+    "hang": _add_hangs,
     "neighbour": _add_neighbours,
     "deploy": _add_deploy,
     "crash": _add_crashes,
--- a/lanemux/rehearsal/records.py
+++ b/lanemux/rehearsal/records.py
@@ -28,6 +28,7 @@
     digest: str = ""  # of the body of a 200 response
     served_ns: int = 0  # processing time spent on it
     told_ms: int = 0  # the timeout that the balancer stated; 0: none
+    interrupted: bool = False  # its response has begun, and its box hangs in the middle of it
 
 
 @dataclass(slots=True)
@@ -53,7 +54,9 @@
     sent_ns: int = 0  # when its last byte was written; 0: never
     deadline_ns: int = 0  # as stated to the balancer
     end_ns: int = 0
-    how: str = ""  # answered, lost (connection ended), silent (no answer in time), left, refused (no connection)
+    # answered, lost (connection ended), cut (the same in the middle of a response), silent (no answer in time), left,
+    # refused (no connection)
+    how: str = ""
     status: int = 0
     digest: str = ""
     retry_after: str = ""
@@ -76,7 +79,7 @@
     """A period that a box or a balancer spent in one state, for the rules and the plots."""
 
     who: int
-    state: str  # frozen, cold, draining, down, restarting, fallen
+    state: str  # frozen, hung, cold, draining, down, restarting, fallen
     from_ns: int
     to_ns: int = NEVER
 
--- a/lanemux/rehearsal/rules.py
+++ b/lanemux/rehearsal/rules.py
@@ -22,6 +22,7 @@
 
 LIMIT_GRACE_NS = 50 * MS  # added to each time limit on sockets (PROTOCOL)
 CLIENT_LEFT_GRACE_NS = 100 * MS  # no attempt may begin this long after its client disconnected
+FINAL_ANSWER_GRACE_NS = 500 * MS  # an answer up to this late earns nothing but is not lost
 DEADLINE_SLACK_NS = 150 * MS  # an upstream may be given this much more time than the client has left
 RULES = ("lost", "twice", "drain", "cold", "foreign", "deadline")
 
@@ -104,6 +105,8 @@
                 "",
                 f"{context}; its connection ended at {_format_s(entry.end_ns)} with no whole answer",
             )
+        elif entry.how == "cut" and (fault := _cut_at_fault(entry, by_id)):
+            yield Violation("lost", entry.end_ns, entry.id, "", f"{context}; {fault}")
         elif entry.how == "silent":
             yield Violation(
                 "lost",
@@ -127,6 +130,16 @@
                 )
 
 
+def _cut_at_fault(entry: Try, by_id: Mapping[str, list[Attempt]]) -> str:
+    """How a balancer is at fault for a response that was cut off, or "": only what its box never gave may be missing,
+    and the client has to learn that in time."""
+    if not any(attempt.interrupted for attempt in by_id.get(entry.id, ())):
+        return f"its response was cut off at {_format_s(entry.end_ns)}, and no box had interrupted it"
+    if entry.end_ns > entry.deadline_ns + FINAL_ANSWER_GRACE_NS + LIMIT_GRACE_NS:
+        return f"due by {_format_s(entry.deadline_ns)}, its response was cut off only at {_format_s(entry.end_ns)}"
+    return ""
+
+
 def _attempt_read_before_close(entry: Try, by_id: Mapping[str, list[Attempt]]) -> Attempt | None:
     """The attempt that proves that the balancer had read this request before it closed the idle connection."""
     if not entry.crossed_ns:
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -16,7 +16,19 @@
 MAX_BOXES = 120  # at most 250 with their successors: one byte of a loopback address holds the number
 MAX_BALANCERS = 192  # one byte of a loopback address holds the number; 200 and above are the harness's own
 MAX_ASKS = 200_000  # the records of a run stay in memory, some KiB for each ask
-FAULT_KINDS = ("freeze", "neighbour", "heavy", "deploy", "crash", "vanish", "kill", "flood", "partner", "restart")
+FAULT_KINDS = (
+    "freeze",
+    "neighbour",
+    "heavy",
+    "deploy",
+    "crash",
+    "vanish",
+    "kill",
+    "flood",
+    "partner",
+    "restart",
+    "hang",
+)
 BALANCER_EVENTS = ("kill", "revive", "flood", "restart")  # events of balancers, not of boxes
 
 
--- a/lanemux/rehearsal/service.py
+++ b/lanemux/rehearsal/service.py
@@ -59,7 +59,7 @@
     answered_late: int = 0
     tries: int = 0
     refused: int = 0  # tries
-    failed: int = 0  # tries answered with anything but 200 or a refusal
+    failed: int = 0  # tries answered with anything but 200 or a refusal, or cut off in the middle of a response
     unreached: int = 0  # tries that could not connect to a balancer
     attempts: int = 0
     attempts_per_ask: float = 0.0
@@ -256,7 +256,9 @@
         answered_late=sum(result.served_ns >= 0 and not result.in_time for result in results),
         tries=len(tries),
         refused=len(refused),
-        failed=sum(entry.how == "answered" and entry.status not in (200, 429, 503) for entry in tries),
+        failed=sum(
+            entry.how == "cut" or (entry.how == "answered" and entry.status not in (200, 429, 503)) for entry in tries
+        ),
         unreached=sum(entry.how == "refused" for entry in tries),
         attempts=len(attempts),
         attempts_per_ask=len(attempts) / ask_count,
@@ -314,7 +316,7 @@
         refused = entry.how == "answered" and entry.status in (429, 503)
         point.refused_before_attempt += refused and entry.id not in attempted
         point.refused_after_attempt += refused and entry.id in attempted
-        point.failed += entry.how == "answered" and entry.status not in (200, 429, 503)
+        point.failed += entry.how == "cut" or (entry.how == "answered" and entry.status not in (200, 429, 503))
         point.unanswered += entry.how in ("lost", "silent", "refused")
     for attempt in boxes.attempts:
         point_at(attempt.whole_ns).attempts += 1
--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -42,6 +42,7 @@
 MAX_ACCEPT_OUTAGE_SHARE = 0.33  # of the deadline: must leave time for a final answer to the shortest try
 WALL_CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 DEADLINES_MS = (300.0, 600.0, 1500.0)
+HANG_SHARE = 0.4  # of the runs: boxes hang in the middle of their responses
 MANY_BALANCERS = 12
 SMALL_RESTART_PART = (0.05, 0.15)
 START_CALLS = ("open", "opendir", "read", "stat", "dlopen", "close", "epoll_ctl", "socket", "bind", "fcntl")
@@ -185,12 +186,19 @@
             discovery=Discovery(notice_s=(0.2, 2.0), add_s=(0.2, 1.0)),
             hold_up_ms=HOLD_UP_S * 1000 if injection.hold_up_share else 0.0,
             expect=Expect(service_least=SERVICE_LEAST),
-            faults=tuple(_draw_faults(rng, seconds)),
+            faults=(*_draw_faults(rng, seconds), *_draw_hangs(random.Random(f"soak-hang/{seed}"), seconds)),
         ),
         f"seed {seed}",
     )
 
 
+def _draw_hangs(rng: random.Random, seconds: float) -> list[Fault]:
+    """In some runs boxes hang in the middle of their responses."""
+    if rng.random() >= HANG_SHARE:
+        return []
+    return [Fault("hang", at_s=rng.uniform(1.0, seconds - 3.0), for_s=rng.uniform(0.5, 2.0), part=(0.1, 0.3))]
+
+
 def _draw_faults(rng: random.Random, seconds: float) -> list[Fault]:
     """A rolling restart of the balancers, which every seed has, and two or three other faults."""
     faults = [
--- a/lanemux/virtual/faults/box.py
+++ b/lanemux/virtual/faults/box.py
@@ -28,6 +28,7 @@
             "die": self._die,
             "outage": self._outage,
             "freeze": self._freeze,
+            "hang": self._hang,
             "vanish": self._vanish,
             "swap": self._swap,
             "trade": self._trade,
@@ -85,6 +86,9 @@
     def _freeze(self, box: int, duration_ns: int, trigger: object) -> None:
         self._simulation.change_box("freeze", box, self._simulation.now() + duration_ns)
 
+    def _hang(self, box: int, duration_ns: int, trigger: object) -> None:
+        self._simulation.change_box("hang", box, self._simulation.now() + duration_ns)
+
     def _vanish(self, box: int, duration_ns: int, trigger: object) -> None:
         if self._begin_transition(box):
             self._simulation.change_box("vanish", box)
--- a/lanemux/virtual/module_monitor.py
+++ b/lanemux/virtual/module_monitor.py
@@ -9,6 +9,7 @@
 from lanemux.net.decisions import Module
 from lanemux.policy import Balancer
 from lanemux.rehearsal.plan import MS
+from lanemux.rehearsal.rules import FINAL_ANSWER_GRACE_NS
 
 TIMEOUT_GRACE_NS = 5 * MS  # an attempt may end this much after its timeout, since turns take time
 
@@ -35,6 +36,7 @@
             wrap_module(self.balancer_module, settings, seed, now) if wrap_module is not None else self.balancer_module
         )
         self.open_attempts: dict[tuple[str, int], int] = {}  # attempt -> when it times out; 0: no timeout
+        self._deadlines_ns: dict[str, int] = {}  # by request
         self._send_counts: Counter[str] = Counter()
         self._report_violation, self._was_exempt, self._on_list_update, self._on_send = (
             report_violation,
@@ -61,6 +63,12 @@
         for event in events:
             if isinstance(event, api.ListUpdate):
                 self._on_list_update(now, event)
+            elif isinstance(event, api.Arrival):
+                self._deadlines_ns[event.request] = event.deadline_ns
+            elif isinstance(event, api.ResponseStarted):
+                # Its own timeout stops; the request's final answer is still due.
+                due_ns = self._deadlines_ns[event.request] + FINAL_ANSWER_GRACE_NS
+                self.open_attempts[event.request, event.attempt] = due_ns
             elif isinstance(event, api.Outcome):
                 times_out_ns = self.open_attempts.pop((event.request, event.attempt), None)
                 if times_out_ns is None:
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, cast
 
+from lanemux.core.system import RESET_ON_CLOSE, ConnectedSocket
 from lanemux.virtual.disk import Disk
 from lanemux.virtual.event_queue import NEVER
 from lanemux.virtual.loop import VirtualLoop
@@ -127,6 +128,9 @@
     def has_unread(self, connection: object) -> bool:
         return False  # a virtual loop reads arrived data before anything else
 
+    def reset_on_close(self, connection: ConnectedSocket) -> None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def sleep(self, for_s: float) -> None:
         """No-op: a virtual process has its event loop from the start, so nothing waits outside it."""
 
--- a/lanemux/virtual/rule_checker.py
+++ b/lanemux/virtual/rule_checker.py
@@ -169,6 +169,9 @@
         answer may be exempt."""
         if entry.how == "lost" and self._exemptions.never_accepted(entry):
             return
+        if entry.how == "cut":
+            exempt_ns = self._exemptions.exempt_ns(entry.balancer, entry.sent_ns, entry.end_ns)
+            entry = dataclasses.replace(entry, deadline_ns=entry.deadline_ns + exempt_ns)
         yield from lost_requests(self._callers, self._by_id, self._hosts, [entry])
         if entry.how != "answered":
             return
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -40,6 +40,7 @@
     "drain": (4, 800, 2500),  # a box: announced at once; it exits after the duration, and restarts cold
     "die": (2, 300, 2000),  # a box: its process dies, and restarts cold after the duration
     "freeze": (2, 20, 600),  # a box is paused
+    "hang": (0, 300, 2500),  # a box hangs in the middle of its answers
     "vanish": (1, 400, 2500),  # a box becomes unreachable without notice
     "swap": (2, 300, 1500),  # a box is gone for good; another one starts cold at its address
     "still": (3, 5, 1500),  # a balancer's process is paused
@@ -72,7 +73,8 @@
     "outage": (0, 400, 2500),  # storms: a third of the boxes die together; each restarts cold after a time of its own
 }
 ETCD_FAULTS = ("drop", "member", "stall", "compact")
-BOX_FAULTS = ("drain", "die", "freeze", "vanish", "swap", "reset", "hold", "shut", "mute", "trade", "outage")
+BOX_FAULTS = ("drain", "die", "freeze", "vanish", "swap", "reset", "hold", "shut", "mute", "trade", "outage", "hang")
+HANG_SHARE = 0.25  # of the seeds: a box hangs in the middle of its answers; drawn apart from the other faults
 STORM_ONLY_FAULTS = ("outage",)  # drawn only with `storm`
 EVENT_TARGET = -1  # the party that the triggering event concerns
 MAX_FAULTS = 6
@@ -241,9 +243,18 @@
                     who=simultaneous.who if fault.on or simultaneous.who != EVENT_TARGET else 0,
                 )
             )
+    faults += _draw_hang(seed, world)
     return Script(seed, tuple(faults), storm=storm)
 
 
+def _draw_hang(seed: int, world: WorldSetup) -> list[Fault]:
+    rng = random.Random(f"{seed}/hang")
+    if rng.random() >= HANG_SHARE:
+        return []
+    box, at_ms = rng.randrange(world.scenario.fleet.boxes), rng.uniform(0, SECONDS * 1000)
+    return [Fault("hang", box, at_ms=round(at_ms, 3), for_ms=round(rng.uniform(*FAULTS["hang"][1:]), 1))]
+
+
 def _fault(rng: random.Random, world: WorldSetup) -> Fault:
     source = world.scenario.discovery.source
     kinds = [
--- a/lanemux/virtual/simulation.py
+++ b/lanemux/virtual/simulation.py
@@ -61,7 +61,7 @@
 MIN_CLIENT_CONNECTIONS, RESERVED_DESCRIPTORS = 8, 32
 STORM_OPTIONS = StormOptions()
 # Happenings of a scenario's own plan that concern boxes.
-PLANNED_BOX_CHANGES = ("die", "start", "drain", "leave", "vanish", "return", "freeze", "neighbour")
+PLANNED_BOX_CHANGES = ("die", "start", "drain", "leave", "vanish", "return", "freeze", "hang", "neighbour")
 
 
 @dataclass(slots=True)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -205,7 +205,11 @@
 def settings(in_answers: bool = False, **limits: Any) -> api.Settings:
     return api.Settings(
         reports_in_answers=in_answers,
-        classes={"read": api.RequestClass("read"), "pay": api.RequestClass("pay", api.Effect.UNSAFE)},
+        classes={
+            "read": api.RequestClass("read"),
+            "pay": api.RequestClass("pay", api.Effect.UNSAFE),
+            "feed": api.RequestClass("feed", stream=True),
+        },
         limits=api.Limits(**{"max_attempts": 3, "connect_timeout_ns": 2000 * MS, **limits}),
         report_columns=("inflight",),
     )
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,7 +15,7 @@
 from lanemux import interface as api
 from lanemux.interface import Result
 from lanemux.net.http import MAX_BUFFERED_RESPONSE, MessageReader
-from lanemux.net.node import STREAM_IDLE_TIMEOUT_NS
+from lanemux.net.streamed_response import IDLE_TIMEOUT_NS
 from lanemux.net.upstream import MAX_PIECE, MIN_PIECE, STREAMING_BYTES, PoolManager
 from lanemux.policy import Balancer
 from tests.sockets import Answer, Client, Got, Script, Upstream, Writer, answers, node, request, run, settings, until
@@ -189,7 +189,8 @@
                 await asyncio.sleep(0.05)
                 assert transport.get_write_buffer_size() <= 2 * MAX_PIECE
             assert written < 32 * 1024 * 1024
-            call.last_progress_ns -= 2 * STREAM_IDLE_TIMEOUT_NS
+            assert call.stream is not None
+            call.stream.last_progress_ns -= 2 * IDLE_TIMEOUT_NS
             client.node._sweep_idle()
             assert not client.node._streaming and client.node.tally.aborted["read"] == 1
 
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -74,6 +74,13 @@
         "end = min(end, self._module_runner.decided_ns + action.timeout_ns)",
         "end = now + action.timeout_ns",
     ),
+    _one(
+        "hangs-past-deadline",
+        "regression: a short response whose upstream hangs ends soon after its deadline",
+        "net/streamed_response.py",
+        "        if self._deadline_ns is None or self.is_long or not self.waits_for_upstream:\n",
+        "        if True:\n",
+    ),
     _one(
         "reset-at-drain",
         "regression: connections that wait to be accepted when a drain ends are answered",
