A short response is ended 0.35 s after its deadline, so that pauses before it don't count

Change: it counts as hung 0.35 s after its deadline or its last byte, whichever is later. 0.5 s after the deadline are allowed, 0.15 s of them for a process that is held up.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -492,7 +492,7 @@
 
         The sweep alone would be too late: the final answer is due within half a second of the deadline."""
         if stream.deadline_applies:
-            check_ns = max(active.deadline_ns, min(stream.stalled_from_ns(), now_ns() + HANG_TIMEOUT_NS))
+            check_ns = min(stream.stalled_from_ns(), max(active.deadline_ns, now_ns()) + HANG_TIMEOUT_NS)
             active.timer = self._loop.call_at(check_ns / SECOND, self._check_deadline, active, stream)
 
     def _check_deadline(self, active: ActiveRequest, stream: StreamedResponse) -> None:
--- a/lanemux/net/streamed_response.py
+++ b/lanemux/net/streamed_response.py
@@ -12,8 +12,9 @@
 MS = 1_000_000
 SECOND = 1000 * MS
 UPSTREAM_TIMEOUT_NS = 15 * SECOND  # an upstream that gives nothing for this long has lost the rest of its response
-# From the deadline on, an upstream silent for this long has hung. The final answer is due 0.5 s after the deadline.
-HANG_TIMEOUT_NS = 300 * MS
+# Once the deadline has passed, an upstream silent for this long has hung. The final answer is due 0.5 s after the
+# deadline, and this process may be held up for 0.15 s of that.
+HANG_TIMEOUT_NS = 350 * MS
 
 
 class StreamClient(Protocol):
@@ -92,4 +93,4 @@
             return self.last_progress_ns + CLIENT_TIMEOUT_NS
         if self._deadline_ns is None or self.is_long:
             return self.last_progress_ns + UPSTREAM_TIMEOUT_NS
-        return max(self._deadline_ns, self.last_progress_ns + HANG_TIMEOUT_NS)
+        return max(self._deadline_ns, self.last_progress_ns) + HANG_TIMEOUT_NS
