--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -80,6 +80,10 @@
     """Raised to the parser to stop it: bytes follow a complete response."""
 
 
+class TooManyFields(Exception):
+    """Raised to the parser to stop it: the rest of the head is of no use."""
+
+
 class MessageReader:
     """Parses a connection's bytes into messages; header names are in lower case.
 
@@ -211,6 +215,7 @@
             self._headers.append((name.lower(), value.strip(b" \t")))
             if len(self._headers) > MAX_FIELDS:
                 self._refuse(431)
+                raise TooManyFields
 
     def _add_head_size(self, size: int) -> None:
         self._head_size += size
