--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from lanemux.rehearsal.balancers import SOCKETS
 from lanemux.rehearsal.calls.rules import TRANSIENT_ERRORS, WHOLE_RUN_MS, Rule
 from lanemux.rehearsal.injection_plan import HOLD_UP_S, ClockStep, InjectionPlan, Window
 from lanemux.rehearsal.scenario import (
@@ -43,6 +42,7 @@
 MAX_ACCEPT_OUTAGE_SHARE = 0.33  # of the deadline: must leave time for a final answer to the shortest try
 WALL_CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 DEADLINES_MS = (300.0, 600.0, 1500.0)
+STOPPED_CLIENTS = 341  # a third of a balancer's 1,024 descriptors, which is what clients hold at most
 LONG_HEADS_SHARE = 0.3  # of the runs: clients stop in heads of many lines
 HANG_SHARE = 0.4  # of the runs: boxes hang in the middle of their responses
 MANY_BALANCERS = 12
@@ -210,7 +210,7 @@
     if rng.random() >= LONG_HEADS_SHARE:
         return []
     at_s = rng.uniform(1.0, seconds - 3.0)
-    return [Fault("flood", at_s=at_s, for_s=2.5, connections=SOCKETS // 3, head_lines=rng.choice((250, 1000, 3200)))]
+    return [Fault("flood", at_s=at_s, for_s=2.5, connections=STOPPED_CLIENTS, head_lines=rng.choice((250, 1000, 3200)))]
 
 
 def _draw_faults(rng: random.Random, seconds: float) -> list[Fault]:
