--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import assert_never
 
 from lanemux import interface as api
@@ -13,6 +12,7 @@
 from lanemux.core.source import SourceFactory
 from lanemux.core.system import Machine, System
 from lanemux.core.tally import Tally
+from lanemux.net.active_request import ActiveRequest
 from lanemux.net.admission import ConnectionAdmission
 from lanemux.net.client_connection import ClientConnection
 from lanemux.net.config import Config
@@ -25,7 +25,7 @@
 from lanemux.net.receive_budget import ReceiveBudget
 from lanemux.net.server import Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
-from lanemux.net.streamed_response import HANG_TIMEOUT_NS, StreamedResponse
+from lanemux.net.stream_supervisor import StreamSupervisor
 from lanemux.net.upstream import BodySink, Exchange, OnStreamStart, PoolManager
 from lanemux.net.upstream_set import UpstreamSet
 
@@ -45,22 +45,6 @@
 DRAIN_TIMEOUT_S = 3.4  # after SIGTERM, requests that are still open then are ended
 
 
-@dataclass(slots=True, eq=False)
-class ActiveRequest:
-    """A request that was accepted and has no final response yet."""
-
-    id: str
-    client: ClientConnection
-    request: Message
-    deadline_ns: int
-    class_name: str
-    timer: asyncio.TimerHandle | None = None
-    sends: int = 0  # attempts so far
-    exchange: Exchange | None = None
-    finished: bool = False
-    stream: StreamedResponse | None = None  # set once its response is being streamed
-
-
 MakeConnectionAdmission = Callable[[int], ConnectionAdmission]  # argument: the maximum number of connections
 
 
@@ -97,7 +81,7 @@
         self._pool_manager = PoolManager(
             capacity, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True, counter=self.tally
         )
-        self._streaming: dict[str, ActiveRequest] = {}  # requests whose responses are being streamed
+        self.streams = StreamSupervisor(lambda active: self._finish(active, 504))
         self.server = Server(
             self,
             capacity,
@@ -157,8 +141,7 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep_idle)
         self._pool_manager.close_expired()
         self.upstream_set.expire_cordons()
-        for active in list(self._streaming.values()):
-            self._end_if_stalled(active)
+        self.streams.end_stalled()
 
     @property
     def ready(self) -> bool:
@@ -398,7 +381,7 @@
         if active.timer is not None:
             active.timer.cancel()
         del self._active_requests[active.id]
-        self._streaming.pop(active.id, None)
+        self.streams.forget(active)
         del self._by_client[active.client]
         self._active_request_ids.discard(active.request.header(b"req-id"))
         if active.exchange is not None:
@@ -475,44 +458,12 @@
             if active.finished:
                 return None
             has_deadline = not self.config.settings.classes[active.class_name].stream
-            stream = StreamedResponse(active.client, exchange, active.deadline_ns if has_deadline else None)
-            active.stream = stream
-            self._streaming[active.id] = active
-            stream.begin(head)
-            if active.timer is not None:
-                active.timer.cancel()  # its deadline is now the streamed response's
-            self._watch_deadline(active, stream)
+            stream = self.streams.begin(active, exchange, head, has_deadline)
             self.feed(api.ResponseStarted(active.id, attempt_number, upstream, stream.last_progress_ns - sent_ns))
             return stream.pass_on
 
         return on_start
 
-    def _watch_deadline(self, active: ActiveRequest, stream: StreamedResponse) -> None:
-        """Check soon after the deadline whether a streamed response has stalled, and again while the deadline applies.
-
-        The sweep alone would be too late: the final answer is due within half a second of the deadline."""
-        if stream.deadline_applies:
-            check_ns = min(stream.stalled_from_ns(), max(active.deadline_ns, now_ns()) + HANG_TIMEOUT_NS)
-            active.timer = self._loop.call_at(check_ns / SECOND, self._check_deadline, active, stream)
-
-    def _check_deadline(self, active: ActiveRequest, stream: StreamedResponse) -> None:
-        self._end_if_stalled(active)
-        if not active.finished:
-            self._watch_deadline(active, stream)
-
-    def _end_if_stalled(self, active: ActiveRequest) -> None:
-        """Abort a streamed response on which nothing moves any more."""
-        stream, now = active.stream, now_ns()
-        if active.finished or stream is None or now < stream.stalled_from_ns():
-            return
-        silent_s = (now - stream.last_progress_ns) / SECOND
-        if stream.waits_for_upstream and active.exchange is not None:
-            log.info("response aborted: its upstream sent nothing for %.1f s", silent_s)
-            active.exchange.finish(api.Result.TIMEOUT)  # this ends the request, too
-        else:
-            log.info("response aborted: its client took nothing for %.1f s", silent_s)
-        self._finish(active, 504)
-
     def _load_report(self, response: Message | None) -> dict[str, float] | None:
         return load_report(response.header(LOAD_REPORT_HEADER)) if response is not None else None
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -321,7 +321,7 @@
             draining = asyncio.create_task(client.node.drain())
             await until(lambda: not client.node.ready)
             await client.send(request())
-            await until(lambda: client.node._streaming)
+            await until(lambda: client.node.streams.active)
             await until(lambda: client.node.server._listener is None)
             assert not draining.done()
             for transport in (mine, side._transport):  # sending through small buffers would take long
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -178,8 +178,8 @@
             peer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             peer.pause_reading()
             await client.send(request())
-            await until(lambda: client.node._streaming)
-            call = next(iter(client.node._streaming.values()))
+            await until(lambda: client.node.streams.active)
+            call = next(iter(client.node.streams.active.values()))
             transport = call.client._transport
             assert transport is not None
             await until(lambda: transport.get_write_buffer_size() > 0)
@@ -191,7 +191,7 @@
             assert written < 32 * 1024 * 1024
             assert not call.finished
             monkeypatch.setattr(streamed_response, "CLIENT_TIMEOUT_NS", 10**9)
-            await until(lambda: not client.node._streaming)
+            await until(lambda: not client.node.streams.active)
             assert client.node.tally.aborted["read"] == 1
 
     run(test())
@@ -204,9 +204,9 @@
         sends_first(script)
         async with node(script, upstream) as client:
             await client.send(request())
-            await until(lambda: client.node._streaming)
+            await until(lambda: client.node.streams.active)
             client.close()
-            await until(lambda: upstream.closed == 1 and not client.node._streaming)
+            await until(lambda: upstream.closed == 1 and not client.node.streams.active)
             assert client.node._pool_manager.streaming == 0 and script.of(api.ClientGone)
 
     run(test())
@@ -219,7 +219,7 @@
         sends_first(script)
         async with node(script, upstream) as client:
             await client.send(request())
-            await until(lambda: client.node._streaming)
+            await until(lambda: client.node.streams.active)
             await client.send(request())
             _, body, whole = await body_of(client)
             assert body == b"x" and not whole
