--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 from asyncio.subprocess import PIPE, Process
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -34,7 +34,7 @@
 )
 
 READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
-SETTINGS = {
+SETTINGS: dict[str, object] = {
     "profiles": [{"name": "read", "repeat": "read_like", "aim_ns": 3_000_000_000}],
     "limits": {"send_cap": 2, "retry_after": True},
 }
@@ -55,11 +55,16 @@
 
 @asynccontextmanager
 async def program(
-    folder: Path, *upstreams: int, descriptors: int = 1024, operators: Path | None = None, **limits: float
+    folder: Path,
+    *upstreams: int,
+    descriptors: int = 1024,
+    operators: Path | None = None,
+    settings: Mapping[str, object] = SETTINGS,
+    **limits: float,
 ) -> AsyncIterator[tuple[Process, int]]:
     """Run the program; yields the process and its port."""
     path = folder / "config.json"
-    path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits})))
+    path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits}, settings=settings)))
 
     def limit() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
