A response whose head has come is not cut off by the time limits of its attempt

Cause: the time limit of an attempt (the aim, or the client's deadline) ended it unless its stream had begun, and a stream without a length began with the first bytes of the body, or 20 ms after them. Class: a timer that measures the wait for a beginning and is ended by something later.

Evidence: the cut moves with the aim (0.155, 0.267, 0.404 s with aims of 0.15, 0.264, 0.4) and with the deadline where there is no aim, with a head and without one alike.

Change: when a limit passes and the head of a 200 without a length is there, it is streamed from then on; the head goes to the client, so its first bytes are in time. Any other response goes on while it is being received (0.1 s without a byte ends it), until the client's deadline. Heads that stop, short answers that stop, and the 20 ms in which a spoilt answer still gets another attempt stay as they were: no attempt follows a limit.

--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -134,10 +134,15 @@
         """Number of bytes buffered of the current message's body."""
         return len(self._body)
 
+    @property
+    def has_open_ended_body(self) -> bool:
+        """True if a response's head is complete, its length is unknown, and it is not streamed yet."""
+        return self._streamable and self._in_body and not self._streaming and self._length is None
+
     @property
     def has_buffered_body(self) -> bool:
         """True if part of a response's body of unknown length is buffered."""
-        return self._streamable and self._in_body and not self._streaming and bool(self._body) and self._length is None
+        return self.has_open_ended_body and bool(self._body)
 
     @property
     def ends_on_close(self) -> bool:
@@ -145,8 +150,8 @@
         return self._in_body and self._length is None and not self._chunked and not self.error_status
 
     def stream_buffered(self) -> None:
-        """Stream the buffered part of the response and everything that follows."""
-        if self.has_buffered_body:
+        """Stream the head, the buffered part of the response, and everything that follows."""
+        if self.has_open_ended_body:
             self._start_stream()
 
     def _start_stream(self) -> None:
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -342,6 +342,8 @@
         )
 
     def _deadline_passed(self, active: ActiveRequest) -> None:
+        if active.exchange is not None and active.exchange.stream_if_begun():
+            return
         self._finish(active, 504)
         self.feed(api.ClientGone(active.id))
 
@@ -398,9 +400,9 @@
         pool = self._pool_manager.pools.get(action.upstream)
         # The timeout counts from the decision: a stall of the process since then must not push it past the deadline, or
         # the module would be notified too late.
-        end = active.deadline_ns - NODE_DEADLINE_MARGIN_NS if active is not None else now
+        end = deadline = active.deadline_ns - NODE_DEADLINE_MARGIN_NS if active is not None else now
         if action.timeout_ns:
-            end = min(end, self._module_runner.decided_ns + action.timeout_ns)
+            end = min(deadline, self._module_runner.decided_ns + action.timeout_ns)
         if active is not None:
             active.sends += 1
         if (
@@ -422,7 +424,7 @@
             on_written=self._count_forward,
             on_stream_start=self._stream_handler(active, attempt_number, action.upstream, now),
         )
-        active.exchange.start(end / SECOND)
+        active.exchange.start(end / SECOND, deadline / SECOND)
 
     def _count_forward(self) -> None:
         self.tally.forwards += 1
--- a/lanemux/net/streamed_response.py
+++ b/lanemux/net/streamed_response.py
@@ -41,7 +41,9 @@
     """Passes a response on in pieces: reading pauses while the client has not taken the last piece.
 
     A client's deadline ends a response whose upstream hangs, unless its class is streamed (WIRE: "a stream that has
-    started has no deadline") or it is long (DAYS: only its first bytes are timed). One that still moves goes on."""
+    started has no deadline") or it is long (DAYS: only its first bytes are timed). One that still moves goes on. A
+    response without a length counts as long once more than `MAX_BUFFERED_RESPONSE` bytes of it have come: before that
+    it may be a short one, whose end is due with the deadline."""
 
     def __init__(self, client: StreamClient, source: StreamSource, deadline_ns: int | None) -> None:
         """`deadline_ns`: the client's deadline on the loop's clock; None if streams of this class have none."""
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -23,6 +23,7 @@
 
 # How long the start of a response of unknown length is buffered: most malformed responses show within this time.
 BUFFERING_S = 0.02
+RECEIVING_PAUSE_S = 0.1  # a response of which nothing has come for this long is not being received any more
 MAX_PIECE = 64 * 1024  # most bytes read, and so passed on, at once
 MIN_PIECE = 4 * 1024  # bytes; below this the overhead of a read outweighs the data
 STREAMING_BYTES = 8 * 1024 * 1024  # read at once by all streamed responses together
@@ -64,6 +65,7 @@
         self._connecting: Connection | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._deadline_s: float | None = None
         self._failed_locally = False  # the last connect failed on this machine, not at the upstream
         self.local_delay_s = 0.0  # time lost to connects that failed on this machine
 
@@ -79,10 +81,14 @@
             not self.pool.ready or (self._connecting is not None and self._connecting.address != self.pool.address)
         )
 
-    def start(self, deadline_s: float | None) -> None:
-        """Send the request as soon as there is a connection; it times out at `deadline_s` of the loop's clock."""
-        if deadline_s is not None:
-            self._timer = asyncio.get_running_loop().call_at(deadline_s, self._on_timeout)
+    def start(self, limit_s: float | None, deadline_s: float | None = None) -> None:
+        """Send the request as soon as there is a connection.
+
+        It times out at `limit_s` of the loop's clock unless its response has begun: one of unknown length is streamed
+        from then on, and any other may go on until `deadline_s` while it is being received."""
+        self._deadline_s = deadline_s
+        if limit_s is not None:
+            self._timer = asyncio.get_running_loop().call_at(limit_s, self._on_timeout)
         connection = self.pool.reuse()
         if connection is not None:
             self.send_on(connection)
@@ -95,8 +101,27 @@
             self.pool.manager.track_connect(self._connect_task)
 
     def _on_timeout(self) -> None:
+        if self.stream_if_begun():
+            return
+        now_s = self.pool.manager.time()
+        check_s = min(self._receiving_until_s, self._deadline_s or 0.0)
+        if check_s > now_s:
+            self._timer = asyncio.get_running_loop().call_at(check_s, self._on_timeout)
+            return
         self.finish(Result.NOT_SENT if self._failed_locally and self.waiting else Result.TIMEOUT)
 
+    @property
+    def _receiving_until_s(self) -> float:
+        """Until when the response counts as being received if nothing more comes; 0 if none has begun."""
+        return self._connection.receiving_until_s if self._connection is not None else 0.0
+
+    def stream_if_begun(self) -> bool:
+        """Stream a response of unknown length of which at least the head has come.
+
+        It may be long, and of a long response only the beginning has a time limit. True if its stream has begun or has
+        failed to begin: the exchange needs no other end then."""
+        return self._connection is not None and self._connection.stream_open_ended()
+
     def retry_connect(self) -> None:
         """Nothing was sent, for a local reason: send the request on a new connection after a short pause."""
         self._connection = None
@@ -205,6 +230,7 @@
         self._written = False
         self._closed = False
         self.idle_since = 0.0
+        self._last_received_s = 0.0
         pool.manager.open_connections += 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -246,6 +272,7 @@
         return self._pool.manager.buffer()
 
     def buffer_updated(self, count: int) -> None:
+        self._last_received_s = self._pool.manager.time()
         self._handle_responses(self._reader.feed(self._pool.manager.buffer()[:count]))
 
     def eof_received(self) -> None:
@@ -261,12 +288,29 @@
             else:
                 self._transport.resume_reading()
 
-    def _stream_buffered(self) -> None:
-        """The buffering time is over and the response is not complete: start streaming it."""
+    @property
+    def receiving_until_s(self) -> float:
+        """Until when a response that has begun counts as being received if nothing more comes; 0 if none has begun."""
+        return self._last_received_s + RECEIVING_PAUSE_S if self._reader.in_message else 0.0
+
+    def stream_open_ended(self) -> bool:
+        """Start streaming the response if its head is complete and its length unknown; False if that is not so."""
+        if self._closed or not self._reader.has_open_ended_body:
+            return False
+        self._cancel_buffering_timer()
+        self._reader.stream_buffered()
+        self._handle_responses([])
+        return True
+
+    def _cancel_buffering_timer(self) -> None:
+        if self._buffering_timer is not None:
+            self._buffering_timer.cancel()
+            self._buffering_timer = None
+
+    def _buffering_over(self) -> None:
+        """The buffering time is over: a response that is not complete is streamed."""
         self._buffering_timer = None
-        if not self._closed and self._reader.has_buffered_body:
-            self._reader.stream_buffered()
-            self._handle_responses([])
+        self.stream_open_ended()
 
     def _forward_stream(self, exchange: Exchange) -> bool:
         """Pass on what has been read of a streamed response; False if nothing accepts the stream."""
@@ -289,11 +333,9 @@
         if exchange.over:
             return  # the receiver ended the exchange
         if self._reader.has_buffered_body and self._buffering_timer is None:
-            self._buffering_timer = asyncio.get_running_loop().call_later(BUFFERING_S, self._stream_buffered)
+            self._buffering_timer = asyncio.get_running_loop().call_later(BUFFERING_S, self._buffering_over)
         if responses:
-            if self._buffering_timer is not None:
-                self._buffering_timer.cancel()
-                self._buffering_timer = None
+            self._cancel_buffering_timer()
             self._exchange = None
             # A connection that has brought surplus bytes may bring the rest of them: they would meet the next request.
             if not self._reader.has_surplus and responses[0].keep_alive and self._written:
@@ -320,9 +362,7 @@
         if not self._closed:
             self._closed = True
             self._pool.manager.open_connections -= 1
-        if self._buffering_timer is not None:
-            self._buffering_timer.cancel()
-            self._buffering_timer = None
+        self._cancel_buffering_timer()
         if self._transport is not None:
             # abort() closes the socket only in the next loop iteration, when a retry may already have been sent: the
             # request would be on two open connections. write_eof() ends this side's sending at once.
