Attempts without a whole response are counted by how far they had come, and logged

Change: how far an exchange had come (connecting, writing, waiting, receiving, streaming) and its result are counted in failed_attempts of GET /admin/stats.

Measured: tests/test_late_bodies.py::test_an_attempt_that_broke_off_is_counted_by_how_far_it_had_come.

--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -94,6 +94,7 @@
     return {
         "results": results,
         "forwards": tally.forwards,
+        "failed_attempts": tally.failed_attempts,
         "outstanding": balancer.outstanding,
         "discovered": balancer.discovered,
         "ejected": balancer.ejected,
--- a/lanemux/core/tally.py
+++ b/lanemux/core/tally.py
@@ -14,6 +14,7 @@
         self.aborted = dict.fromkeys(self.succeeded, 0)
         self.forwards = 0  # attempts whose last byte was written to an upstream
         self.failed_calls: dict[str, dict[str, int]] = {}  # system call -> errno name -> count
+        self.failed_attempts: dict[str, dict[str, int]] = {}  # phase of the attempt -> result -> count
         self.reloads = 0  # configurations applied after SIGHUP
         self.reloads_refused = 0  # configurations rejected because they could not be read
 
@@ -26,3 +27,8 @@
         """Count a failed system call under the errno name."""
         errors = self.failed_calls.setdefault(call, {})
         errors[error] = errors.get(error, 0) + 1
+
+    def attempt_failed(self, phase: str, result: str) -> None:
+        """Count an attempt that did not get its whole response under how far it had come."""
+        results = self.failed_attempts.setdefault(phase, {})
+        results[result] = results.get(result, 0) + 1
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -438,11 +438,13 @@
         self, active: ActiveRequest, attempt_number: int, upstream: int, sent_ns: int
     ) -> Callable[[api.Result, Message | None], None]:
         def on_end(result: api.Result, response: Message | None) -> None:
-            local_wait_ns = int(active.exchange.local_delay_s * SECOND) if active.exchange is not None else 0
-            active.exchange = None
+            exchange, active.exchange = active.exchange, None
+            local_wait_ns = int(exchange.local_delay_s * SECOND) if exchange is not None else 0
             took = now_ns() - sent_ns - local_wait_ns
             if response is not None:
                 result = _result_of(response)
+            if exchange is not None and result is not api.Result.OK:
+                self._note_failed_attempt(active, attempt_number, exchange, result, took)
             if active.stream is not None:
                 self._finish(active, 200 if result is api.Result.OK else 504)
             elif result is api.Result.OK and response is not None:
@@ -453,6 +455,23 @@
 
         return on_end
 
+    def _note_failed_attempt(
+        self, active: ActiveRequest, attempt_number: int, exchange: Exchange, result: api.Result, took_ns: int
+    ) -> None:
+        phase = exchange.phase
+        self.tally.attempt_failed(phase, result.value)
+        broke_off = phase.has_begun_response and result in (api.Result.TIMEOUT, api.Result.RESET)
+        log.log(
+            logging.INFO if broke_off else logging.DEBUG,
+            "request %s: attempt %d at %s:%d ended with %s after %d ms, %s",
+            active.request.header(b"req-id").decode("latin-1"),
+            attempt_number,
+            *exchange.pool.address,
+            result.value,
+            took_ns // MS,
+            phase,
+        )
+
     def _stream_handler(self, active: ActiveRequest, attempt_number: int, upstream: int, sent_ns: int) -> OnStreamStart:
         """The callback for a response that is too long to buffer, or whose length is not known."""
 
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -12,6 +12,7 @@
 from lanemux.core.address import Address
 from lanemux.core.failures import Backoff, FailureCounter, errno_name, is_local, is_transient_connect_error
 from lanemux.interface import Result
+from lanemux.net.exchange_phase import ExchangePhase
 from lanemux.net.http import MAX_RESPONSE, Message, MessageReader
 
 log = logging.getLogger(__name__)
@@ -74,6 +75,13 @@
         """True until the request is handed to a connection: no byte of it has been sent."""
         return not self.over and self._connection is None
 
+    @property
+    def phase(self) -> ExchangePhase:
+        """How far it has come; of one that is over, how far it had come."""
+        if self._connection is None:
+            return ExchangePhase.CONNECTING
+        return ExchangePhase.STREAMING if self._body_sink is not None else self._connection.phase
+
     @property
     def target_stale(self) -> bool:
         """True if the request is unsent and its upstream has moved or may get no new requests."""
@@ -244,6 +252,13 @@
         """True while open. A connection that the upstream closed leaves its pool one loop iteration later."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def phase(self) -> ExchangePhase:
+        """How far the exchange on it has come, if its response is not streamed."""
+        if self._reader.in_message:
+            return ExchangePhase.RECEIVING
+        return ExchangePhase.WAITING if self._written else ExchangePhase.WRITING
+
     def send(self, exchange: Exchange) -> None:
         """Write the exchange's request."""
         self._exchange, self._written = exchange, False
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -15,7 +15,8 @@
 
 import pytest
 
-from tests.sockets import HOST, Got, Upstream, Writer, request, run
+from tests.sockets import HOST, Got, Script, Upstream, Writer, node, request, run, until
+from tests.test_node import fails_unserved, sends_first
 from tests.test_process import program
 
 AIM_S, DEADLINE_S = 0.264, 0.661
@@ -246,3 +247,33 @@
         assert not late, "\n".join(late)
 
     run(test())
+
+
+def test_an_attempt_that_broke_off_is_counted_by_how_far_it_had_come() -> None:
+    """Guards against: the log and the counters don't tell what a failed attempt was waiting for (report 0f9eef)."""
+
+    async def test() -> None:
+        forms = [
+            Form("head alone", "chunked", 0.0, 0.0, pieces=0, ends=False),
+            Form("length and no body", "length", 0.0, 0.0, 900, pieces=0, ends=False),
+            Form("nothing", "length", 5.0, 5.0, pieces=0, ends=False),
+        ]
+        upstream = await Upstream(gives(forms, set())).start()
+        script = Script()
+        sends_first(script, fails_unserved, timeout_ns=50_000_000)
+        async with node(script, upstream) as client:
+            for form in forms:
+                target = f"/read/{form.name.replace(' ', '_')}"
+                another = client.another()
+                await another.send(request(target, deadline_ms=400))
+                await until(lambda: client.node.held()["calls"])
+                await until(lambda: not client.node.held()["calls"])
+                another.close()
+            counted = client.node.tally.failed_attempts
+        assert counted == {
+            "streaming a response": {"timeout": 1},
+            "receiving a response": {"timeout": 1},
+            "waiting for a response": {"timeout": 1},
+        }
+
+    run(test())
