The module ends a request whose upstream left the list while its response was streamed

Cause: an outcome was taken to its upstream by the list. A streamed response no longer counts as in flight there, so its upstream is forgotten with the list, and the outcome that ends the request was ignored.

Change: the outcome's upstream is the attempt's own.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -935,12 +935,12 @@
         self.actions += [api.SendToPeer(data, peer) for peer, data in datagrams(reports)]
 
     def _on_outcome(self, event: api.Outcome, now: int) -> None:
-        server = self.fleet.servers.get(event.upstream)
         request = self.requests.get(event.request)
-        if request is None or server is None or not 0 <= event.attempt < len(request.attempts):
+        if request is None or not 0 <= event.attempt < len(request.attempts):
             return  # ended long ago, or never sent: ignore it
         attempt = request.attempts[event.attempt]
-        if attempt.result is not None or attempt.server is not server:
+        server = attempt.server  # one whose answer is streamed may have left the list meanwhile
+        if attempt.result is not None or server.id != event.upstream:
             return
         attempt.record_result(event.result, self.settings.rules)
         self._cancel_timer(attempt.overdue_timer)
--- a/tests/test_hung_responses.py
+++ b/tests/test_hung_responses.py
@@ -144,3 +144,18 @@
     module.handle(now + 1000, [api.ResponseStarted("a", 0, sent.upstream, 1000)])
     module.handle(now + SECOND, [api.Outcome("a", 0, sent.upstream, Result.TIMEOUT, SECOND, True)])
     assert module.fleet.servers[sent.upstream].backoff_until_ns > now + SECOND and "a" not in module.requests
+
+
+@pytest.mark.parametrize("relisted", [False, True])
+def test_a_request_ends_whose_upstream_has_left_the_list_while_its_response_was_streamed(relisted: bool) -> None:
+    """Guards against: the module keeps such a request for good."""
+    module = Balancer(settings(), 1, 0)
+    module.handle(0, [api.ListUpdate(api.ListKind.FULL, [api.Upstream(7)])])
+    now = SECOND
+    module.handle(now, [api.Arrival("a", "read", "", now + SECOND)])
+    module.handle(now + 1000, [api.ResponseStarted("a", 0, 7, 1000)])
+    module.handle(now + 2000, [api.ListUpdate(api.ListKind.FULL, [api.Upstream(8)])])
+    if relisted:
+        module.handle(now + 3000, [api.ListUpdate(api.ListKind.FULL, [api.Upstream(7), api.Upstream(8)])])
+    module.handle(now + 4000, [api.Outcome("a", 0, 7, Result.OK, 3000, True)])
+    assert not module.requests
