A connection is read again after a response whose client took no more of it

Cause: reading from an upstream pauses while the client has not taken the last piece. When the response was complete in that moment, its connection went to the pool paused, and the answer to the next request on it was never read. Class: what an exchange sets on a connection stays there for the next one.

Change: a connection that is kept is read again.

Measured: the new test failed before (time-out).

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import assert_never
 
 from lanemux import interface as api
@@ -26,7 +26,7 @@
 from lanemux.net.server import Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.stream_supervisor import StreamSupervisor
-from lanemux.net.upstream import BodySink, Exchange, OnStreamStart, PoolManager
+from lanemux.net.upstream import BodySink, Connection, Exchange, OnStreamStart, PoolManager
 from lanemux.net.upstream_set import UpstreamSet
 
 log = logging.getLogger(__name__)
@@ -205,6 +205,10 @@
             "attempts": self._pool_manager.open_connections - len(self._pool_manager.idle),
         }
 
+    def idle_connections(self) -> Iterable[Connection]:
+        """The open connections to upstreams that wait for their next request."""
+        return self._pool_manager.idle.keys()
+
     def close(self) -> None:
         """Stop immediately: active requests fail, and nothing new is started."""
         self._closed = True
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -295,6 +295,11 @@
             return
         self._handle_responses(self._reader.finish())
 
+    @property
+    def paused(self) -> bool:
+        """True while it is open and not read."""
+        return self._transport is not None and self.usable and not self._transport.is_reading()
+
     def set_paused(self, paused: bool) -> None:
         """Pause (True) or resume reading from the socket."""
         if self._transport is not None:
@@ -416,6 +421,7 @@
         if not self.ready or connection.address != self.address:  # its address may belong to another upstream by now
             connection.close()
             return
+        connection.set_paused(False)  # a streamed response may have ended while its client took no more
         connection.idle_since = self.manager.time()
         self.idle.append(connection)
         self.manager.idle[connection] = None
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -115,6 +115,25 @@
     run(test())
 
 
+def test_a_connection_is_read_again_after_a_response_whose_last_piece_its_client_did_not_take_at_once() -> None:
+    """Guards against: the next request on the connection times out, since reading stayed paused."""
+
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 200
+            pool = client.node._pool_manager.pools[script.ids()[0]]
+            connection = pool.reuse()
+            assert connection is not None
+            connection.set_paused(True)  # as a streamed response leaves it whose client did not take the last piece
+            pool.keep(connection)
+            assert (await client.ask(request())).status == 200 and upstream.opened == 1
+
+    run(test())
+
+
 def test_the_first_bytes_do_not_wait_for_the_rest() -> None:
     async def test() -> None:
         release = asyncio.Event()
