Kit: boxes whose bodies come late, and checks for responses that are given up or unread

Rule lost: a response that its box had begun is not given up until 0.35 s after the deadline. Virtual: an answer that has come is used ('unread'), and no idle connection is paused. A response that was begun in time may end later, as the pages allow; what is still on its way when a box dies or the network holds it back blames nobody.

--- a/lanemux/rehearsal/box_connection.py
+++ b/lanemux/rehearsal/box_connection.py
@@ -27,6 +27,7 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.job: Job | None = None
+        self.late_attempt: Attempt | None = None  # the last one whose body came late
         self.handshake_due = True  # the cost of its handshake is charged with its first request
         self.idle_since_ns = 0
         self.first_lo_ns = 0
@@ -100,6 +101,8 @@
         self._closed_by_balancer(1)
 
     def connection_lost(self, error: Exception | None) -> None:
+        if self.late_attempt is not None and error is not None:
+            self.late_attempt.interrupted = True  # maybe reset on the way
         self._closed_by_balancer(2)  # asyncio calls this one iteration after the poll that saw the close
         self.host.remove(self)
 
@@ -119,13 +122,17 @@
         if self.transport is not None:
             self.transport.write(data)
 
+    def send_part(self, data: bytes) -> None:
+        """Write a part of a response whose rest follows."""
+        self.job = None
+        if self.transport is not None:
+            self.transport.write(data)
+
     def respond_in_part(self, data: bytes) -> None:
         """Write the beginning of a response; its end never comes, so the attempt lasts until the balancer closes."""
         if self.attempt is not None:
             self.attempt.interrupted = True
-        self.job = None
-        if self.transport is not None:
-            self.transport.write(data)
+        self.send_part(data)
 
     def reset(self) -> None:
         """Reset the connection, as happens when the process dies."""
--- a/lanemux/rehearsal/box_host.py
+++ b/lanemux/rehearsal/box_host.py
@@ -11,12 +11,14 @@
 import random
 import socket
 from collections import Counter
+from dataclasses import dataclass
 
 from lanemux.rehearsal import framing
 from lanemux.rehearsal.addresses import Address, bound_socket
 from lanemux.rehearsal.box import BoxModel, Job
 from lanemux.rehearsal.box_connection import RESET, Connection
 from lanemux.rehearsal.box_context import BoxContext
+from lanemux.rehearsal.late_body import LateBody, draw_late_body
 from lanemux.rehearsal.plan import MS, Ask, Box, attempt_work_ns
 from lanemux.rehearsal.records import NEVER, Anomaly, Attempt, StateSpan
 from lanemux.rehearsal.request_form import body_digest, matches_ask, response_body
@@ -27,6 +29,13 @@
 BLOCKING_CONNECTIONS = 4  # fill the accept queue of an isolated box, so that no further connection is established
 
 
+@dataclass(frozen=True, slots=True)
+class LateBodies:
+    """How the bodies of responses are delayed."""
+
+    long: bool  # some are longer than what a balancer buffers
+
+
 class BoxHost:
     """One box: its process, listeners and connections."""
 
@@ -36,6 +45,7 @@
         self.model: BoxModel | None = None  # None: no process is running
         self.suspended = False  # frozen or isolated: the loop does not serve it
         self.hung = False  # it begins its responses and does not end them
+        self.late_bodies: LateBodies | None = None  # set while the bodies of its responses come late
         self._listeners: list[socket.socket] = []
         self._blocking_sockets: list[socket.socket] = []
         self._connections: dict[Connection, None] = {}  # in order of arrival
@@ -100,9 +110,11 @@
                 self._end_attempt(connection.attempt, "died")
                 connection.attempt.open_ns = max(connection.attempt.whole_ns, self.context.poll_time())
                 connection.attempt = connection.job = None
+            if connection.late_attempt is not None:
+                connection.late_attempt.interrupted = True  # what is still on its way is dropped
             connection.reset()
         self._jobs.clear()
-        self.model, self.suspended, self.hung = None, False, False
+        self.model, self.suspended, self.hung, self.late_bodies = None, False, False, None
         for timer in (self._timer, self._unfreeze_timer):
             if timer is not None:
                 timer.cancel()
@@ -172,6 +184,17 @@
         self.hung = False
         self._end_state("hung")
 
+    def delay_bodies(self, for_ns: int, long: bool) -> None:
+        """Send the heads of responses that are due within this time at once, and their bodies late."""
+        if self.model is not None and self.late_bodies is None:
+            self.late_bodies = LateBodies(long)
+            self._begin_state("late_body")
+            self.context.call_at(self.context.now() + for_ns, self._end_late_bodies)
+
+    def _end_late_bodies(self) -> None:
+        self.late_bodies = None
+        self._end_state("late_body")
+
     def isolate(self) -> None:
         """Simulate an unreachable machine: open connections stay open and silent, new ones are never established."""
         if self.model is None:
@@ -414,9 +437,38 @@
         if self.hung:
             connection.respond_in_part(framing.interrupted_response(body))
             return
+        if self.late_bodies is not None:
+            rng = random.Random(f"{self.box.seed}/{attempt.id}/{self._response_count}/late body")
+            self._begin_late_body(
+                connection, attempt, draw_late_body(rng, body, self.late_bodies.long, attempt.told_ms)
+            )
+            return
         attempt.how, attempt.digest = "answered", body_digest(body)
         connection.respond(framing.response(200, body))
 
+    def _begin_late_body(self, connection: Connection, attempt: Attempt, late: LateBody) -> None:
+        attempt.begun_ns = self.context.now()
+        connection.late_attempt = attempt
+        attempt.digest = body_digest(late.body)
+        connection.send_part(late.head)
+        due_ns = max(attempt.begun_ns, attempt.whole_ns + late.due_ns)
+        self.context.call_at(due_ns, self._send_late_piece, connection, attempt, late, 0)
+
+    def _send_late_piece(self, connection: Connection, attempt: Attempt, late: LateBody, number: int) -> None:
+        if connection.attempt is not attempt:
+            return  # it has ended
+        if self.suspended:
+            attempt.interrupted = True  # the rest never comes
+        elif number < len(late.pieces) - 1:
+            connection.send_part(late.pieces[number])
+            due_ns = self.context.now() + late.gap_ns
+            self.context.call_at(due_ns, self._send_late_piece, connection, attempt, late, number + 1)
+        else:
+            attempt.how = "answered"
+            connection.respond(late.pieces[number])
+            if late.closes and connection.transport is not None:
+                connection.transport.close()
+
     def _schedule(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/lanemux/rehearsal/boxes.py
+++ b/lanemux/rehearsal/boxes.py
@@ -65,6 +65,8 @@
                 host.freeze(happening.until_ns - happening.at_ns)
             case "hang":
                 host.hang(happening.until_ns - happening.at_ns)
+            case "late_body":
+                host.delay_bodies(happening.until_ns - happening.at_ns, happening.long_bodies)
             case "neighbour":
                 host.add_noisy_neighbour(happening.size, happening.until_ns)
 
--- a/lanemux/rehearsal/page.py
+++ b/lanemux/rehearsal/page.py
@@ -20,6 +20,7 @@
 STATE_COLOURS = {
     "frozen": "#2b6cb0",
     "hung": "#d53f8c",
+    "late_body": "#b83280",
     "shared": "#b7b7b7",
     "cold": "#38b2ac",
     "draining": "#dd9b1f",
@@ -30,6 +31,7 @@
 STATE_LABELS = {
     "frozen": "frozen",
     "hung": "hung in its responses",
+    "late_body": "late with the bodies of its responses",
     "shared": "shared with another program",
     "cold": "cold",
     "draining": "draining",
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -72,12 +72,13 @@
     """An event that happens to a box or a balancer at a given time."""
 
     at_ns: int
-    what: str  # start, drain, leave, die, vanish, return, freeze, hang, neighbour, kill, revive, flood, restart
+    what: str  # see FAULT_KINDS in scenario.py; start, drain, leave, die, return, revive
     who: int  # number of the box or balancer
-    until_ns: int = 0  # freeze, hang, neighbour, flood: its end; restart: time of the SIGKILL
+    until_ns: int = 0  # freeze, hang, late_body, neighbour, flood: its end; restart: time of the SIGKILL
     size: float = 0.0  # neighbour: share taken; flood: connections; restart: 1 if more signals follow SIGTERM
     sources: int = 0  # flood: number of source addresses
     head_lines: int = 0  # flood: lines of a request's head that each connection sends
+    long_bodies: bool = False  # late_body: some bodies are longer than what a balancer buffers
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +229,13 @@
         plan.happenings.append(Happening(at_ns, "hang", current[slot], end_ns))
 
 
+def _add_late_bodies(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
+    """Boxes that send the body of each response long after its head."""
+    at_ns, end_ns = int(fault.at_s * SECOND), int((fault.at_s + fault.for_s) * SECOND)
+    for slot in _sample_slots(rng, current, fault.part):
+        plan.happenings.append(Happening(at_ns, "late_body", current[slot], end_ns, long_bodies=True))
+
+
 def _add_neighbours(plan: Plan, fault: Fault, rng: random.Random, current: dict[int, int]) -> None:
     for slot in _sample_slots(rng, current, fault.part):
         at_ns, share_taken = int((fault.at_s + rng.random()) * SECOND), rng.uniform(*fault.take)
@@ -380,6 +388,7 @@
 ADD_FAULT = {
     "freeze": _add_freezes,
     "hang": _add_hangs,
+    "late_body": _add_late_bodies,
     "neighbour": _add_neighbours,
     "deploy": _add_deploy,
     "crash": _add_crashes,
--- a/lanemux/rehearsal/records.py
+++ b/lanemux/rehearsal/records.py
@@ -28,7 +28,8 @@
     digest: str = ""  # of the body of a 200 response
     served_ns: int = 0  # processing time spent on it
     told_ms: int = 0  # the timeout that the balancer stated; 0: none
-    interrupted: bool = False  # its response has begun, and its box hangs in the middle of it
+    interrupted: bool = False  # its response has begun, and its box or the network keeps back the rest
+    begun_ns: int = 0  # when its box sent the head of a response whose body comes late; 0: never
 
 
 @dataclass(slots=True)
@@ -79,7 +80,7 @@
     """A period that a box or a balancer spent in one state, for the rules and the plots."""
 
     who: int
-    state: str  # frozen, hung, cold, draining, down, restarting, fallen
+    state: str  # frozen, hung, late_body, cold, draining, down, restarting, fallen
     from_ns: int
     to_ns: int = NEVER
 
--- a/lanemux/rehearsal/rules.py
+++ b/lanemux/rehearsal/rules.py
@@ -23,6 +23,9 @@
 LIMIT_GRACE_NS = 50 * MS  # added to each time limit on sockets (PROTOCOL)
 CLIENT_LEFT_GRACE_NS = 100 * MS  # no attempt may begin this long after its client disconnected
 FINAL_ANSWER_GRACE_NS = 500 * MS  # an answer up to this late earns nothing but is not lost
+# A response that has begun may be given up this long after the deadline: a final answer is due 0.5 s after it, and a
+# balancer may be held up for 0.15 s of that.
+HANG_GRACE_NS = 350 * MS
 DEADLINE_SLACK_NS = 150 * MS  # an upstream may be given this much more time than the client has left
 RULES = ("lost", "twice", "drain", "cold", "foreign", "deadline")
 
@@ -107,6 +110,16 @@
             )
         elif entry.how == "cut" and (fault := _cut_at_fault(entry, by_id)):
             yield Violation("lost", entry.end_ns, entry.id, "", f"{context}; {fault}")
+        elif entry.how == "answered" and entry.status != 200 and (given := _given_up_while_giving(entry, by_id)):
+            yield Violation(
+                "lost",
+                given.end_ns,
+                entry.id,
+                names[given.box],
+                f"{context}; {names[given.box]} had begun its response at {_format_s(given.begun_ns)} and was giving "
+                f"it when its connection was closed by {_format_s(given.end_ns)}; due by "
+                f"{_format_s(entry.deadline_ns)}, it was answered {entry.status} at {_format_s(entry.end_ns)}",
+            )
         elif entry.how == "silent":
             yield Violation(
                 "lost",
@@ -140,6 +153,17 @@
     return ""
 
 
+def _given_up_while_giving(entry: Try, by_id: Mapping[str, list[Attempt]]) -> Attempt | None:
+    """An attempt that the balancer gave up although its box had begun the response in time and nothing held it back."""
+    for attempt in by_id.get(entry.id, ()):
+        if not 0 < attempt.begun_ns < entry.deadline_ns or attempt.how != "cancelled" or attempt.interrupted:
+            continue
+        # The head may still have been on its way.
+        if attempt.begun_ns + LIMIT_GRACE_NS < attempt.end_ns < entry.deadline_ns + HANG_GRACE_NS:
+            return attempt
+    return None
+
+
 def _attempt_read_before_close(entry: Try, by_id: Mapping[str, list[Attempt]]) -> Attempt | None:
     """The attempt that proves that the balancer had read this request before it closed the idle connection."""
     if not entry.crossed_ns:
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -28,6 +28,7 @@
     "partner",
     "restart",
     "hang",
+    "late_body",
 )
 BALANCER_EVENTS = ("kill", "revive", "flood", "restart")  # events of balancers, not of boxes
 
--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -45,6 +45,7 @@
 STOPPED_CLIENTS = 341  # a third of a balancer's 1,024 descriptors, which is what clients hold at most
 LONG_HEADS_SHARE = 0.3  # of the runs: clients stop in heads of many lines
 HANG_SHARE = 0.4  # of the runs: boxes hang in the middle of their responses
+LATE_BODY_SHARE = 0.4  # of the runs: boxes are late with the bodies of their responses
 MANY_BALANCERS = 12
 SMALL_RESTART_PART = (0.05, 0.15)
 START_CALLS = ("open", "opendir", "read", "stat", "dlopen", "close", "epoll_ctl", "socket", "bind", "fcntl")
@@ -191,6 +192,7 @@
             faults=(
                 *_draw_faults(rng, seconds),
                 *_draw_hangs(random.Random(f"soak-hang/{seed}"), seconds),
+                *_draw_late_bodies(random.Random(f"soak-late-body/{seed}"), seconds),
                 *_draw_long_heads(random.Random(f"soak-heads/{seed}"), seconds),
             ),
         ),
@@ -205,6 +207,13 @@
     return [Fault("hang", at_s=rng.uniform(1.0, seconds - 3.0), for_s=rng.uniform(0.5, 2.0), part=(0.1, 0.3))]
 
 
+def _draw_late_bodies(rng: random.Random, seconds: float) -> list[Fault]:
+    """In some runs boxes send the head of a response at once and its body late."""
+    if rng.random() >= LATE_BODY_SHARE:
+        return []
+    return [Fault("late_body", at_s=rng.uniform(1.0, seconds - 4.0), for_s=rng.uniform(1.0, 3.0), part=(0.1, 0.3))]
+
+
 def _draw_long_heads(rng: random.Random, seconds: float) -> list[Fault]:
     """In some runs clients stop in heads of many short lines, as many clients as a third of the descriptors allows."""
     if rng.random() >= LONG_HEADS_SHARE:
--- a/lanemux/virtual/faults/box.py
+++ b/lanemux/virtual/faults/box.py
@@ -14,6 +14,7 @@
     from lanemux.virtual.simulation import Simulation
 
 
+ON_ITS_WAY_NS = SECOND  # a late body may take this long from its box to the balancer
 RESTART_NS = 300 * MS  # from a drained box's exit to its next start
 REMOVAL_ANNOUNCED_SHARE = 0.5  # of trades: discovery announces in between that both boxes are gone
 
@@ -29,6 +30,7 @@
             "outage": self._outage,
             "freeze": self._freeze,
             "hang": self._hang,
+            "late_body": self._late_body,
             "vanish": self._vanish,
             "swap": self._swap,
             "trade": self._trade,
@@ -89,6 +91,9 @@
     def _hang(self, box: int, duration_ns: int, trigger: object) -> None:
         self._simulation.change_box("hang", box, self._simulation.now() + duration_ns)
 
+    def _late_body(self, box: int, duration_ns: int, trigger: object) -> None:
+        self._simulation.change_box("late_body", box, self._simulation.now() + duration_ns)
+
     def _vanish(self, box: int, duration_ns: int, trigger: object) -> None:
         if self._begin_transition(box):
             self._simulation.change_box("vanish", box)
@@ -163,9 +168,21 @@
 
     def _mute(self, box: int, duration_ns: int, trigger: object) -> None:
         if (end := self._pick_stream(box, trigger)) is not None:
+            self._interrupt_attempts(end.label.target)
             end.silence()
 
+    def _interrupt_attempts(self, box: int) -> None:
+        """The late bodies of the box's open responses may not arrive: no balancer is blamed for that."""
+        boxes = self._simulation.boxes
+        if boxes is None or boxes.hosts[box].late_bodies is None:
+            return
+        for attempt in self._simulation.box_books.attempts:
+            on_its_way = attempt.begun_ns and attempt.end_ns > self._simulation.now() - ON_ITS_WAY_NS
+            if attempt.box == box and (on_its_way or not attempt.how):
+                attempt.interrupted = True
+
     def _hold(self, box: int, duration_ns: int, trigger: object) -> None:
+        self._interrupt_attempts(box)
         self._simulation.world.network.hold_traffic("box", box, self._simulation.world.event_queue.now_ns + duration_ns)
 
     def _shut(self, box: int, duration_ns: int, trigger: object) -> None:
--- a/lanemux/virtual/leftovers.py
+++ b/lanemux/virtual/leftovers.py
@@ -23,6 +23,11 @@
     return {name: count for name, count in held.items() if count}
 
 
+def paused_idle_connections(node: Node) -> int:
+    """Connections to boxes that wait for their next request and are not read."""
+    return sum(connection.paused for connection in node.idle_connections())
+
+
 def _requests_held_by_module(balancer_module: Balancer) -> dict[str, int]:
     return {
         "requests": len(balancer_module.requests),
--- a/lanemux/virtual/module_monitor.py
+++ b/lanemux/virtual/module_monitor.py
@@ -28,6 +28,7 @@
         wrap_module: ModuleWrapper | None,
         report_violation: Callable[[str, str], None],
         was_exempt: Callable[[int, int], bool],
+        exempt_ns: Callable[[int, int], int],
         on_list_update: Callable[[int, api.ListUpdate], None],
         on_send: Callable[[], None],
     ) -> None:
@@ -37,6 +38,8 @@
         )
         self.open_attempts: dict[tuple[str, int], int] = {}  # attempt -> when it times out; 0: no timeout
         self._deadlines_ns: dict[str, int] = {}  # by request
+        self._arrivals_ns: dict[str, int] = {}  # by request
+        self._streaming: set[tuple[str, int]] = set()  # attempts whose response has started
         self._send_counts: Counter[str] = Counter()
         self._report_violation, self._was_exempt, self._on_list_update, self._on_send = (
             report_violation,
@@ -44,6 +47,7 @@
             on_list_update,
             on_send,
         )
+        self._exempt_ns = exempt_ns
         self._now = now
 
     def avoided(self, now: int) -> int:
@@ -65,12 +69,17 @@
                 self._on_list_update(now, event)
             elif isinstance(event, api.Arrival):
                 self._deadlines_ns[event.request] = event.deadline_ns
+                self._arrivals_ns[event.request] = now
             elif isinstance(event, api.ResponseStarted):
                 # Its own timeout stops; the request's final answer is still due.
                 due_ns = self._deadlines_ns[event.request] + FINAL_ANSWER_GRACE_NS
                 self.open_attempts[event.request, event.attempt] = due_ns
+                self._streaming.add((event.request, event.attempt))
             elif isinstance(event, api.Outcome):
                 times_out_ns = self.open_attempts.pop((event.request, event.attempt), None)
+                if times_out_ns and (event.request, event.attempt) in self._streaming:
+                    # What arrived while the process was paused moved the response only when it was read.
+                    times_out_ns += self._exempt_ns(self._arrivals_ns[event.request], now)
                 if times_out_ns is None:
                     self._report_violation("outcome", f"an outcome of attempt {event.attempt} that was not out")
                 elif times_out_ns and now > times_out_ns + TIMEOUT_GRACE_NS and not self._was_exempt(times_out_ns, now):
--- a/lanemux/virtual/rule_checker.py
+++ b/lanemux/virtual/rule_checker.py
@@ -14,6 +14,7 @@
 from lanemux.rehearsal.plan import MS, Plan
 from lanemux.rehearsal.records import NEVER, Attempt, BoxRecords, CallerRecords, Told, Try
 from lanemux.rehearsal.rules import (
+    FINAL_ANSWER_GRACE_NS,
     LIMIT_GRACE_NS,
     Violation,
     concurrent_attempts,
@@ -23,6 +24,7 @@
     sends_after_drain,
 )
 
+UNREAD_GRACE_NS = 60 * MS  # for the way of an answer through a balancer
 HERD_SIZE = 20  # refusals examined together
 HERD_REFUSAL_WINDOW_NS = 300 * MS  # within which all of them were sent
 HERD_RETRY_WINDOW_NS = 15 * MS  # violation if half of them retry within less: chance alone needs many more refusals
@@ -114,10 +116,13 @@
         exemptions: Exemptions,
         closed_spans: Callable[[int, int], list[list[int]]] = lambda balancer, box: [],
         location_known: Callable[[int, int], bool] = lambda balancer, box: True,
+        answers_arrive: bool = True,
     ) -> None:
         """`closed_spans`: when a balancer (by number) had read that a box (by number) drains or is gone;
-        `location_known`: whether it has read the box's current address."""
+        `location_known`: whether it has read the box's current address; `answers_arrive`: the network loses and holds
+        back nothing that a box sends."""
         self._closed_spans, self._location_known = closed_spans, location_known
+        self._answers_arrive = answers_arrive
         self._plan, self._boxes, self._callers, self._exemptions = plan, boxes, callers, exemptions
         self._hosts = [box.host for box in plan.boxes]
         self._grace_ns = int(plan.scenario.fleet.drain_grace_ms * MS)
@@ -173,10 +178,11 @@
             exempt_ns = self._exemptions.exempt_ns(entry.balancer, entry.sent_ns, entry.end_ns)
             entry = dataclasses.replace(entry, deadline_ns=entry.deadline_ns + exempt_ns)
         yield from lost_requests(self._callers, self._by_id, self._hosts, [entry])
+        yield from self._check_unread(entry)
         if entry.how != "answered":
             return
-        latest_ns = entry.deadline_ns + LIMIT_GRACE_NS
-        latest_ns += self._exemptions.exempt_ns(entry.balancer, entry.sent_ns, entry.end_ns)
+        exempt_ns = self._exemptions.exempt_ns(entry.balancer, entry.sent_ns, entry.end_ns)
+        latest_ns = self._due_ns(entry, exempt_ns) + LIMIT_GRACE_NS
         if entry.end_ns > latest_ns:
             yield Violation(
                 "lost",
@@ -187,6 +193,29 @@
                 f"by balancer {entry.balancer}, with {entry.status}",
             )
 
+    def _check_unread(self, entry: Try) -> Iterable[Violation]:
+        """A box had answered, and the balancer did not take the answer."""
+        if not self._answers_arrive or entry.how != "answered" or entry.status == 200:
+            return
+        exempt_ns = self._exemptions.exempt_ns(entry.balancer, entry.sent_ns, entry.end_ns)
+        for attempt in self._by_id[entry.id]:
+            if attempt.how == "answered" and attempt.end_ns + exempt_ns + UNREAD_GRACE_NS < entry.end_ns:
+                host, earlier_ms = self._hosts[attempt.box], (entry.end_ns - attempt.end_ns) / MS
+                yield Violation(
+                    "unread",
+                    entry.end_ns,
+                    entry.id,
+                    host,
+                    f"answered {entry.status} by balancer {entry.balancer}; {host} had answered {earlier_ms:.1f} ms "
+                    "before",
+                )
+
+    def _due_ns(self, entry: Try, exempt_ns: int) -> int:
+        """When an answer is due: one that its box began in time and was still giving may end after the deadline."""
+        deadline_ns = entry.deadline_ns + exempt_ns
+        late_ends_ns = (a.end_ns for a in self._by_id[entry.id] if 0 < a.begun_ns < deadline_ns and a.digest)
+        return max(deadline_ns, *(end_ns + FINAL_ANSWER_GRACE_NS for end_ns in late_ends_ns), 0)
+
     def _check_drain(self, attempt: Attempt) -> Iterable[Violation]:
         if not self._location_known(attempt.balancer, attempt.box):
             return ()  # meant for the box that the balancer still believes at this address
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -41,6 +41,7 @@
     "die": (2, 300, 2000),  # a box: its process dies, and restarts cold after the duration
     "freeze": (2, 20, 600),  # a box is paused
     "hang": (0, 300, 2500),  # a box hangs in the middle of its answers
+    "late_body": (0, 1500, 5000),  # a box sends the bodies of its answers long after their heads
     "vanish": (1, 400, 2500),  # a box becomes unreachable without notice
     "swap": (2, 300, 1500),  # a box is gone for good; another one starts cold at its address
     "still": (3, 5, 1500),  # a balancer's process is paused
@@ -72,9 +73,25 @@
     "compact": (3, 0, 0),  # etcd: history is compacted while the watch is disconnected
     "outage": (0, 400, 2500),  # storms: a third of the boxes die together; each restarts cold after a time of its own
 }
+HOLDING_BACK_FAULTS = ("hold", "mute")  # the network loses or holds back what a box has sent
 ETCD_FAULTS = ("drop", "member", "stall", "compact")
-BOX_FAULTS = ("drain", "die", "freeze", "vanish", "swap", "reset", "hold", "shut", "mute", "trade", "outage", "hang")
+BOX_FAULTS = (
+    "drain",
+    "die",
+    "freeze",
+    "vanish",
+    "swap",
+    "reset",
+    "hold",
+    "shut",
+    "mute",
+    "trade",
+    "outage",
+    "hang",
+    "late_body",
+)
 HANG_SHARE = 0.25  # of the seeds: a box hangs in the middle of its answers; drawn apart from the other faults
+LATE_BODY_SHARE = 0.5  # of the seeds: a box is late with the bodies of its answers; drawn apart as well
 STORM_ONLY_FAULTS = ("outage",)  # drawn only with `storm`
 EVENT_TARGET = -1  # the party that the triggering event concerns
 MAX_FAULTS = 6
@@ -243,16 +260,18 @@
                     who=simultaneous.who if fault.on or simultaneous.who != EVENT_TARGET else 0,
                 )
             )
-    faults += _draw_hang(seed, world)
+    faults += _draw_apart(seed, world, "hang", HANG_SHARE)
+    faults += _draw_apart(seed, world, "late_body", LATE_BODY_SHARE)
     return Script(seed, tuple(faults), storm=storm)
 
 
-def _draw_hang(seed: int, world: WorldSetup) -> list[Fault]:
-    rng = random.Random(f"{seed}/hang")
-    if rng.random() >= HANG_SHARE:
+def _draw_apart(seed: int, world: WorldSetup, what: str, share: float) -> list[Fault]:
+    """A fault of a box in a share of the seeds, drawn apart: the other faults of a seed stay as they are."""
+    rng = random.Random(f"{seed}/{what}")
+    if rng.random() >= share:
         return []
     box, at_ms = rng.randrange(world.scenario.fleet.boxes), rng.uniform(0, SECONDS * 1000)
-    return [Fault("hang", box, at_ms=round(at_ms, 3), for_ms=round(rng.uniform(*FAULTS["hang"][1:]), 1))]
+    return [Fault(what, box, at_ms=round(at_ms, 3), for_ms=round(rng.uniform(*FAULTS[what][1:]), 1))]
 
 
 def _fault(rng: random.Random, world: WorldSetup) -> Fault:
--- a/lanemux/virtual/simulation.py
+++ b/lanemux/virtual/simulation.py
@@ -49,7 +49,15 @@
 from lanemux.virtual.network import Address, Label
 from lanemux.virtual.process import Process
 from lanemux.virtual.rule_checker import Exemptions, RuleChecker
-from lanemux.virtual.script import BOX_FAULTS, EVENT_TARGET, Fault, Script, WorldSetup, world_setup
+from lanemux.virtual.script import (
+    BOX_FAULTS,
+    EVENT_TARGET,
+    HOLDING_BACK_FAULTS,
+    Fault,
+    Script,
+    WorldSetup,
+    world_setup,
+)
 from lanemux.virtual.world import World
 
 SETTLE_NS = 8 * SECOND  # after the last request: covers the longest fault and the longest deadline
@@ -61,7 +69,7 @@
 MIN_CLIENT_CONNECTIONS, RESERVED_DESCRIPTORS = 8, 32
 STORM_OPTIONS = StormOptions()
 # Happenings of a scenario's own plan that concern boxes.
-PLANNED_BOX_CHANGES = ("die", "start", "drain", "leave", "vanish", "return", "freeze", "hang", "neighbour")
+PLANNED_BOX_CHANGES = ("die", "start", "drain", "leave", "vanish", "return", "freeze", "hang", "late_body", "neighbour")
 
 
 @dataclass(slots=True)
@@ -122,6 +130,7 @@
             self.exemptions,
             self._closed_spans_of,
             lambda balancer, box: box not in self.relocated_boxes.values() or (balancer, box) in self._relocations_read,
+            not any(fault.what in HOLDING_BACK_FAULTS for fault in script.faults),
         )
         self.timeline: list[str] = []
         self.covered: Counter[tuple[str, str]] = Counter()
@@ -150,7 +159,7 @@
             **DiscoveryFaults(self).by_name,
         }
         self.world.on_arrival = self._on_arrival
-        self.world.after_step = self.checker.check
+        self.world.after_step = self._check_step
         self.world.on_process_end = self._check_ended_process
 
     def _number_asks(self) -> None:
@@ -161,6 +170,12 @@
         """Nanoseconds since the start of the run."""
         return self.world.event_queue.now_ns - RUN_START_NS
 
+    def _check_step(self) -> None:
+        self.checker.check()
+        for balancer in self.balancers:
+            if balancer.node is not None and (unread := leftovers.paused_idle_connections(balancer.node)):
+                self._report_violation("unread", f"balancer {balancer.number} has {unread} idle connections paused")
+
     # -- running --
 
     def play(self) -> Result:
@@ -344,7 +359,15 @@
 
         def module(module_settings: api.Settings, seed: int, now: int) -> ModuleMonitor:
             balancer.monitor = ModuleMonitor(
-                module_settings, seed, now, self._wrap_module, report_violation, was_exempt, on_list_update, on_send
+                module_settings,
+                seed,
+                now,
+                self._wrap_module,
+                report_violation,
+                was_exempt,
+                exempt_ns,
+                on_list_update,
+                on_send,
             )
             return balancer.monitor
 
@@ -365,6 +388,9 @@
                 self.exemptions.exempt_ns(balancer.number, due - RUN_START_NS - TIMEOUT_GRACE_NS, at - RUN_START_NS) > 0
             )
 
+        def exempt_ns(since: int, until: int) -> int:
+            return self.exemptions.exempt_ns(balancer.number, since - RUN_START_NS, until - RUN_START_NS)
+
         def up(node: Node) -> None:
             balancer.node = node
 
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -81,6 +81,20 @@
         "        if self._deadline_ns is None or self.is_long:\n",
         "        if True:\n",
     ),
+    _one(
+        "late-body-cut",
+        "regression: a response whose head has come is not cut off by the time limit of its attempt",
+        UPSTREAM,
+        "        if self.stream_if_begun():\n            return\n        now_s",
+        "        now_s",
+    ),
+    _one(
+        "paused-in-pool",
+        "regression: a connection whose last response ended while its client took no more is read again",
+        UPSTREAM,
+        "        connection.set_paused(False)  # a streamed response may have ended while its client took no more\n",
+        "",
+    ),
     _one(
         "reset-at-drain",
         "regression: connections that wait to be accepted when a drain ends are answered",
