--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from asyncio.subprocess import PIPE, Process
+from collections.abc import Mapping
 from pathlib import Path
 
 import pytest
@@ -22,7 +23,7 @@
 from lanemux.takeover.cordon_sync import CordonSync
 from lanemux.takeover.pace import CPU_SLICE_S, MAX_TOTAL_SLEEP_S, SLEEP_S, CpuPacer, start_pacing, stop_pacing
 from tests.sockets import HOST, PATIENCE_S, Got, Upstream, Writer, answers, read, request, run, until, written
-from tests.test_process import config
+from tests.test_process import SETTINGS, config
 
 
 def test_encoded_cordon_is_decoded_unchanged() -> None:
@@ -156,8 +157,8 @@
 class Pair:
     """Processes that share one inherited listener, as the platform starts them."""
 
-    def __init__(self, folder: Path, *upstreams: int) -> None:
-        self.folder, self.upstreams = folder, upstreams
+    def __init__(self, folder: Path, *upstreams: int, settings: Mapping[str, object] = SETTINGS) -> None:
+        self.folder, self.upstreams, self.settings = folder, upstreams, settings
         self.listening = socket.create_server((HOST, 0), backlog=128)
         self.port = self.listening.getsockname()[1]
         self.running: list[Process] = []
@@ -165,7 +166,8 @@
     async def start(self, name: str) -> tuple[Process, int]:
         """Start a process; return it and the port of its admin server."""
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(config(*self.upstreams, limits={"sockets": 256, "cores": 1.0})))
+        limits = {"sockets": 256, "cores": 1.0}
+        path.write_text(json.dumps(config(*self.upstreams, limits=limits, settings=self.settings)))
         env = {
             **os.environ,
             "RELAY_CONFIG": str(path),
