An id that comes again does not run twice, also at the other process of an upgrade

Cause: an id was known only while its request was open. Class: what may still happen at an upstream outlives the state of the request here.

A second arrival is answered 409, as one beside an open request was. During upgrades the processes share a file in $TMPDIR beside the cordons; where it fails, each knows its own. Safe requests are served again.

Why it was not found: the virtual clock sent only safe requests a second time.

Not known to any other balancer than this one: an id that comes to another balancer runs.

--- a/lanemux/admin/extension.py
+++ b/lanemux/admin/extension.py
@@ -5,10 +5,12 @@
 import logging
 
 from lanemux.admin.server import AdminServer
+from lanemux.core.clock import now_ns
 from lanemux.core.system import System
 from lanemux.net.node import Node
 from lanemux.takeover.cordon_sync import CordonSync
 from lanemux.takeover.pace import stop_pacing
+from lanemux.takeover.shared_ids import SharedIds, share_ids
 
 log = logging.getLogger(__name__)
 
@@ -16,21 +18,23 @@
 
 
 class PlatformExtension:
-    """The admin server, and the exchange of cordons between two processes."""
+    """The admin server, and what two processes of one balancer share: cordons, and the ids of requests."""
 
     def __init__(self, node: Node, system: System, folder: str | None) -> None:
         """`folder`: shared by two processes of this balancer; None: there is none."""
-        self._node = node
+        self._node, self._system, self._folder = node, system, folder
         self._admin = AdminServer(node, system) if node.config.admin is not None else None
         self._cordon_sync = (
             CordonSync(system, f"{folder}/{CORDON_FOLDER}", node.upstream_set.apply_cordon)
             if folder is not None
             else None
         )
+        self._shared_ids: SharedIds | None = None
 
     def start(self) -> None:
         """Start before the node reads its upstream list, so that cordons apply from the first decision on."""
         if self._cordon_sync is not None:
+            self._share_ids()
             self._cordon_sync.open()
             self._node.upstream_set.persist_cordon = self._cordon_sync.publish
         if self._admin is not None:
@@ -39,6 +43,15 @@
             except OSError:
                 self._node.background.start("operators' address", self._open_admin_later)
 
+    def _share_ids(self) -> None:
+        """Share the ids of requests that may have run with the other process."""
+        node = self._node
+        self._shared_ids = share_ids(
+            node.claimed_ids, self._system, f"{self._folder}/{CORDON_FOLDER}", now_ns, node.tally
+        )
+        if self._shared_ids is not None:
+            node.claimed_ids = self._shared_ids
+
     def _open_admin(self) -> None:
         assert self._admin is not None and self._node.config.admin is not None
         port = self._admin.open(self._node.config.admin)
@@ -53,6 +66,8 @@
             self._admin.close()
         if self._cordon_sync is not None:
             self._cordon_sync.close()
+        if self._shared_ids is not None:
+            self._shared_ids.close()
 
 
 def make(node: Node, system: System, folder: str | None) -> PlatformExtension:
--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -28,6 +28,7 @@
 FIONREAD, SIOCOUTQ, INT_BYTES = 0x541B, 0x5411, 4
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time to linger (socket(7))
 UNBLOCK_TRIES = 5  # attempts to make an accepted connection non-blocking
+FILE_MODE = 0o600
 READ_BYTES = 64 * 1024  # chunk size for files: memory use follows the actual size, not the size limit
 
 
@@ -55,6 +56,19 @@
     def setsockopt(self, level: int, option: int, value: bytes) -> None: ...
 
 
+class SharedFile(Protocol):
+    """A file of fixed size that several processes read and write at once. Its content need not survive the machine."""
+
+    def read_at(self, offset: int, size: int) -> bytes:
+        """Read a part. OSError on failure."""
+
+    def write_at(self, offset: int, data: bytes) -> None:
+        """Write a part. OSError on failure."""
+
+    def close(self) -> None:
+        """Close the file."""
+
+
 class System(Protocol):
     """The operating system services used by a balancer."""
 
@@ -103,6 +117,9 @@
 
         OSError if that cannot be guaranteed: the old content is then in place, or the new one, possibly not durable."""
 
+    def open_shared(self, path: str, size: int) -> SharedFile:
+        """Open a file of this size for reading and writing, all zero if it is new. OSError on failure."""
+
     def make_directory(self, path: str) -> None:
         """Create a directory unless it exists. OSError on failure."""
 
@@ -149,6 +166,33 @@
             self._socket.close()
 
 
+class OpenFile:
+    """A `SharedFile` of the operating system."""
+
+    def __init__(self, path: str, size: int) -> None:
+        """OSError if it can't be opened or its size can't be set."""
+        self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, FILE_MODE)
+        try:
+            os.truncate(self._descriptor, size)
+        except OSError:
+            self.close()
+            raise
+
+    def read_at(self, offset: int, size: int) -> bytes:
+        data = os.pread(self._descriptor, size, offset)
+        if len(data) < size:
+            raise OSError(errno.EIO, "a short read")
+        return data
+
+    def write_at(self, offset: int, data: bytes) -> None:
+        if os.pwrite(self._descriptor, data, offset) < len(data):
+            raise OSError(errno.EIO, "a short write")
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            os.close(self._descriptor)
+
+
 @dataclass(frozen=True)
 class Machine:
     """The `System` used in production."""
@@ -242,6 +286,9 @@
                 os.unlink(temporary)
             raise
 
+    def open_shared(self, path: str, size: int) -> SharedFile:
+        return OpenFile(path, size)
+
     def make_directory(self, path: str) -> None:
         os.makedirs(path, exist_ok=True)
 
--- a/lanemux/interface.py
+++ b/lanemux/interface.py
@@ -274,7 +274,9 @@
 
     request: str
     upstream: int
-    timeout_ns: int = 0  # 0: no timeout before the client gives up
+    # 0: no timeout before the client gives up. A response of which bytes are coming in then may still go on until the
+    # client's deadline; one of unknown length starts to be streamed.
+    timeout_ns: int = 0
 
 
 class Refuse(NamedTuple):
--- a/lanemux/net/active_request.py
+++ b/lanemux/net/active_request.py
@@ -22,6 +22,7 @@
     class_name: str
     timer: asyncio.TimerHandle | None = None  # of its deadline
     sends: int = 0  # attempts so far
+    may_have_run: bool = False  # the last byte of an attempt has been written to an upstream
     exchange: Exchange | None = None  # the attempt in flight
     finished: bool = False
     stream: StreamedResponse | None = None  # set once its response is being streamed
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -8,6 +8,7 @@
 from typing import assert_never
 
 from lanemux import interface as api
+from lanemux.core.claimed_ids import ClaimedIds, ClaimStore, MemoryStorage
 from lanemux.core.clock import now_ns
 from lanemux.core.source import SourceFactory
 from lanemux.core.system import Machine, System
@@ -67,6 +68,7 @@
         self._active_requests: dict[str, ActiveRequest] = {}
         self._by_client: dict[ClientConnection, ActiveRequest] = {}
         self._active_request_ids: set[bytes] = set()  # the Req-Id of each active request
+        self.claimed_ids: ClaimStore = ClaimedIds(MemoryStorage(), now_ns)  # of requests that must not run again
         self._last_number = 0  # of active requests, which are numbered from 1
         self._closed = False
         self._events: list[api.Event] = []
@@ -318,6 +320,8 @@
         elif self.frontend.refusing or self._limits.max_open and len(self._active_requests) >= self._limits.max_open:
             self.tally.ended(class_name, 503)
             client.answer(503, [(b"Retry-After", OVERLOAD_RETRY_AFTER_S)])
+        elif request_class.effect is not api.Effect.SAFE and not self.claimed_ids.claim(ids[0]):
+            client.answer(409)  # it has run or may run, here or at the other process of an upgrade
         else:
             deadline = received_ns + min(deadline_ms, MAX_DEADLINE_MS) * MS
             self._open(client, request, class_name, deadline)
@@ -389,12 +393,18 @@
         del self._active_requests[active.id]
         self.streams.forget(active)
         del self._by_client[active.client]
-        self._active_request_ids.discard(active.request.header(b"req-id"))
+        request_id = active.request.header(b"req-id")
+        self._active_request_ids.discard(request_id)
+        if not active.may_have_run and self._effect_of(active) is not api.Effect.SAFE:
+            self.claimed_ids.release(request_id)
         if active.exchange is not None:
             active.exchange.finish(api.Result.CANCELLED)
         if self._stopping and not self._active_requests:
             self._drained.set()
 
+    def _effect_of(self, active: ActiveRequest) -> api.Effect:
+        return self.config.settings.classes[active.class_name].effect
+
     # -- attempts --
 
     def _send(self, action: api.Send) -> None:
@@ -425,13 +435,14 @@
             pool,
             lambda: self._attempt_bytes(active.request, end - now_ns()),
             self._outcome_handler(active, attempt_number, action.upstream, now),
-            on_written=self._count_forward,
+            on_written=lambda: self._attempt_written(active),
             on_stream_start=self._stream_handler(active, attempt_number, action.upstream, now),
         )
         active.exchange.start(end / SECOND, deadline / SECOND)
 
-    def _count_forward(self) -> None:
+    def _attempt_written(self, active: ActiveRequest) -> None:
         self.tally.forwards += 1
+        active.may_have_run = True
 
     def _attempt_bytes(self, request: Message, timeout_ns: int) -> bytes:
         headers = [(k, v) for k, v in request.end_to_end() if k != b"req-deadline-ms"]
--- a/lanemux/virtual/faults/client.py
+++ b/lanemux/virtual/faults/client.py
@@ -1,4 +1,4 @@
-"""Client faults: closing, half-closing, and sending a request twice."""
+"""Client faults: closing, half-closing, and sending a request twice or again."""
 
 from __future__ import annotations
 
@@ -28,6 +28,7 @@
             "leave": self._leave,
             "half": self._half,
             "double": self._double,
+            "again": self._again,
         }
 
     def _pick_connection(self, trigger: object) -> ClientConnection | None:
@@ -62,6 +63,21 @@
             address = self._simulation.balancers[line.balancer].place.listen
             self._simulation.kit_process.loop.create_task(self._send_duplicate(address, line.last_request))
 
+    def _again(self, balancer: RestartableBalancer, duration_ns: int, trigger: object) -> None:
+        """A client leaves, and its request comes again under its id, at the same process, whatever its effect."""
+        line = self._pick_connection(trigger)
+        if line is None or line.current_try is None:
+            return
+        target, data = self._simulation.balancers[line.balancer], line.last_request
+        starts = target.starts
+        self._simulation.call_in(self._simulation.kit_process, line.current_try.leave)
+
+        def send() -> None:
+            if target.starts == starts and not target.stopping:
+                self._simulation.kit_process.loop.create_task(self._send_duplicate(target.place.listen, data))
+
+        self._simulation.call_later(duration_ns, send)
+
     async def _send_duplicate(self, address: Address, data: bytes) -> None:
         try:
             transport, _ = await asyncio.get_running_loop().create_connection(asyncio.Protocol, *address)
--- a/lanemux/virtual/module_monitor.py
+++ b/lanemux/virtual/module_monitor.py
@@ -29,6 +29,7 @@
         report_violation: Callable[[str, str], None],
         was_exempt: Callable[[int, int], bool],
         exempt_ns: Callable[[int, int], int],
+        broken_off: Callable[[], int],
         on_list_update: Callable[[int, api.ListUpdate], None],
         on_send: Callable[[], None],
     ) -> None:
@@ -47,7 +48,8 @@
             on_list_update,
             on_send,
         )
-        self._exempt_ns = exempt_ns
+        self._exempt_ns, self._broken_off = exempt_ns, broken_off
+        self._broken_off_before = 0
         self._now = now
 
     def avoided(self, now: int) -> int:
@@ -64,6 +66,8 @@
         if now < self._now:
             self._report_violation("clock", "the clock went back")
         self._now = now
+        broken_off = self._broken_off() - self._broken_off_before
+        self._broken_off_before += broken_off
         for event in events:
             if isinstance(event, api.ListUpdate):
                 self._on_list_update(now, event)
@@ -80,6 +84,9 @@
                 if times_out_ns and (event.request, event.attempt) in self._streaming:
                     # What arrived while the process was paused moved the response only when it was read.
                     times_out_ns += self._exempt_ns(self._arrivals_ns[event.request], now)
+                if times_out_ns and (event.result is api.Result.OK or broken_off):
+                    # Its response was being received: the client's deadline is its time limit.
+                    times_out_ns = max(times_out_ns, self._deadlines_ns[event.request])
                 if times_out_ns is None:
                     self._report_violation("outcome", f"an outcome of attempt {event.attempt} that was not out")
                 elif times_out_ns and now > times_out_ns + TIMEOUT_GRACE_NS and not self._was_exempt(times_out_ns, now):
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, cast
 
-from lanemux.core.system import RESET_ON_CLOSE, ConnectedSocket
+from lanemux.core.system import RESET_ON_CLOSE, ConnectedSocket, SharedFile
 from lanemux.virtual.disk import Disk
 from lanemux.virtual.event_queue import NEVER
 from lanemux.virtual.loop import VirtualLoop
@@ -153,6 +153,9 @@
     def write_atomic(self, path: str, data: bytes) -> None:
         self.disk.replace(path, data)
 
+    def open_shared(self, path: str, size: int) -> SharedFile:
+        raise os_error(errno.ENOSYS)  # no second process of a balancer runs beside the first
+
     def make_directory(self, path: str) -> None:
         """No-op: a virtual disk needs no directories."""
 
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -66,6 +66,7 @@
     "leave": (3, 0, 0),  # a client closes its connection
     "half": (1, 0, 0),  # a client half-closes its connection
     "double": (2, 0, 0),  # a client sends its request again under the same id on another connection
+    "again": (0, 1, 400),  # a client closes its connection and sends its request again under the same id later
     "burst": (2, 20, 200),  # the list changes often during that time
     "drop": (2, 0, 0),  # etcd: watches are closed
     "member": (2, 0, 0),  # etcd: a member restarts
@@ -73,7 +74,7 @@
     "compact": (3, 0, 0),  # etcd: history is compacted while the watch is disconnected
     "outage": (0, 400, 2500),  # storms: a third of the boxes die together; each restarts cold after a time of its own
 }
-HOLDING_BACK_FAULTS = ("hold", "mute")  # the network loses or holds back what a box has sent
+HOLDING_BACK_FAULTS = ("hold", "mute", "reset")  # the network loses or holds back what a box has sent
 ETCD_FAULTS = ("drop", "member", "stall", "compact")
 BOX_FAULTS = (
     "drain",
@@ -91,6 +92,7 @@
     "late_body",
 )
 HANG_SHARE = 0.25  # of the seeds: a box hangs in the middle of its answers; drawn apart from the other faults
+AGAIN_SHARE, MAX_AGAIN = 0.5, 4  # of the seeds, and faults of one: requests come again; drawn apart as well
 LATE_BODY_SHARE = 0.5  # of the seeds: a box is late with the bodies of its answers; drawn apart as well
 STORM_ONLY_FAULTS = ("outage",)  # drawn only with `storm`
 EVENT_TARGET = -1  # the party that the triggering event concerns
@@ -262,6 +264,7 @@
             )
     faults += _draw_apart(seed, world, "hang", HANG_SHARE)
     faults += _draw_apart(seed, world, "late_body", LATE_BODY_SHARE)
+    faults += _draw_again(seed)
     return Script(seed, tuple(faults), storm=storm)
 
 
@@ -274,6 +277,24 @@
     return [Fault(what, box, at_ms=round(at_ms, 3), for_ms=round(rng.uniform(*FAULTS[what][1:]), 1))]
 
 
+def _draw_again(seed: int) -> list[Fault]:
+    """Requests that come again after their clients have left, each tied to a request that a box receives."""
+    rng = random.Random(f"{seed}/again")
+    if rng.random() >= AGAIN_SHARE:
+        return []
+    return [
+        Fault(
+            "again",
+            0,
+            on="box ask",
+            nth=rng.randint(1, 60),
+            lag_us=rng.randrange(20_000),
+            for_ms=round(rng.uniform(*FAULTS["again"][1:]), 1),
+        )
+        for _ in range(rng.randint(1, MAX_AGAIN))
+    ]
+
+
 def _fault(rng: random.Random, world: WorldSetup) -> Fault:
     source = world.scenario.discovery.source
     kinds = [
--- a/lanemux/virtual/simulation.py
+++ b/lanemux/virtual/simulation.py
@@ -21,6 +21,7 @@
 from lanemux.net.config import read_config
 from lanemux.net.daemon import serve
 from lanemux.net.decisions import Module
+from lanemux.net.exchange_phase import ExchangePhase
 from lanemux.net.node import Node
 from lanemux.net.reload import ListSourceSetting
 from lanemux.policy import Balancer
@@ -366,6 +367,7 @@
                 report_violation,
                 was_exempt,
                 exempt_ns,
+                broken_off,
                 on_list_update,
                 on_send,
             )
@@ -391,6 +393,11 @@
         def exempt_ns(since: int, until: int) -> int:
             return self.exemptions.exempt_ns(balancer.number, since - RUN_START_NS, until - RUN_START_NS)
 
+        def broken_off() -> int:
+            """Number of attempts that ended in the middle of a response, in this process."""
+            ends = balancer.node.tally.failed_attempts if balancer.node is not None else {}
+            return sum(ends.get(ExchangePhase.RECEIVING, {}).values())
+
         def up(node: Node) -> None:
             balancer.node = node
 
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import itertools
 import random
 import signal
 import socket
@@ -11,6 +13,10 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from lanemux.core.claimed_ids import ClaimedIds, MemoryStorage
+from lanemux.core.system import Machine
+from lanemux.core.tally import Tally
+from lanemux.takeover.shared_ids import SharedIds, share_ids
 from tests.sockets import HOST, Got, Upstream, Writer, request, run, written
 from tests.takeover.test_takeover import Pair
 from tests.test_process import program
@@ -176,3 +182,47 @@
         assert all(after_s < LEFT_GRACE_S for after_s in late.values()), late
 
     run(test())
+
+
+def test_the_table_of_ids_is_bounded_and_forgets_the_oldest() -> None:
+    now = itertools.count(1)
+    claims = ClaimedIds(MemoryStorage(), lambda: next(now))
+    names = [b"%d" % number for number in range(100_000)]
+    assert all(claims.claim(name) for name in names)
+    assert not any(claims.claim(name) for name in names[-2000:])
+    assert claims.claim(names[0])
+    claims.release(names[-1])
+    assert claims.claim(names[-1])
+
+
+def test_a_claim_from_before_the_machine_started_makes_room_first() -> None:
+    storage = MemoryStorage()
+    future = ClaimedIds(storage, lambda: 10**18)
+    for number in range(100_000):
+        future.claim(b"old %d" % number)
+    claims = ClaimedIds(storage, itertools.count(1).__next__)
+    names = [b"%d" % number for number in range(2000)]
+    assert all(claims.claim(name) for name in names) and not any(claims.claim(name) for name in names)
+
+
+def test_ids_are_known_to_this_process_while_the_shared_file_fails(tmp_path: Path) -> None:
+    class FailingFile(MemoryStorage):
+        def read_at(self, offset: int, size: int) -> bytes:
+            raise OSError(errno.EIO, "EIO")
+
+        def close(self) -> None:
+            pass
+
+    tally = Tally(())
+    shared = SharedIds(ClaimedIds(MemoryStorage(), time.monotonic_ns), FailingFile(), time.monotonic_ns, tally)
+    assert shared.claim(b"a") and not shared.claim(b"a")
+    shared.release(b"a")
+    assert shared.claim(b"a")
+    assert tally.failed_calls == {"shared ids": {"EIO": 3}}
+    (tmp_path / "file").write_bytes(b"")
+    assert (
+        share_ids(
+            ClaimedIds(MemoryStorage(), time.monotonic_ns), Machine(), f"{tmp_path}/file", time.monotonic_ns, tally
+        )
+        is None
+    )
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -67,6 +67,13 @@
         "elif ids[0] in self._active_request_ids:",
         "elif False:",
     ),
+    _one(
+        "id-again",
+        "regression: the id of a request that may have run is refused when it comes again",
+        NODE,
+        "elif request_class.effect is not api.Effect.SAFE and not self.claimed_ids.claim(ids[0]):",
+        "elif False:",
+    ),
     _one(
         "timeout-from-send",
         "regression: the timeout counts from the decision",
