Never two leaders while lease_ms changes in a rolling restart, or beside a new process

Cause: the election knew a voter's number. What its earlier process had promised was taken for as long as the new process's own term; a second process of the same number voted with a memory of its own, and took a lease of the first for its own. Class: a new process is taken for the one that was there.

Beside an old process the new one takes no part until the kernel has freed the old one's lock (takeover/process_lock.py). A promise names the process of the lease it stands for.

--- a/lanemux/admin/extension.py
+++ b/lanemux/admin/extension.py
@@ -8,14 +8,13 @@
 from lanemux.core.clock import now_ns
 from lanemux.core.system import System
 from lanemux.net.node import Node
+from lanemux.takeover import SHARED_FOLDER
 from lanemux.takeover.cordon_sync import CordonSync
 from lanemux.takeover.pace import stop_pacing
 from lanemux.takeover.shared_ids import SharedIds, share_ids
 
 log = logging.getLogger(__name__)
 
-CORDON_FOLDER = "lanemux-words"  # in $TMPDIR, which both processes of a balancer share
-
 
 class PlatformExtension:
     """The admin server, and what two processes of one balancer share: cordons, and the ids of requests."""
@@ -25,7 +24,7 @@
         self._node, self._system, self._folder = node, system, folder
         self._admin = AdminServer(node, system) if node.config.admin is not None else None
         self._cordon_sync = (
-            CordonSync(system, f"{folder}/{CORDON_FOLDER}", node.upstream_set.apply_cordon)
+            CordonSync(system, f"{folder}/{SHARED_FOLDER}", node.upstream_set.apply_cordon)
             if folder is not None
             else None
         )
@@ -47,7 +46,7 @@
         """Share the ids of requests that may have run with the other process."""
         node = self._node
         self._shared_ids = share_ids(
-            node.claimed_ids, self._system, f"{self._folder}/{CORDON_FOLDER}", now_ns, node.tally
+            node.claimed_ids, self._system, f"{self._folder}/{SHARED_FOLDER}", now_ns, node.tally
         )
         if self._shared_ids is not None:
             node.claimed_ids = self._shared_ids
--- a/lanemux/cli.py
+++ b/lanemux/cli.py
@@ -22,6 +22,7 @@
 
     from lanemux.core.source import SourceFactory
     from lanemux.core.system import System
+    from lanemux.net.config import Config
     from lanemux.net.daemon import Extension, MakeModule
     from lanemux.net.node import MakeConnectionAdmission, Node
     from lanemux.operators import OperatorsFile
@@ -116,7 +117,18 @@
 
     from lanemux.fleet.setup import add_membership
 
-    return partial(add_membership, fleet=operators.fleet)
+    return partial(add_membership, fleet=operators.fleet, is_alone=_is_alone)
+
+
+def _is_alone(config: Config) -> Callable[[], bool]:
+    """Return the function that tells whether no other process of this balancer runs."""
+    folder = os.environ.get("TMPDIR")
+    if config.listen_fd is None or folder is None:
+        return lambda: True  # its addresses are its own
+    from lanemux.takeover import SHARED_FOLDER
+    from lanemux.takeover.process_lock import ProcessLock
+
+    return ProcessLock(f"{folder}/{SHARED_FOLDER}").acquire
 
 
 def _serve(arguments: Sequence[str]) -> int:
--- a/lanemux/fleet/election.py
+++ b/lanemux/fleet/election.py
@@ -4,6 +4,9 @@
 its state does not vote until everything that it may have promised has expired. The holder counts its lease from before
 the first message of its round, the other voters from the moment they accepted it, and the holder's is shorter by the
 largest possible difference of clock rates: however late messages arrive, the lease ends at its holder first.
+
+Terms may differ while a new setting is rolled out: a proposal tells the holder's. A lease belongs to a process, not to
+its voter's number: two processes of one balancer run beside each other during an upgrade.
 """
 
 from __future__ import annotations
@@ -46,8 +49,9 @@
 
     kind: MessageKind
     ballot: Ballot
-    promised: Ballot = NO_BALLOT  # REJECT: the ballot that has been promised
+    promised: Ballot = NO_BALLOT  # REJECT: the ballot that has been promised; PROMISE: that of the accepted lease
     leader: int = -1  # PROMISE: the accepted leader whose term has not expired; -1: none
+    term_ns: int = 0  # PROPOSE: how long the proposed lease lasts; 0: not told
 
 
 @dataclass(slots=True)
@@ -85,6 +89,7 @@
         self.no_vote_until_ns = now + term_ns if may_have_voted else now  # until then it takes no part in votes
         self.promised_ballot = NO_BALLOT
         self.accepted_leader = -1  # -1: none
+        self.accepted_ballot = NO_BALLOT  # of the accepted lease
         self.accepted_until_ns = now
         self.lease_end_ns = now  # of its own lease, by its own clock
         self._round: Round | None = None
@@ -104,6 +109,11 @@
             self.accepted_leader if self.accepted_leader not in (-1, self.me) and now < self.accepted_until_ns else None
         )
 
+    def vote_from(self, from_ns: int) -> None:
+        """Take part in votes from then on, and not before."""
+        self.no_vote_until_ns = from_ns
+        self._next_round_ns = from_ns + self._random_delay_ns()
+
     def leave(self, now: int) -> None:
         """Orderly shutdown: give up the lease and start no more rounds."""
         self.lease_end_ns = min(self.lease_end_ns, now)
@@ -152,7 +162,7 @@
             reply = (
                 self._on_prepare(message.ballot)
                 if message.kind is MessageKind.PREPARE
-                else self._on_propose(sender, message.ballot, now)
+                else self._on_propose(sender, message, now)
             )
             if sender == self.me:
                 self._on_reply(self.me, reply, now)
@@ -165,17 +175,19 @@
         if ballot < self.promised_ballot:
             return ElectionMessage(MessageKind.REJECT, ballot, self.promised_ballot, self.accepted_leader)
         self.promised_ballot = ballot
-        return ElectionMessage(MessageKind.PROMISE, ballot, NO_BALLOT, self.accepted_leader)
+        return ElectionMessage(MessageKind.PROMISE, ballot, self.accepted_ballot, self.accepted_leader)
 
-    def _on_propose(self, sender: int, ballot: Ballot, now: int) -> ElectionMessage:
+    def _on_propose(self, sender: int, message: ElectionMessage, now: int) -> ElectionMessage:
+        ballot = message.ballot
         if ballot < self.promised_ballot:
             return ElectionMessage(MessageKind.REJECT, ballot, self.promised_ballot, self.accepted_leader)
-        self.promised_ballot, self.accepted_leader, self.accepted_until_ns = ballot, sender, now + self.term_ns
+        self.promised_ballot = self.accepted_ballot = ballot
+        self.accepted_leader, self.accepted_until_ns = sender, now + max(self.term_ns, message.term_ns)
         return ElectionMessage(MessageKind.ACCEPT, ballot)
 
     def _expire_accepted(self, now: int) -> None:
         if self.accepted_leader >= 0 and now >= self.accepted_until_ns:
-            self.accepted_leader = -1
+            self.accepted_leader, self.accepted_ballot = -1, NO_BALLOT
 
     # -- proposer --
 
@@ -185,11 +197,11 @@
         current = self._round
         if current is None or message.ballot != current.ballot or now >= self._round_deadline_ns(current):
             return  # reply to a round that has ended
-        if message.kind is MessageKind.PROMISE and message.leader in (-1, self.me):
+        if message.kind is MessageKind.PROMISE and self._names_no_other_holder(message):
             current.promised_by.add(sender)
             if not current.proposed and self._is_majority(current.promised_by):
                 current.proposed = True
-                self._broadcast(ElectionMessage(MessageKind.PROPOSE, current.ballot), now)
+                self._broadcast(ElectionMessage(MessageKind.PROPOSE, current.ballot, term_ns=self.term_ns), now)
         elif message.kind is MessageKind.ACCEPT:
             current.accepted_by.add(sender)
             if self._is_majority(current.accepted_by):
@@ -197,6 +209,11 @@
                 self.lease_end_ns = max(self.lease_end_ns, self._lease_end(current))
                 self._next_round_ns = current.started_ns + int(self.term_ns * RENEW_FRACTION)
 
+    def _names_no_other_holder(self, promise: ElectionMessage) -> bool:
+        """True if the promise names no lease, or one of this process. Earlier versions do not tell the process."""
+        own = promise.leader == self.me and promise.promised.boot_id in (self.boot_id, NO_BALLOT.boot_id)
+        return own or promise.leader == -1
+
     def _lease_end(self, current: Round) -> int:
         """Counted from before the first message, and shortened by the largest difference of two clock rates."""
         return current.started_ns + int(self.term_ns * (1 - MAX_CLOCK_DRIFT) / (1 + MAX_CLOCK_DRIFT))
--- a/lanemux/fleet/setup.py
+++ b/lanemux/fleet/setup.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 from lanemux.core.clock import now_ns
 from lanemux.fleet.view import FleetPlugin
@@ -29,13 +30,25 @@
     )
 
 
-def add_membership(node: Node, fleet: FleetSection) -> None:
-    """Add the plugin; to be called before the node starts. Without peers it logs a warning and adds nothing."""
+def add_membership(
+    node: Node, fleet: FleetSection, is_alone: Callable[[Config], Callable[[], bool]] = lambda config: lambda: True
+) -> None:
+    """Add the plugin; to be called before the node starts. Without peers it logs a warning and adds nothing.
+
+    `is_alone` returns the function that tells whether no other process of this balancer runs."""
     config = node.config
     if config.peer_listen is None or len(config.peers) < 2:
         log.warning("%s: [fleet] is without effect: the configuration names no peers", config.name)
         return
     rng = random.Random(f"{config.seed} {now_ns()}")  # differs for each process, also of the same balancer
     node.plugins.add(
-        FleetPlugin(config.settings.me, len(config.peers), rng, now_ns(), fleet.council, fleet.lease_ms * MS)
+        FleetPlugin(
+            config.settings.me,
+            len(config.peers),
+            rng,
+            now_ns(),
+            fleet.council,
+            fleet.lease_ms * MS,
+            is_alone(config),
+        )
     )
--- a/tests/cluster/test_election.py
+++ b/tests/cluster/test_election.py
@@ -56,9 +56,9 @@
 class AcceptsLowerBallot(Voter):
     """A ballot below the promised one is accepted."""
 
-    def _on_propose(self, sender: int, ballot: Ballot, now: int) -> ElectionMessage:
+    def _on_propose(self, sender: int, message: ElectionMessage, now: int) -> ElectionMessage:
         self.promised_ballot = election.NO_BALLOT
-        return super()._on_propose(sender, ballot, now)
+        return super()._on_propose(sender, message, now)
 
 
 class NoMajority(Voter):
@@ -155,6 +155,7 @@
     st.builds(Ballot, *[st.integers(0, 2**32 - 1), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)]),
     st.just(election.NO_BALLOT),
     st.integers(-1, 2**16 - 2),
+    st.integers(0, election_wire.MAX_TERM_UNITS).map(lambda units: units * election_wire.TERM_UNIT_NS),
 )
 
 
