--- a/tests/test_surplus_bytes.py
+++ b/tests/test_surplus_bytes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 
 import pytest
 from hypothesis import given
@@ -134,3 +136,30 @@
 ) -> None:
     body = LONG[:size]
     assert first_body(framed(body, form) + surplus, cuts, stream) == body
+
+
+@pytest.mark.parametrize("surplus", [b"H", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"])
+def test_a_connection_with_unread_bytes_is_not_used_again(surplus: bytes) -> None:
+    """Guards against: bytes that lie unread in the socket are taken for the answer to the next request (review/3)."""
+
+    async def test() -> None:
+        writers: list[Writer] = []
+
+        async def answer(got: Got, writer: Writer) -> None:
+            writers.append(writer)
+            writer.write(written(200, got.headers["req-id"].encode()))
+
+        upstream = await Upstream(answer).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request(name="one"))).body == b"one"
+            pool = client.node._pool_manager.pools[script.ids()[0]]
+            assert len(pool.idle) == 1
+            connection = socket.socket(fileno=os.dup(writers[0].transport.get_extra_info("socket").fileno()))
+            connection.send(surplus)  # in the balancer's socket at once, and read only in the loop's next turn
+            connection.close()
+            assert pool.reuse() is None and not pool.idle
+            assert (await client.ask(request(name="two"))).body == b"two" and upstream.opened == 2
+
+    run(test())
