What lies unread on a connection to an upstream is not taken for the next answer

Cause: a connection was used again as soon as its answer was whole. Bytes that had come since the loop last polled, or that came while the request was rendered, were parsed as the answer to the new request, and the connection stayed one answer behind.

Change: the socket is asked when a connection is taken, right before the write and right after it. Bytes before the write: a new connection, nothing was sent. Bytes within 50 us after it: they have crossed the request, whose attempt ends as reset. A copy that comes later than that, and before the answer, can't be told from it by any balancer.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -81,7 +81,12 @@
         capacity = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self.tally = Tally(config.settings.classes)
         self._pool_manager = PoolManager(
-            capacity, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND, stream=True, counter=self.tally
+            capacity,
+            limits.connect_timeout_ns / SECOND,
+            limits.conn_idle_ns / SECOND,
+            stream=True,
+            counter=self.tally,
+            has_unread=system.has_unread,
         )
         self.streams = StreamSupervisor(lambda active: self._finish(active, 504))
         self.server = Server(
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -11,6 +11,7 @@
 
 from lanemux.core.address import Address
 from lanemux.core.failures import Backoff, FailureCounter, errno_name, is_local, is_transient_connect_error
+from lanemux.core.system import ConnectedSocket
 from lanemux.interface import Result
 from lanemux.net.exchange_phase import ExchangePhase
 from lanemux.net.http import MAX_RESPONSE, Message, MessageReader
@@ -25,6 +26,7 @@
 # How long the start of a response of unknown length is buffered: most malformed responses show within this time.
 BUFFERING_S = 0.02
 RECEIVING_PAUSE_S = 0.1  # a response of which nothing has come for this long is not being received any more
+MIN_RESPONSE_S = 0.000_05  # no upstream answers sooner after the request was written
 MAX_PIECE = 64 * 1024  # most bytes read, and so passed on, at once
 MIN_PIECE = 4 * 1024  # bytes; below this the overhead of a read outweighs the data
 STREAMING_BYTES = 8 * 1024 * 1024  # read at once by all streamed responses together
@@ -103,10 +105,7 @@
         elif not self.pool.manager.make_room(self.reserved):
             asyncio.get_running_loop().call_soon(self.finish, Result.CONNECT_FAILED)
         else:
-            # Counted now, so that other exchanges started in this loop iteration see the slot as taken.
-            self._connecting = Connection(self.pool, self.pool.address)
-            self._connect_task = asyncio.get_running_loop().create_task(self._open(self._connecting))
-            self.pool.manager.track_connect(self._connect_task)
+            self._connect()
 
     def _on_timeout(self) -> None:
         if self.stream_if_begun():
@@ -132,17 +131,24 @@
 
     def retry_connect(self) -> None:
         """Nothing was sent, for a local reason: send the request on a new connection after a short pause."""
-        self._connection = None
         self._failed_locally = True
-        self._connecting = Connection(self.pool, self.pool.address)
-        self._connect_task = asyncio.get_running_loop().create_task(self._open(self._connecting, LAST_CONNECT_PAUSE_S))
+        self._connect(LAST_CONNECT_PAUSE_S)
+
+    def reopen(self) -> None:
+        """Nothing was sent, since the connection is of no use: send the request on a new one at once."""
+        self._connect()
+
+    def _connect(self, pause_s: float = 0.0) -> None:
+        # Counted now, so that other exchanges started in this loop iteration see the slot as taken.
+        self._connection, self._connecting = None, Connection(self.pool, self.pool.address)
+        self._connect_task = asyncio.get_running_loop().create_task(self._open(self._connecting, pause_s))
         self.pool.manager.track_connect(self._connect_task)
 
     async def _open(self, connection: Connection, pause_s: float = 0.0) -> None:
         try:
             if pause_s:
                 await asyncio.sleep(pause_s)
-            await self._connect(connection)
+            await self._establish(connection)
         except (OSError, TimeoutError):
             self._connect_failed()
         except Exception:
@@ -156,7 +162,7 @@
         self._connect_task = None
         self.finish(Result.CONNECT_FAILED)
 
-    async def _connect(self, connection: Connection) -> None:
+    async def _establish(self, connection: Connection) -> None:
         """Connect. Failures on this machine say nothing about the upstream and are retried until the exchange times
         out; an unreachable network is retried only for the connect timeout."""
         manager, loop = self.pool.manager, asyncio.get_running_loop()
@@ -236,6 +242,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._written = False
+        self._is_reused = False  # it has carried a request before
         self._closed = False
         self.idle_since = 0.0
         self._last_received_s = 0.0
@@ -267,7 +274,16 @@
             asyncio.get_running_loop().call_soon(self.handle_loss)
             return
         data = exchange.render()
+        if self._is_reused and self.has_unread:
+            self.close()
+            exchange.reopen()
+            return
+        began_s = self._pool.manager.time()
         self._transport.write(data)
+        if self._is_reused and self.has_unread and self._pool.manager.time() - began_s < MIN_RESPONSE_S:
+            # They have crossed the request, and would be taken for its answer. Deferred, as above.
+            asyncio.get_running_loop().call_soon(self.handle_loss)
+        self._is_reused = True
         if not self._transport.is_closing() and self._transport.get_write_buffer_size() >= len(data):
             self.close()  # nothing reached the kernel; sent later, its remaining-time header would be outdated
             exchange.retry_connect()
@@ -295,6 +311,11 @@
             return
         self._handle_responses(self._reader.finish())
 
+    @property
+    def has_unread(self) -> bool:
+        """True if bytes that belong to no request lie unread in its socket."""
+        return self._transport is not None and self._pool.manager.has_unread(self._transport.get_extra_info("socket"))
+
     @property
     def paused(self) -> bool:
         """True while it is open and not read."""
@@ -407,13 +428,19 @@
         return exchange
 
     def reuse(self) -> Connection | None:
-        """Take the most recently used idle connection that is still open."""
+        """Take the most recently used idle connection that is still open and has brought nothing unasked.
+
+        What has arrived since the loop last polled would be taken for the answer to the next request."""
         self.manager.close_expired()
         while self.idle:
             connection = self.idle[-1]
             self.drop(connection)
-            if connection.usable:
+            if not connection.usable:
+                continue
+            if not connection.has_unread:
                 return connection
+            self.manager.counter.call_failed("reuse of a connection to an upstream", "unread bytes")
+            connection.close()
         return None
 
     def keep(self, connection: Connection) -> None:
@@ -464,9 +491,11 @@
         max_body: int = MAX_RESPONSE,
         stream: bool = False,
         counter: FailureCounter | None = None,
+        has_unread: Callable[[ConnectedSocket], bool] = lambda connection: False,
     ) -> None:
         """`stream`: long responses are streamed if their exchange accepts that. `counter` counts the connects that
-        failed on this machine."""
+        failed on this machine. `has_unread` tells whether the kernel holds unread bytes of a connection."""
+        self.has_unread = has_unread
         self.counter = counter or NullFailureCounter()
         self.time = asyncio.get_running_loop().time
         self.capacity = capacity
--- a/tests/test_surplus_bytes.py
+++ b/tests/test_surplus_bytes.py
@@ -14,7 +14,7 @@
 from lanemux import interface as api
 from lanemux.interface import Result
 from lanemux.net.http import MAX_BUFFERED_RESPONSE, MAX_RESPONSE, MessageReader
-from tests.sockets import Answer, Got, Script, Upstream, Writer, node, request, run, sends_raw, until, written
+from tests.sockets import Answer, Got, Script, Upstream, Writer, answers, node, request, run, sends_raw, until, written
 from tests.test_node import fails_unserved, sends_first
 from tests.test_streams import LONG, body_of, chunked, framed
 
@@ -138,6 +138,30 @@
     assert first_body(framed(body, form) + surplus, cuts, stream) == body
 
 
+@pytest.mark.parametrize("moment", ["before the write", "right after it"])
+def test_bytes_that_come_while_a_request_is_written_are_not_its_answer(
+    moment: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: the same in the instant of the write (review/3)."""
+
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 200
+            looks = iter([False, moment == "before the write", moment == "right after it"])
+            monkeypatch.setattr(client.node._pool_manager, "has_unread", lambda connection: next(looks, False))
+            status = (await client.ask(request())).status
+            assert status == (200 if moment == "before the write" else 504)
+            await until(lambda: upstream.closed == 1)
+        assert [e.result for e in script.of(api.Outcome)][1] is (
+            Result.OK if moment == "before the write" else Result.RESET
+        )
+
+    run(test())
+
+
 @pytest.mark.parametrize("surplus", [b"H", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"])
 def test_a_connection_with_unread_bytes_is_not_used_again(surplus: bytes) -> None:
     """Guards against: bytes that lie unread in the socket are taken for the answer to the next request (review/3)."""
