--- a/lanemux/rehearsal/box_connection.py
+++ b/lanemux/rehearsal/box_connection.py
@@ -27,6 +27,7 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.job: Job | None = None
+        self.last_response = b""  # the last one that was written whole
         self.late_attempt: Attempt | None = None  # the last one whose body came late
         self.handshake_due = True  # the cost of its handshake is charged with its first request
         self.idle_since_ns = 0
@@ -117,6 +118,7 @@
         if self.attempt is not None:
             self.attempt.open_ns = max(self.attempt.whole_ns, self._open_until(0))
             self.attempt.end_ns = self.host.context.now()
+            self.last_response = data
         self.attempt = self.job = None
         self.idle_since_ns = self.host.context.now()
         if self.transport is not None:
--- a/lanemux/rehearsal/box_host.py
+++ b/lanemux/rehearsal/box_host.py
@@ -334,6 +334,10 @@
             if self.model is not None:
                 self.model.connections = len(self._connections)
 
+    def resting_connections(self) -> list[Connection]:
+        """The open connections on which a response was the last thing to happen."""
+        return [c for c in self._connections if c.attempt is None and c.last_response and not self.suspended]
+
     def close_idle_connections(self) -> None:
         """Close the connections that have been idle for longer than the scenario's `idle_s`."""
         idle_before_ns = self.context.now() - int(self.context.plan.scenario.fleet.idle_s * 1e9)
--- a/lanemux/virtual/faults/box.py
+++ b/lanemux/virtual/faults/box.py
@@ -9,6 +9,7 @@
 from lanemux.rehearsal.plan import MS, SECOND
 from lanemux.virtual.faults import BoxFault
 from lanemux.virtual.network import Endpoint
+from lanemux.virtual.sockets import StreamSocket
 
 if TYPE_CHECKING:
     from lanemux.virtual.simulation import Simulation
@@ -31,6 +32,7 @@
             "freeze": self._freeze,
             "hang": self._hang,
             "late_body": self._late_body,
+            "copy": self._copy,
             "vanish": self._vanish,
             "swap": self._swap,
             "trade": self._trade,
@@ -94,6 +96,24 @@
     def _late_body(self, box: int, duration_ns: int, trigger: object) -> None:
         self._simulation.change_box("late_body", box, self._simulation.now() + duration_ns)
 
+    def _copy(self, box: int, duration_ns: int, trigger: object) -> None:
+        """Each box's last answer comes a second time on every connection where no request is out."""
+        if self._simulation.boxes is None:
+            return
+        loop = self._simulation.boxes_process.loop
+        for host in self._simulation.boxes.hosts:
+            for connection in host.resting_connections():
+                transport = connection.transport
+                if transport is None or transport.get_write_buffer_size():
+                    continue
+                sock = loop.socket_of(transport)
+                endpoint = sock.endpoint if isinstance(sock, StreamSocket) else None
+                if endpoint is None or endpoint.peer is None or endpoint.peer.closed:
+                    continue
+                # A copy that crosses a request on its way can't be told from its answer.
+                if not endpoint.incoming.buffered_size and not endpoint.peer.incoming.buffered_size:
+                    endpoint.peer.deliver_now(connection.last_response)
+
     def _vanish(self, box: int, duration_ns: int, trigger: object) -> None:
         if self._begin_transition(box):
             self._simulation.change_box("vanish", box)
--- a/lanemux/virtual/network.py
+++ b/lanemux/virtual/network.py
@@ -239,6 +239,11 @@
             self.incoming.received.append(segment)
             self.on_change()
 
+    def deliver_now(self, data: bytes) -> None:
+        """Data of the peer arrives in this instant, whatever the latency."""
+        self.incoming.buffered_size += len(data)
+        self._receive(Segment(data, self.network.now_ns))
+
     def _reset(self) -> None:
         self.was_reset = True
         self.write_ended_ns = min(self.write_ended_ns, self.network.now_ns)
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -125,8 +125,10 @@
     def peer_has_closed(self, connection: object) -> bool:
         return False  # not tracked either
 
-    def has_unread(self, connection: object) -> bool:
-        return False  # a virtual loop reads arrived data before anything else
+    def has_unread(self, connection: ConnectedSocket) -> bool:
+        sock = self.sockets.get(connection.fileno())
+        endpoint = sock.endpoint if isinstance(sock, StreamSocket) else None
+        return endpoint is not None and bool(endpoint.incoming.received)
 
     def unacknowledged_bytes(self, connection: ConnectedSocket) -> int | None:
         sock = self.sockets.get(connection.fileno())
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -42,6 +42,7 @@
     "freeze": (2, 20, 600),  # a box is paused
     "hang": (0, 300, 2500),  # a box hangs in the middle of its answers
     "late_body": (0, 1500, 5000),  # a box sends the bodies of its answers long after their heads
+    "copy": (0, 0, 0),  # boxes send their last answers a second time
     "vanish": (1, 400, 2500),  # a box becomes unreachable without notice
     "swap": (2, 300, 1500),  # a box is gone for good; another one starts cold at its address
     "still": (3, 5, 1500),  # a balancer's process is paused
@@ -90,9 +91,11 @@
     "outage",
     "hang",
     "late_body",
+    "copy",
 )
 HANG_SHARE = 0.25  # of the seeds: a box hangs in the middle of its answers; drawn apart from the other faults
 AGAIN_SHARE, MAX_AGAIN = 0.5, 4  # of the seeds, and faults of one: requests come again; drawn apart as well
+COPY_SHARE, MAX_COPIES = 0.5, 30  # of the seeds, and faults of one: second answers; drawn apart as well
 LATE_BODY_SHARE = 0.5  # of the seeds: a box is late with the bodies of its answers; drawn apart as well
 STORM_ONLY_FAULTS = ("outage",)  # drawn only with `storm`
 EVENT_TARGET = -1  # the party that the triggering event concerns
@@ -265,6 +268,7 @@
     faults += _draw_apart(seed, world, "hang", HANG_SHARE)
     faults += _draw_apart(seed, world, "late_body", LATE_BODY_SHARE)
     faults += _draw_again(seed)
+    faults += _draw_copies(seed)
     return Script(seed, tuple(faults), storm=storm)
 
 
@@ -295,6 +299,14 @@
     ]
 
 
+def _draw_copies(seed: int) -> list[Fault]:
+    """Second answers, each in the instant in which a balancer receives a request."""
+    rng = random.Random(f"{seed}/copy")
+    if rng.random() >= COPY_SHARE:
+        return []
+    return [Fault("copy", 0, on="client ask", nth=rng.randint(2, 100)) for _ in range(rng.randint(1, MAX_COPIES))]
+
+
 def _fault(rng: random.Random, world: WorldSetup) -> Fault:
     source = world.scenario.discovery.source
     kinds = [
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -95,6 +95,19 @@
         "        if self.stream_if_begun():\n            return\n        now_s",
         "        now_s",
     ),
+    Planted(
+        "unread-not-asked",
+        "regression: what lies unread on a connection is not taken for the answer to the next request",
+        (
+            (UPSTREAM, "            if not connection.has_unread:\n", "            if True:\n"),
+            (UPSTREAM, "        if self._is_reused and self.has_unread:\n", "        if False:\n"),
+            (
+                UPSTREAM,
+                "        if self._is_reused and self.has_unread and self._pool",
+                "        if False and self._pool",
+            ),
+        ),
+    ),
     _one(
         "paused-in-pool",
         "regression: a connection whose last response ended while its client took no more is read again",
