A keyed request is not written after upstreams have forgotten its key

Cause: the window was compared with the time of the decision. The request was written when its connection came up, up to the connect timeout later. Class: a limit of the write that is checked at the decision only.

Change: Send tells for how long the attempt may still be written. A connection that comes up later carries nothing, also if the process was held up and notices both at once; a request of which the last byte is not written by then is ended. Either ends as not sent, which never ran, and the request is refused or failed as its class allows.

--- a/lanemux/interface.py
+++ b/lanemux/interface.py
@@ -277,6 +277,8 @@
     # 0: no timeout before the client gives up. A response of which bytes are coming in then may still go on until the
     # client's deadline; one of unknown length starts to be streamed.
     timeout_ns: int = 0
+    # From the decision on; 0: no limit. An attempt whose last byte is not written by then is not sent, and never ran.
+    write_within_ns: int = 0
 
 
 class Refuse(NamedTuple):
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -443,7 +443,10 @@
             on_written=lambda: self._attempt_written(active),
             on_stream_start=self._stream_handler(active, attempt_number, action.upstream, now),
         )
-        active.exchange.start(end / SECOND, deadline / SECOND)
+        write_until_s = None
+        if action.write_within_ns:
+            write_until_s = (self._module_runner.decided_ns + action.write_within_ns) / SECOND
+        active.exchange.start(end / SECOND, deadline / SECOND, write_until_s)
 
     def _attempt_written(self, active: ActiveRequest) -> None:
         self.tally.forwards += 1
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -69,6 +69,8 @@
         self._connect_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._deadline_s: float | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
+        self._write_until_s: float | None = None
         self._failed_locally = False  # the last connect failed on this machine, not at the upstream
         self.local_delay_s = 0.0  # time lost to connects that failed on this machine
 
@@ -91,12 +93,15 @@
             not self.pool.ready or (self._connecting is not None and self._connecting.address != self.pool.address)
         )
 
-    def start(self, limit_s: float | None, deadline_s: float | None = None) -> None:
-        """Send the request as soon as there is a connection.
+    def start(self, limit_s: float | None, deadline_s: float | None = None, write_until_s: float | None = None) -> None:
+        """Send the request as soon as there is a connection, and not unless it is written whole by `write_until_s`.
 
         It times out at `limit_s` of the loop's clock unless its response has begun: one of unknown length is streamed
         from then on, and any other may go on until `deadline_s` while it is being received."""
         self._deadline_s = deadline_s
+        self._write_until_s = write_until_s
+        if write_until_s is not None:
+            self._write_timer = asyncio.get_running_loop().call_at(write_until_s, self._on_write_limit)
         if limit_s is not None:
             self._timer = asyncio.get_running_loop().call_at(limit_s, self._on_timeout)
         connection = self.pool.reuse()
@@ -117,6 +122,10 @@
             return
         self.finish(Result.NOT_SENT if self._failed_locally and self.waiting else Result.TIMEOUT)
 
+    def _on_write_limit(self) -> None:
+        if self._connection is None or not self._connection.written:
+            self.finish(Result.NOT_SENT)
+
     @property
     def _receiving_until_s(self) -> float:
         """Until when the response counts as being received if nothing more comes; 0 if none has begun."""
@@ -187,6 +196,9 @@
     def send_on(self, connection: Connection) -> None:
         """Send the request on this connection."""
         self._connection = connection
+        if self._write_until_s is not None and self.pool.manager.time() >= self._write_until_s:
+            self.finish(Result.NOT_SENT)  # this process was held up while connecting
+            return
         connection.send(self)
 
     def start_stream(self, head: Message) -> bool:
@@ -221,8 +233,9 @@
         if not self.over and self._body_sink is not None:
             self.pool.manager.streaming -= 1
         self.over = True
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._write_timer):
+            if timer is not None:
+                timer.cancel()
         if self._connect_task is not None:
             self._connect_task.cancel()
         if self._connecting is not None:
@@ -259,6 +272,11 @@
         """True while open. A connection that the upstream closed leaves its pool one loop iteration later."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def written(self) -> bool:
+        """True once the last byte of the current request is written."""
+        return self._written
+
     @property
     def phase(self) -> ExchangePhase:
         """How far the exchange on it has come, if its response is not streamed."""
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -116,6 +116,11 @@
         fresh = self.cls.effect is api.Effect.KEYED and now - risky[0].sent_ns < self.cls.window_ns
         return fresh and all(self._same_group(a.server, server) for a in risky)
 
+    def write_within_ns(self, now: int) -> int:
+        """For how long another attempt may still be written, while upstreams remember the key; 0: no limit."""
+        first = next((a for a in self.attempts[:-1] if a.may_have_run), None)
+        return 0 if first is None or self.cls.effect is api.Effect.SAFE else first.sent_ns + self.cls.window_ns - now
+
     def may_refuse(self) -> bool:
         deduplicated = self.cls.effect is api.Effect.KEYED and self.cls.scope is api.Scope.ALL
         return self.cls.effect is api.Effect.SAFE or deduplicated or not any(a.may_have_run for a in self.attempts)
@@ -1180,7 +1185,7 @@
             self._set_timer(server.backoff_until_ns, "pump")
         # If a late answer is worth nothing, the attempt ends at the aim and frees its slot.
         timeout = 0 if request.cls.late_worth or request.cls.stream else max(1, request.aim_ns - now)
-        self.actions.append(api.Send(request.id, server.id, timeout))
+        self.actions.append(api.Send(request.id, server.id, timeout, request.write_within_ns(now)))
         overdue_ns = now + int(expected_ns * (1.3 + 3 * self.load_model.deviation))
         request.attempts[-1].overdue_timer = self._set_timer(overdue_ns, "overdue", request, len(request.attempts) - 1)
 
