--- a/lanemux/virtual/faults/box.py
+++ b/lanemux/virtual/faults/box.py
@@ -16,6 +16,7 @@
 
 
 ON_ITS_WAY_NS = SECOND  # a late body may take this long from its box to the balancer
+CONNECT_DELAY_NS = 60 * MS, 190 * MS  # less than the balancers' connect timeout
 RESTART_NS = 300 * MS  # from a drained box's exit to its next start
 REMOVAL_ANNOUNCED_SHARE = 0.5  # of trades: discovery announces in between that both boxes are gone
 
@@ -33,6 +34,7 @@
             "hang": self._hang,
             "late_body": self._late_body,
             "copy": self._copy,
+            "late_connects": self._late_connects,
             "vanish": self._vanish,
             "swap": self._swap,
             "trade": self._trade,
@@ -96,6 +98,11 @@
     def _late_body(self, box: int, duration_ns: int, trigger: object) -> None:
         self._simulation.change_box("late_body", box, self._simulation.now() + duration_ns)
 
+    def _late_connects(self, box: int, duration_ns: int, trigger: object) -> None:
+        self._simulation.world.network.delay_connects(
+            "box", self._simulation.world.event_queue.now_ns + duration_ns, CONNECT_DELAY_NS
+        )
+
     def _copy(self, box: int, duration_ns: int, trigger: object) -> None:
         """Each box's last answer comes a second time on every connection where no request is out."""
         if self._simulation.boxes is None:
--- a/lanemux/virtual/network.py
+++ b/lanemux/virtual/network.py
@@ -295,6 +295,7 @@
         self.mailboxes: dict[Address, Mailbox] = {}
         self.streams: dict[Endpoint, None] = {}  # open streams, by the end that opened them
         self._held_until: dict[tuple[str, int], int] = {}
+        self._connects_late: dict[str, tuple[int, tuple[int, int]]] = {}  # kind -> end of the fault, range of the delay
         self._connects_dropped_until: dict[tuple[str, int], int] = {}
         self._next_port = FIRST_EPHEMERAL_PORT
 
@@ -316,6 +317,14 @@
         """Fault: drop the SYNs of new connections to one target."""
         self._connects_dropped_until[kind, to] = max(until_ns, self._connects_dropped_until.get((kind, to), 0))
 
+    def delay_connects(self, kind: str, until_ns: int, range_ns: tuple[int, int]) -> None:
+        """Fault: new connections of a kind come up late."""
+        self._connects_late[kind] = until_ns, range_ns
+
+    def _connect_delay_ns(self, kind: str) -> int:
+        until_ns, range_ns = self._connects_late.get(kind, (0, (0, 0)))
+        return self.rng.randint(*range_ns) if until_ns > self.now_ns else 0
+
     def held_until(self, label: Label) -> int:
         """When traffic on a link resumes; not in the future if it is not held."""
         return self._held_until.get((label.kind, label.target), 0)
@@ -360,7 +369,8 @@
             else:
                 self._establish(queue, label, conditions, local, on_connected, cancelled)
 
-        self.event_queue.call_at(self.arrival(label, conditions), lambda: attempt_connect(0))
+        arrives_ns = self.arrival(label, conditions) + self._connect_delay_ns(kind)
+        self.event_queue.call_at(arrives_ns, lambda: attempt_connect(0))
         return cancel
 
     def _establish(
--- a/lanemux/virtual/rule_checker.py
+++ b/lanemux/virtual/rule_checker.py
@@ -214,7 +214,7 @@
         """When an answer is due: one that its box began in time and was still giving may end after the deadline."""
         deadline_ns = entry.deadline_ns + exempt_ns
         late_ends_ns = (a.end_ns for a in self._by_id[entry.id] if 0 < a.begun_ns < deadline_ns and a.digest)
-        return max(deadline_ns, *(end_ns + FINAL_ANSWER_GRACE_NS for end_ns in late_ends_ns), 0)
+        return max(deadline_ns, *(end_ns + FINAL_ANSWER_GRACE_NS + exempt_ns for end_ns in late_ends_ns), 0)
 
     def _check_drain(self, attempt: Attempt) -> Iterable[Violation]:
         if not self._location_known(attempt.balancer, attempt.box):
--- a/lanemux/virtual/script.py
+++ b/lanemux/virtual/script.py
@@ -43,6 +43,7 @@
     "hang": (0, 300, 2500),  # a box hangs in the middle of its answers
     "late_body": (0, 1500, 5000),  # a box sends the bodies of its answers long after their heads
     "copy": (0, 0, 0),  # boxes send their last answers a second time
+    "late_connects": (0, 5000, 5000),  # new connections to boxes come up late
     "vanish": (1, 400, 2500),  # a box becomes unreachable without notice
     "swap": (2, 300, 1500),  # a box is gone for good; another one starts cold at its address
     "still": (3, 5, 1500),  # a balancer's process is paused
@@ -92,10 +93,13 @@
     "hang",
     "late_body",
     "copy",
+    "late_connects",
 )
 HANG_SHARE = 0.25  # of the seeds: a box hangs in the middle of its answers; drawn apart from the other faults
 AGAIN_SHARE, MAX_AGAIN = 0.5, 4  # of the seeds, and faults of one: requests come again; drawn apart as well
 COPY_SHARE, MAX_COPIES = 0.5, 30  # of the seeds, and faults of one: second answers; drawn apart as well
+LATE_CONNECTS_SHARE, MAX_LATE_RESETS = 0.4, 12  # of the seeds, and resets beside it, which are followed by retries
+SHORT_WINDOW_MS = 120.0  # for which boxes remember a key in these seeds
 LATE_BODY_SHARE = 0.5  # of the seeds: a box is late with the bodies of its answers; drawn apart as well
 STORM_ONLY_FAULTS = ("outage",)  # drawn only with `storm`
 EVENT_TARGET = -1  # the party that the triggering event concerns
@@ -154,6 +158,12 @@
 def world_setup(seed: int, calm: bool = False, storm: bool = False) -> WorldSetup:
     """Draw the world of a seed."""
     setup = _base_setup(seed, calm)
+    if _has_late_connects(seed):
+        classes = tuple(
+            dataclasses.replace(c, window_ms=SHORT_WINDOW_MS, scope="all") if c.effect == "keyed" else c
+            for c in setup.scenario.classes
+        )
+        setup.scenario = dataclasses.replace(setup.scenario, classes=classes)
     if storm:
         rng = random.Random(f"{seed}/storm")
         boxes, s = rng.randint(3, 6), setup.scenario
@@ -269,6 +279,7 @@
     faults += _draw_apart(seed, world, "late_body", LATE_BODY_SHARE)
     faults += _draw_again(seed)
     faults += _draw_copies(seed)
+    faults += _draw_late_connects(seed)
     return Script(seed, tuple(faults), storm=storm)
 
 
@@ -307,6 +318,22 @@
     return [Fault("copy", 0, on="client ask", nth=rng.randint(2, 100)) for _ in range(rng.randint(1, MAX_COPIES))]
 
 
+def _has_late_connects(seed: int) -> bool:
+    return random.Random(f"{seed}/late connects").random() < LATE_CONNECTS_SHARE
+
+
+def _draw_late_connects(seed: int) -> list[Fault]:
+    """Late connections, and resets of requests that have run; keys are remembered for a short time then."""
+    if not _has_late_connects(seed):
+        return []
+    rng = random.Random(f"{seed}/late connects' resets")
+    resets = [
+        Fault("reset", EVENT_TARGET, on="box ask", nth=rng.randint(1, 120), lag_us=rng.randrange(5_000, 60_000))
+        for _ in range(MAX_LATE_RESETS)
+    ]
+    return [Fault("late_connects", 0, at_ms=0.0, for_ms=FAULTS["late_connects"][2]), *resets]
+
+
 def _fault(rng: random.Random, world: WorldSetup) -> Fault:
     source = world.scenario.discovery.source
     kinds = [
--- a/tests/virtual/planted.py
+++ b/tests/virtual/planted.py
@@ -108,6 +108,13 @@
             ),
         ),
     ),
+    _one(
+        "window-at-decision",
+        "regression: a keyed request is not written after its window",
+        "policy.py",
+        "server.id, timeout, request.write_within_ns(now)))",
+        "server.id, timeout))",
+    ),
     _one(
         "paused-in-pool",
         "regression: a connection whose last response ended while its client took no more is read again",
