A request that is read in many turns after a stall has less time left, too

An upstream was told 0.71 s more than its client had left, by a process that had stood still for 0.6 s and then read the request in short reads.

Cause: how long a request may have lain unread was asked at its last read. By then the loop had run for 50 ms again, and the stall was forgotten.

Change: each read notes since when its data may have waited; the earliest counts, and as before no more than the time since the kernel got the last data.

Measured: the new test failed before (712 ms of 150).

--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -57,6 +57,7 @@
         self._ends_on_close = False  # the end of the connection marks the end of the response being streamed
         self._transport: asyncio.Transport | None = None
         self._send_progress = SendProgress(now_ns())
+        self._waiting_since_ns = 0  # the request being read may have waited unread since then; 0: it has not
         self.max_unread_s = 0.0  # how long the first data may have waited for the connection to be accepted
         self.since = 0.0  # when it was added to its current table of the server
         self.source = ""  # the client's address, set if there is a ConnectionAdmission
@@ -130,6 +131,7 @@
                 self._transport.pause_reading()
             return
         received, was_in_message = now_ns(), self._reader.in_message
+        self._note_wait(received)
         requests = self._reader.feed(data)
         if not self._reader.in_body:
             self._body_since_ns = 0
@@ -198,14 +200,21 @@
             return True
         return self._server.system.peer_has_closed(self._transport.get_extra_info("socket"))
 
+    def _note_wait(self, now: int) -> None:
+        """Note since when the data just read may have waited: a request may be read in many turns of the loop, and only
+        the first of them follows the stall."""
+        max_wait_s = max(self.max_unread_s, self._server.max_unread_s())
+        if max_wait_s >= MIN_READ_DELAY_S:
+            since_ns = now - int(max_wait_s * SECOND)
+            self._waiting_since_ns = min(self._waiting_since_ns or since_ns, since_ns)
+
     def _time_unread_ns(self) -> int:
         """How long the request just read lay in the kernel: the client's deadline counts from its arrival."""
-        max_wait_s = max(self.max_unread_s, self._server.max_unread_s())
-        self.max_unread_s = 0.0
-        if max_wait_s < MIN_READ_DELAY_S or self._transport is None:
+        since_ns, self._waiting_since_ns, self.max_unread_s = self._waiting_since_ns, 0, 0.0
+        if not since_ns or self._transport is None:
             return 0
         connection = self._transport.get_extra_info("socket")
-        return int(min(max_wait_s, self._server.system.since_last_data_s(connection)) * SECOND)
+        return min(now_ns() - since_ns, int(self._server.system.since_last_data_s(connection) * SECOND))
 
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         """Send the complete response to the current request."""
--- a/tests/faults/test_deadlines.py
+++ b/tests/faults/test_deadlines.py
@@ -106,3 +106,33 @@
         upstream.stop()
 
     run(test())
+
+
+def test_a_request_that_waited_and_was_read_in_many_short_reads_has_less_time_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against: only the last read counts, and by then the loop has run for a while."""
+
+    async def test() -> None:
+        upstream = DeadlineRecorder()
+        await upstream.start()
+        async with node(sends_once(), upstream) as client:
+            assert (await client.ask(request(deadline_ms=DEADLINE_MS))).status == 200  # a connection that was used
+            await asyncio.sleep(0.2)
+            original_recv = socket.socket.recv
+
+            def short_recv(self: socket.socket, size: int, *flags: int) -> bytes:
+                if self.getsockname()[1] != client.port:
+                    return original_recv(self, size, *flags)
+                time.sleep(0.005)  # a busy loop: its turn takes some milliseconds
+                return original_recv(self, min(size, 4), *flags)
+
+            monkeypatch.setattr(socket.socket, "recv", short_recv)
+            assert client.writer is not None
+            upstream.sent_s = time.monotonic()
+            client.writer.write(request(deadline_ms=DEADLINE_MS))
+            time.sleep(WAIT_S)
+            assert (await client.read()).status == 200
+            assert upstream.excess_ms[1] < TOLERANCE_MS
+
+    run(test())
