Rehearsal: the JSON lists at least one violation of each rule that was broken

Cause: the first 200 violations are listed by time, and a build that ignores deadlines breaks that rule hundreds of times before it first loses a request.

Change: the first of each rule is always among those listed.

Measured: the new test failed before.

--- a/lanemux/rehearsal/report.py
+++ b/lanemux/rehearsal/report.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from lanemux.rehearsal.rules import violation_counts
+from collections.abc import Sequence
+
+from lanemux.rehearsal.rules import Violation, violation_counts
 from lanemux.rehearsal.run import Run
 
 MAX_SHOWN = 5  # violations in the table; the JSON has more
@@ -24,12 +26,21 @@
         "validity": {k: getattr(run.validity, k) for k in run.validity.__dataclass_fields__},
         "violations": [
             {"rule": v.rule, "at_s": v.at_ns / 1e9, "request": v.request, "box": v.box, "proof": v.proof}
-            for v in run.violations[:MAX_LISTED]
+            for v in _listed(run.violations)
         ],
         "wall_s": run.wall_s,
     }
 
 
+def _listed(violations: Sequence[Violation]) -> list[Violation]:
+    """The first violations, among them the first of each rule that was broken, in order of time."""
+    first_of_rule: dict[str, int] = {}
+    for index, violation in enumerate(violations):
+        first_of_rule.setdefault(violation.rule, index)
+    indices = dict.fromkeys((*first_of_rule.values(), *range(len(violations))))
+    return [violations[index] for index in sorted(list(indices)[:MAX_LISTED])]
+
+
 def summary_rows(run: Run) -> list[tuple[str, str]]:
     """The rows of the table printed at the end of a run: label and text."""
     figures, rules = run.figures, violation_counts(run.violations)
--- a/tests/rehearsal/test_report.py
+++ b/tests/rehearsal/test_report.py
@@ -18,8 +18,8 @@
 from lanemux.rehearsal.page import as_html
 from lanemux.rehearsal.plan import SECOND, draw_plan
 from lanemux.rehearsal.records import Anomaly, Attempt, BoxRecords, CallerRecords, StateSpan
-from lanemux.rehearsal.report import summary_rows
-from lanemux.rehearsal.rules import find_violations
+from lanemux.rehearsal.report import MAX_LISTED, as_json, summary_rows
+from lanemux.rehearsal.rules import Violation, find_violations
 from lanemux.rehearsal.run import Run
 from lanemux.rehearsal.scenario import read_scenario
 from lanemux.rehearsal.service import compute_figures
@@ -126,3 +126,13 @@
     assert scenario.fleet.boxes == 24 and scenario.faults[0].kind == "freeze" and draw_plan(scenario, 1).happenings
     for name in command._scenario_titles(""):
         assert f"`{name}`" in page or f"`{name.removesuffix('-short')}`" in page
+
+
+def test_a_rule_that_was_broken_late_is_listed_behind_many_violations_of_another() -> None:
+    """Guards against: a rule is counted, and none of the listed violations is of it."""
+    run = broken_run()
+    early = [Violation("deadline", at_ns, f"r{at_ns}", "", "told too much") for at_ns in range(1, 2 * MAX_LISTED)]
+    run.violations = [*early, Violation("lost", SECOND, "late", "", "no answer")]
+    listed = cast(list[dict[str, object]], as_json(run, "x")["violations"])
+    assert [entry["rule"] for entry in listed].count("lost") == 1 and len(listed) == MAX_LISTED
+    assert [entry["at_s"] for entry in listed] == sorted(cast(float, entry["at_s"]) for entry in listed)
