--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -212,9 +212,8 @@
         self.failures: Counter[int] = Counter()  # by upstream
 
     def start_interval_if_idle(self, now: int) -> None:
-        """Start the feedback interval anew if nothing has been counted yet. Called when the first request arrives.
-        Otherwise the first requests after a start or an idle time were counted over all of that time: R fell to a
-        thirtieth of what the proxy could serve, and took ten seconds to recover. No known drawback."""
+        """Start the feedback interval anew if nothing has been counted yet. Called when the first request arrives:
+        requests after an idle time must not be counted over all of that time."""
         if not (self.successes or self.failures or self.unplaced):
             self.interval_start_ns = now
 
@@ -222,8 +221,7 @@
         elapsed = now - self.interval_start_ns
         failures = sorted(self.failures.values(), reverse=True)
         total = self.successes + sum(failures) + self.unplaced
-        # The half of the upstreams with most failures does not count: one faulty server is not an overloaded
-        # fleet. Not counting all but one of a small home hid an overload (incident i430663).
+        # The half of the upstreams with most failures does not count: one faulty server is no overloaded fleet.
         ignored = int(upstreams * IGNORED_UPSTREAM_SHARE)
         share = (sum(failures[ignored:]) + self.unplaced) / total if total else 0.0
         # Where upstreams have spare capacity, R must not hold requests back.
@@ -408,8 +406,7 @@
             for pool in self.pools.values():
                 self._compute_home(pool)
         for server in started if not self.uses_probes else ():
-            # All proxies learn of a cold upstream at about the same time, and their first requests would arrive
-            # together: with 400 balancers over 60 upstreams, half of what it can take.
+            # All proxies learn of a cold upstream at the same time: their first requests must not arrive together.
             if self.is_cold(server, now) and server.entry.state is api.State.READY:
                 self.pause_until(server, now + int(self.cold_interval_ns(server, now) * self.rng.random()))
 
@@ -677,8 +674,7 @@
     def raise_limit(self, now: int) -> bool:
         """Raise the limit by one since the queue waits, unless that is known not to help."""
         k = self.limit
-        # Requests just sent complete less often than older ones: without the wait, the limit grew without bound at
-        # the start, before the first requests completed (incident i4eb9e9).
+        # Requests just sent complete less often than older ones: wait until the first have completed.
         if k >= LIMIT_MAX or now - self.raised_ns < 3 * self.mean_ns or not self.has_evidence(k):
             return False
         best = max((self.throughput(j) for j in range(1, k)), default=0.0)
@@ -1162,8 +1158,7 @@
 
     def _would_be_late(self, request: Request, server: Server, now: int) -> bool:
         """Whether the least loaded upstream found, by its known load, would answer after the request's aim.
-        The time deducted for a client's retry keeps an overloaded fleet from serving requests whose aim has long
-        passed in place of new ones: with it missing, a third of all answers of wide+huge came too late."""
+        The time deducted for a client's retry keeps an overloaded fleet from serving old requests before new ones."""
         left_ns = request.aim_ns - request.prior_wait_ns - now
         if server.peer_load is not None:
             return self.load_model.latency(server.estimated_load(now) + 1) * self.fleet.slowness(server, now) > left_ns
