The log tells the process's own peak memory, not that of its parent

The log said nothing of the balancer. Now VmHWM of /proc/self/status, which begins anew with exec; "memory unknown" where it can't be read.

--- a/lanemux/core/system.py
+++ b/lanemux/core/system.py
@@ -10,7 +10,6 @@
 import errno
 import fcntl
 import os
-import resource
 import signal
 import socket
 import struct
@@ -29,6 +28,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time to linger (socket(7))
 UNBLOCK_TRIES = 5  # attempts to make an accepted connection non-blocking
 FILE_MODE = 0o600
+KIB = 1024
+STATUS_PATH = "/proc/self/status"  # proc(5)
 READ_BYTES = 64 * 1024  # chunk size for files: memory use follows the actual size, not the size limit
 
 
@@ -69,6 +70,14 @@
         """Close the file."""
 
 
+@dataclass(frozen=True)
+class ProcessMemory:
+    """Memory of this process in bytes, with the files that it has mapped."""
+
+    resident: int
+    peak: int  # since the process began to run this program
+
+
 class System(Protocol):
     """The operating system services used by a balancer."""
 
@@ -78,8 +87,8 @@
     def cpu_time_s(self) -> float:
         """CPU time that this process has used so far."""
 
-    def peak_rss_kib(self) -> int:
-        """Peak resident memory of this process so far, in KiB."""
+    def memory(self) -> ProcessMemory | None:
+        """Memory of this process; None if it can't be read now."""
 
     def since_last_data_s(self, connection: ConnectedSocket) -> float:
         """Time since the last bytes arrived on a connection, read or not; 0 if unknown."""
@@ -203,8 +212,14 @@
     def cpu_time_s(self) -> float:
         return time.process_time()
 
-    def peak_rss_kib(self) -> int:
-        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    def memory(self) -> ProcessMemory | None:
+        # Not getrusage(2): its ru_maxrss outlives exec, and so may be that of the process that started this one.
+        try:
+            fields = dict(line.split(b":", 1) for line in self.read(STATUS_PATH, READ_BYTES).splitlines())
+            resident, peak = (int(fields[name].split()[0]) * KIB for name in (b"VmRSS", b"VmHWM"))
+        except (OSError, ValueError, KeyError, IndexError):
+            return None
+        return ProcessMemory(resident, peak)
 
     def since_last_data_s(self, connection: ConnectedSocket) -> float:
         try:
--- a/lanemux/net/stages.py
+++ b/lanemux/net/stages.py
@@ -4,7 +4,7 @@
 
 from lanemux.core.system import System
 
-KIB = 1024
+MIB = 1024 * 1024
 
 
 class Stages:
@@ -31,4 +31,5 @@
         return f"{self._system.cpu_time_s():.2f} s of processor; {self._peak_memory()}"
 
     def _peak_memory(self) -> str:
-        return f"{self._system.peak_rss_kib() / KIB:.1f} MiB at most"
+        memory = self._system.memory()
+        return f"{memory.peak / MIB:.1f} MiB at most" if memory is not None else "memory unknown"
--- a/lanemux/virtual/process.py
+++ b/lanemux/virtual/process.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, cast
 
-from lanemux.core.system import RESET_ON_CLOSE, ConnectedSocket, SharedFile
+from lanemux.core.system import RESET_ON_CLOSE, ConnectedSocket, ProcessMemory, SharedFile
 from lanemux.virtual.disk import Disk
 from lanemux.virtual.event_queue import NEVER
 from lanemux.virtual.loop import VirtualLoop
@@ -116,8 +116,8 @@
     def cpu_time_s(self) -> float:
         return 0.05
 
-    def peak_rss_kib(self) -> int:
-        return 16 * 1024
+    def memory(self) -> ProcessMemory | None:
+        return None  # not simulated
 
     def since_last_data_s(self, connection: object) -> float:
         return 0.0  # not tracked by the virtual kernel
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 import tomllib
 from asyncio.subprocess import PIPE, Process
@@ -171,3 +172,20 @@
             server.stop()
 
     run(test())
+
+
+def test_the_log_tells_the_memory_of_the_process_and_not_that_of_its_parent(tmp_path: Path) -> None:
+    """Guards against: "138.6 MiB at most" right after a start, which was what the parent had (report 730780)."""
+    (tmp_path / "config.json").write_text(json.dumps(config()))
+    start = "import os, sys; large = b'x' * 150_000_000; os.execv(sys.executable, [sys.executable, '-m', 'lanemux'])"
+    process = subprocess.Popen(
+        [sys.executable, "-c", start],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")},
+    )
+    assert process.stderr is not None
+    line = next(line for line in process.stderr if " started: " in line)
+    process.kill()
+    process.communicate()
+    assert float(line.partition(" MiB at most")[0].split()[-1]) < 60
