Closed connections are freed at once, not by the cyclic garbage collector

What was refused or had ended stayed in memory: a parser refers to its reader and the reader to it, a transport of asyncio keeps its own bound method, and a streamed response and its exchange refer to each other through callbacks. Only the cyclic collector frees such objects; it counts objects, not bytes, and a full run comes after some 70,000 new ones.

Readers give up their parser when their connection ends or is refused, transports forget their callback, and an exchange that is over forgets its callbacks.

Evidence: 4.5 s after 341 clients in turn had left, a run of the collector found 25,834 objects; the allocated blocks went from 8.2 + 12.7 MB to 3.9 + 7.5 MB, what the process has at rest.

--- a/lanemux/eventloop/loop.py
+++ b/lanemux/eventloop/loop.py
@@ -13,6 +13,7 @@
 from lanemux.core.failures import errno_name
 from lanemux.eventloop.selector import ResilientSelector
 from lanemux.eventloop.stream_socket import StreamSocket
+from lanemux.eventloop.transport import StreamTransport
 
 log = logging.getLogger(__name__)
 
@@ -122,6 +123,11 @@
             self._resilient_socket(sock), *more, **options
         )
 
+    def _make_socket_transport(
+        self, sock: socket.socket, protocol: Any, waiter: Any = None, *, extra: Any = None, server: Any = None
+    ) -> StreamTransport:
+        return StreamTransport(self, sock, protocol, waiter, extra, server)
+
     def _make_self_pipe(self) -> None:
         super()._make_self_pipe()  # type: ignore[misc]
         self._ssock = self._resilient_socket(self._ssock)  # type: ignore[has-type]
--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -165,6 +165,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._ended = True
+        self._on_writable = None
+        self._reader.release()
         self._server.forget(self)
         if self.busy:
             self._current = None
@@ -274,7 +276,7 @@
         if self._ended:
             return
         self._ended = True
-        self._reader.discard()
+        self._reader.release()
         self._server.start_closing(self)
         if self._transport is None:
             return
--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -50,6 +50,10 @@
 
 Headers = Iterable[tuple[bytes, bytes]]
 
+_RELEASED_PARSER = httptools.HttpResponseParser(
+    object()
+)  # in place of one that has been released; nothing is fed to it
+
 
 @dataclass(slots=True, eq=False)
 class Message:
@@ -97,6 +101,7 @@
         self._stream = stream
         self.head: Message | None = None  # of a streamed response, until the caller takes it
         self.pieces: list[bytes] = []  # of its body, until the caller takes them
+        self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
         self._parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
         self._responses = responses
         self.has_surplus = False  # responses only: bytes follow a complete response; they are not parsed
@@ -161,10 +166,14 @@
             self.pieces.append(bytes(self._body))
             self._body.clear()
 
-    def discard(self) -> None:
-        """Free what has been read of the current message; nothing more may be fed."""
+    def release(self) -> None:
+        """Free the parser and what has been read of the current message; nothing more may be fed.
+
+        The parser refers to this reader: only the cyclic garbage collector would free the two, at some later time."""
+        self._parser = _RELEASED_PARSER
         self._reset_message()
         self._complete.clear()
+        self.pieces = []
 
     def finish(self) -> list[Message]:
         """The sender has ended the connection: returns the response that this completes, if any."""
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -37,6 +37,14 @@
 MAX_IDLE_CONNECTIONS = 2  # per upstream: each takes a place in the upstream's connection table
 
 
+def _ignore_end(result: Result, response: Message | None) -> None:
+    """The exchange has ended before."""
+
+
+def _ignore_written() -> None:
+    """The exchange has ended before."""
+
+
 class Exchange:
     """One request and its response on one connection: an attempt, a probe or a call to discovery.
 
@@ -60,6 +68,7 @@
         self.on_written = on_written
         self._on_stream_start = on_stream_start
         self._body_sink: BodySink | None = None
+        self._streamed = False  # its response is or was streamed
         self.reserved = reserved
         self.render: Render = data if callable(data) else lambda: data
         self.over = False
@@ -84,7 +93,7 @@
         """How far it has come; of one that is over, how far it had come."""
         if self._connection is None:
             return ExchangePhase.CONNECTING
-        return ExchangePhase.STREAMING if self._body_sink is not None else self._connection.phase
+        return ExchangePhase.STREAMING if self._streamed else self._connection.phase
 
     @property
     def target_stale(self) -> bool:
@@ -209,6 +218,7 @@
             sink = self._on_stream_start(self, head)
             if sink is not None and not self.over:
                 self._body_sink = sink
+                self._streamed = True
                 self.pool.manager.streaming += 1
         return self._body_sink is not None
 
@@ -225,14 +235,18 @@
     def finish(self, result: Result, response: Message | None = None) -> None:
         """End the exchange and report its result, once."""
         if not self.over:
+            on_done = self._on_done
             self.abandon(response is not None)
-            self._on_done(result, response)
+            on_done(result, response)
 
     def abandon(self, answered: bool = False) -> None:
         """End the exchange without reporting. Unless answered, its connection is closed: a late response may follow."""
         if not self.over and self._body_sink is not None:
             self.pool.manager.streaming -= 1
         self.over = True
+        # Its callbacks refer to the request, and the request's response to the exchange.
+        self._body_sink = self._on_stream_start = None
+        self._on_done, self.on_written, self.render = _ignore_end, _ignore_written, bytes
         for timer in (self._timer, self._write_timer):
             if timer is not None:
                 timer.cancel()
@@ -420,6 +434,7 @@
         self._pool.drop(self)
         if not self._closed:
             self._closed = True
+            self._reader.release()
             self._pool.manager.open_connections -= 1
         self._cancel_buffering_timer()
         if self._transport is not None:
