Memory that clients' requests took is given back, whatever order they come in

Clients are read into one buffer of the server, as upstreams are. core/allocator.py fixes the size for mapped blocks at 32 KiB; net/memory_guard.py gives freed pages back once a second, or after 1 MiB of growth. It also logs the memory each minute if its peak moved, and once when three quarters of the limit are passed.

Evidence: after 341 clients in turn the heap had 15.2 MB, 3.8 of them in use with the garbage gone; malloc_trim(3) took the process from 33 to 22 MB.

--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -40,7 +40,7 @@
         """The client can't get the response to its current request any more."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection, with one request at a time; a pipelined request ends the connection."""
 
     def __init__(self, server: Server, service: Service) -> None:
@@ -110,7 +110,14 @@
         if self._ended:  # it was evicted before its transport was made
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, size: int) -> memoryview:
+        return self._server.read_buffer
+
+    def buffer_updated(self, count: int) -> None:
+        self.data_received(self._server.read_buffer[:count])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Handle bytes that the client has sent; the buffer may be used again afterwards."""
         try:
             self._handle_data(data)
         except Exception:  # a bug here: asyncio would drop the connection, and the request without a response
@@ -124,7 +131,7 @@
             self._service.client_gone(self)
         self.reject(500)
 
-    def _handle_data(self, data: bytes) -> None:
+    def _handle_data(self, data: bytes | memoryview) -> None:
         if self._ended:
             self._discarded_bytes += len(data)
             if self._discarded_bytes > MAX_DISCARDED_BYTES and self._transport is not None:
--- /dev/null
+++ b/lanemux/net/memory_guard.py
@@ -0,0 +1,87 @@
+"""Watches the memory of the process: gives back what was freed, and logs what it takes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from lanemux.core.allocator import Allocator
+from lanemux.core.system import ProcessMemory, System
+
+log = logging.getLogger(__name__)
+
+MB = 1_000_000
+MIB = 1024 * 1024
+CHECK_S = 0.25
+GIVE_BACK_S = 1.0  # what is freed within this time is given back together
+GIVE_BACK_BYTES = MIB  # after growing by this much since then, memory is given back at once
+LOG_INTERVAL_S = 60.0
+ALERT_SHARE = 0.75  # of the limit; logged once when passed
+REARM_SHARE = 0.65  # of the limit; below it the alert is armed again
+
+
+class MemoryGuard:
+    """Checks the memory of this process at a fixed interval."""
+
+    def __init__(self, system: System, limit_mb: float, account: Callable[[], str] = lambda: "") -> None:
+        """`limit_mb`: the process's memory limit in MB; 0: unknown. `account` tells what is held, for the log."""
+        self._system = system
+        self._limit_bytes = int(limit_mb * MB)
+        self._describe_account = account
+        self._loop = asyncio.get_running_loop()
+        self._allocator = Allocator()
+        self._timer: asyncio.TimerHandle | None = None
+        self._kept_bytes = 0  # resident after memory was last given back
+        self._give_back_due_s = 0.0
+        self._logged_peak_bytes = 0
+        self._log_due_s = self._loop.time() + LOG_INTERVAL_S
+        self._alerted = False
+
+    def start(self) -> None:
+        """Begin to check."""
+        self._check()
+
+    def stop(self) -> None:
+        """End the checks."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check(self) -> None:
+        self._timer = self._loop.call_later(CHECK_S, self._check)
+        memory = self._system.memory()
+        if memory is None:
+            return
+        if self._loop.time() >= self._give_back_due_s or memory.resident > self._kept_bytes + GIVE_BACK_BYTES:
+            memory = self._give_back(memory)
+        self._alert(memory)
+        self._log_peak(memory)
+
+    def _give_back(self, before: ProcessMemory) -> ProcessMemory:
+        self._allocator.give_back()
+        after = self._system.memory() or before
+        self._kept_bytes = after.resident
+        self._give_back_due_s = self._loop.time() + GIVE_BACK_S
+        return after
+
+    def _alert(self, memory: ProcessMemory) -> None:
+        """Log once that the process has come near its limit."""
+        if not self._limit_bytes or memory.resident < REARM_SHARE * self._limit_bytes:
+            self._alerted = False
+        elif memory.resident >= ALERT_SHARE * self._limit_bytes and not self._alerted:
+            self._alerted = True
+            log.warning("memory: %s", self._summary(memory))
+
+    def _log_peak(self, memory: ProcessMemory) -> None:
+        """Log the memory once a minute if its peak has moved."""
+        if self._loop.time() < self._log_due_s:
+            return
+        self._log_due_s = self._loop.time() + LOG_INTERVAL_S
+        if memory.peak > self._logged_peak_bytes:
+            self._logged_peak_bytes = memory.peak
+            log.info("memory: %s", self._summary(memory))
+
+    def _summary(self, memory: ProcessMemory) -> str:
+        limit = f" of {self._limit_bytes / MIB:.1f}" if self._limit_bytes else ""
+        account = self._describe_account()
+        return f"{memory.resident / MIB:.1f}{limit} MiB, {memory.peak / MIB:.1f} at most{account and '; '}{account}"
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -20,6 +20,7 @@
 from lanemux.net.decisions import Module, ModuleRunner
 from lanemux.net.frontend import Frontend
 from lanemux.net.http import LOAD_REPORT_HEADER, Headers, Message, load_report, parse_decimal, write_request
+from lanemux.net.memory_guard import MemoryGuard
 from lanemux.net.peers import Peers
 from lanemux.net.plugin_host import PluginHost
 from lanemux.net.probes import Probes
@@ -97,6 +98,7 @@
             admission(capacity) if admission is not None else None,
             ReceiveBudget(config.memory_mb),
         )
+        self.memory_guard = MemoryGuard(system, config.memory_mb)
         self.frontend = Frontend(config, self.server)
         self.upstream_set = UpstreamSet(config, self._pool_manager, system, source, self.feed, self._cancel_stale_waits)
         self.background = BackgroundAcquisition(self.tally)
@@ -120,6 +122,7 @@
         if self.config.settings.discovery_push:
             self.upstream_set.source.watch()
         self._sweep_idle()
+        self.memory_guard.start()
 
         async def listen() -> int:
             return self.frontend.open(readiness_delay_s)
@@ -223,6 +226,7 @@
         for active in list(self._active_requests.values()):
             self._finish(active, 504)
         self.frontend.stop()
+        self.memory_guard.stop()
         self.upstream_set.stop()
         for timer in (*self._module_timers.values(), self._sweep_timer, self._peer_message_timer):
             if timer is not None:
