One account of memory for clients, requests, responses and upstreams

core/memory_account.py (no I/O) charges every holder what it takes, by purpose. Its limit is what the process leaves of nine tenths of memory_mb (10^6 bytes) after its start, over 1.3 for the allocators' gaps, and half of it where an inherited listener means that two processes share the limit. Large requests leave room for all client connections and are refused with 503 before anything is forwarded; usual ones (4 KiB) may use the whole account. A response that finds no room is passed on as it comes; pieces of streams take a quarter of the account at most. A client that has not taken its response is not read. The guard compares with the resident memory: above nine tenths of the limit nothing large is taken on. The log and GET /admin/stats tell the account and refusals.

--- a/lanemux/admin/calls.py
+++ b/lanemux/admin/calls.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 from urllib.parse import unquote_to_bytes
 
+from lanemux.core.memory_account import MemoryAccount
 from lanemux.core.tally import Tally
 
 PREFIX = "/admin/"
@@ -49,6 +50,7 @@
     """The balancer that the calls act on."""
 
     tally: Tally
+    account: MemoryAccount
 
     @property
     def upstream_set(self) -> UpstreamSet: ...
@@ -101,6 +103,8 @@
         "sighup_applied": tally.reloads,
         "sighup_rejected": tally.reloads_refused,
         "failed_calls": tally.failed_calls,
+        "refusals": tally.refusals,
+        "memory": balancer.account.figures(),
         "standing": balancer.standing(),
     }
 
--- a/lanemux/core/tally.py
+++ b/lanemux/core/tally.py
@@ -15,6 +15,7 @@
         self.forwards = 0  # attempts whose last byte was written to an upstream
         self.failed_calls: dict[str, dict[str, int]] = {}  # system call -> errno name -> count
         self.failed_attempts: dict[str, dict[str, int]] = {}  # phase of the attempt -> result -> count
+        self.refusals: dict[str, int] = {}  # reason -> requests refused before they were taken on
         self.reloads = 0  # configurations applied after SIGHUP
         self.reloads_refused = 0  # configurations rejected because they could not be read
 
@@ -28,6 +29,10 @@
         errors = self.failed_calls.setdefault(call, {})
         errors[error] = errors.get(error, 0) + 1
 
+    def refused(self, reason: str) -> None:
+        """Count a request that was refused before it was taken on."""
+        self.refusals[reason] = self.refusals.get(reason, 0) + 1
+
     def attempt_failed(self, phase: str, result: str) -> None:
         """Count an attempt that did not get its whole response under how far it had come."""
         results = self.failed_attempts.setdefault(phase, {})
--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from lanemux.core.clock import now_ns
+from lanemux.core.memory_account import Holding
 from lanemux.net.http import Headers, Message, MessageReader, write_response, write_stream_head
 from lanemux.net.send_progress import SendProgress
 
@@ -36,6 +37,9 @@
     def handle_request(self, client: ClientConnection, request: Message, received_ns: int) -> None:
         """Answer a request through the connection's methods, now or later."""
 
+    def refused_for_memory(self) -> None:
+        """A request was refused because there is no memory for it."""
+
     def client_gone(self, client: ClientConnection) -> None:
         """The client can't get the response to its current request any more."""
 
@@ -97,6 +101,16 @@
         if self._transport is not None:
             self._send_progress.wrote(len(data), now_ns())
             self._transport.write(data)
+            self._charge_unsent()
+
+    def _charge_unsent(self) -> None:
+        unsent_bytes = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        self._server.account.hold(Holding.UNSENT_RESPONSES, self, unsent_bytes)
+
+    @property
+    def attached(self) -> bool:
+        """True once it is read: what it brings before that is not waited for."""
+        return self._transport is not None
 
     @property
     def has_unread(self) -> bool:
@@ -107,6 +121,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0)  # calls resume_writing when all data is sent
         if self._ended:  # it was evicted before its transport was made
             self._transport.abort()
 
@@ -151,13 +166,17 @@
             self.reject(self._reader.error_status)
         elif len(requests) > 1 or (requests and self._reader.in_message):
             self.reject(400)
-        elif not self._server.budget.charge(self, requests[0].held_bytes if requests else self._reader.held_bytes):
+        elif not self._charge_request(requests[0].held_bytes if requests else self._reader.held_bytes):
+            self._service.refused_for_memory()
             self.reject(503)  # nothing was forwarded
         elif requests:
             self._begin_request(requests[0], received)
         elif self._reader.in_message and not was_in_message:
             self._server.await_request(self)
 
+    def _charge_request(self, held_bytes: int) -> bool:
+        return self._server.account.charge(Holding.REQUESTS, self, held_bytes)
+
     def _reject_pipelined(self) -> None:
         """Data of another request arrived while one is being answered: neither is served."""
         self._current = None
@@ -185,6 +204,7 @@
             self._transport.pause_reading()
 
     def resume_writing(self) -> None:
+        self._charge_unsent()
         if self._transport is not None and not self._ended:
             self._transport.resume_reading()
         if self._on_writable is not None:
@@ -247,7 +267,6 @@
             not self._current.keep_alive or self._server.draining or self._server.near_capacity or self._ends_on_close
         )
         self._on_writable = on_writable
-        self._transport.set_write_buffer_limits(high=0)  # calls resume_writing when all data is sent
         self._write(write_stream_head(200, headers, length, self._closes_after, self._chunked))
 
     def write_piece(self, data: bytes) -> bool:
@@ -264,7 +283,6 @@
         self._current = self._on_writable = None
         if self._chunked:
             self._write(b"0\r\n\r\n")
-        self._transport.set_write_buffer_limits()
         if self._closes_after or self._server.draining:
             self.close()
         else:
--- a/lanemux/net/connection_table.py
+++ b/lanemux/net/connection_table.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -35,6 +37,11 @@
         """A copy, oldest first."""
         return list(self._members)
 
+    def older(self, age_s: float) -> Iterator[ClientConnection]:
+        """The connections added at least `age_s` ago, oldest first."""
+        until_s = asyncio.get_running_loop().time() - age_s
+        return itertools.takewhile(lambda client: client.since <= until_s, self._members)
+
     def oldest(self, age_s: float = 0.0) -> ClientConnection | None:
         """The connection added first, if that was at least `age_s` ago."""
         client = next(iter(self._members), None)
--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -15,7 +15,7 @@
 MAX_BUFFERED_RESPONSE = 64 * 1024  # bytes; a response up to this is buffered, so another attempt can still supply it
 MAX_HEAD = 16 * 1024  # bytes of a head, or of a head and its body's trailers
 MAX_FIELDS = 256  # header fields of a head: each takes far more memory than its bytes if it is short
-FIELD_OVERHEAD_BYTES = 128  # memory of a header field beyond its bytes: a tuple and two objects
+FIELD_OVERHEAD_BYTES = 160  # memory of a header field beyond its bytes: a tuple and two objects
 # Bytes that a chunked message may take, as a multiple of its body's limit; with one byte a chunk it takes six times.
 MAX_FRAMING_RATIO = 8
 LOAD_REPORT_HEADER = b"srv-load"  # from upstreams to balancers; not for clients
@@ -154,9 +154,19 @@
         """True if the end of the connection marks the end of the current response (RFC 9112, 6.3)."""
         return self._in_body and self._length is None and not self._chunked and not self.error_status
 
+    @property
+    def streaming(self) -> bool:
+        """True if the current message is a response that is being streamed."""
+        return self._streaming
+
+    @property
+    def can_stream(self) -> bool:
+        """True if a response's head is complete, and it may be streamed and is not yet."""
+        return self.in_body and self._streamable and not self._streaming
+
     def stream_buffered(self) -> None:
         """Stream the head, the buffered part of the response, and everything that follows."""
-        if self.has_open_ended_body:
+        if self.can_stream:
             self._start_stream()
 
     def _start_stream(self) -> None:
--- a/lanemux/net/memory_guard.py
+++ b/lanemux/net/memory_guard.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 from lanemux.core.allocator import Allocator
+from lanemux.core.memory_account import MB, USED_SHARE, MemoryAccount, account_limit_bytes
 from lanemux.core.system import ProcessMemory, System
 
 log = logging.getLogger(__name__)
 
-MB = 1_000_000
 MIB = 1024 * 1024
 CHECK_S = 0.25
 GIVE_BACK_S = 1.0  # what is freed within this time is given back together
@@ -24,11 +23,13 @@
 class MemoryGuard:
     """Checks the memory of this process at a fixed interval."""
 
-    def __init__(self, system: System, limit_mb: float, account: Callable[[], str] = lambda: "") -> None:
-        """`limit_mb`: the process's memory limit in MB; 0: unknown. `account` tells what is held, for the log."""
+    def __init__(self, system: System, account: MemoryAccount, limit_mb: float, processes: int = 1) -> None:
+        """`limit_mb`: the memory limit in MB, for as many processes at once; 0: unknown."""
         self._system = system
-        self._limit_bytes = int(limit_mb * MB)
-        self._describe_account = account
+        self._account = account
+        self._limit_mb, self._processes = limit_mb, processes
+        self._limit_bytes = int(limit_mb * MB) // processes
+        account.limit_bytes = account_limit_bytes(limit_mb, self._limit_bytes, processes)  # the least, until `start`
         self._loop = asyncio.get_running_loop()
         self._allocator = Allocator()
         self._timer: asyncio.TimerHandle | None = None
@@ -39,7 +40,11 @@
         self._alerted = False
 
     def start(self) -> None:
-        """Begin to check."""
+        """The process has started: from what it takes now follows what is left for the account. Begin to check."""
+        memory = self._system.memory()
+        if memory is not None:
+            at_rest_bytes = max(0, memory.resident - self._account.used_bytes)
+            self._account.limit_bytes = account_limit_bytes(self._limit_mb, at_rest_bytes, self._processes)
         self._check()
 
     def stop(self) -> None:
@@ -54,6 +59,7 @@
             return
         if self._loop.time() >= self._give_back_due_s or memory.resident > self._kept_bytes + GIVE_BACK_BYTES:
             memory = self._give_back(memory)
+        self._account.exhausted = 0 < self._limit_bytes * USED_SHARE < memory.resident
         self._alert(memory)
         self._log_peak(memory)
 
@@ -83,5 +89,4 @@
 
     def _summary(self, memory: ProcessMemory) -> str:
         limit = f" of {self._limit_bytes / MIB:.1f}" if self._limit_bytes else ""
-        account = self._describe_account()
-        return f"{memory.resident / MIB:.1f}{limit} MiB, {memory.peak / MIB:.1f} at most{account and '; '}{account}"
+        return f"{memory.resident / MIB:.1f}{limit} MiB, {memory.peak / MIB:.1f} at most; {self._account.describe()}"
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -10,6 +10,7 @@
 from lanemux import interface as api
 from lanemux.core.claimed_ids import ClaimedIds, ClaimStore, MemoryStorage
 from lanemux.core.clock import now_ns
+from lanemux.core.memory_account import Holding, MemoryAccount
 from lanemux.core.source import SourceFactory
 from lanemux.core.system import Machine, System
 from lanemux.core.tally import Tally
@@ -24,7 +25,6 @@
 from lanemux.net.peers import Peers
 from lanemux.net.plugin_host import PluginHost
 from lanemux.net.probes import Probes
-from lanemux.net.receive_budget import ReceiveBudget
 from lanemux.net.server import Server
 from lanemux.net.startup import BackgroundAcquisition, acquire
 from lanemux.net.stream_supervisor import StreamSupervisor
@@ -81,6 +81,7 @@
         self._sweep_timer: asyncio.TimerHandle | None = None
         capacity = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self.tally = Tally(config.settings.classes)
+        self.account = MemoryAccount()
         self._pool_manager = PoolManager(
             capacity,
             limits.connect_timeout_ns / SECOND,
@@ -88,6 +89,7 @@
             stream=True,
             counter=self.tally,
             has_unread=system.has_unread,
+            account=self.account,
         )
         self.streams = StreamSupervisor(lambda active: self._finish(active, 504))
         self.server = Server(
@@ -96,9 +98,10 @@
             system,
             self.tally,
             admission(capacity) if admission is not None else None,
-            ReceiveBudget(config.memory_mb),
+            self.account,
         )
-        self.memory_guard = MemoryGuard(system, config.memory_mb)
+        # With an inherited listener, a new version may start beside this process and share its limit.
+        self.memory_guard = MemoryGuard(system, self.account, config.memory_mb, 1 if config.listen_fd is None else 2)
         self.frontend = Frontend(config, self.server)
         self.upstream_set = UpstreamSet(config, self._pool_manager, system, source, self.feed, self._cancel_stale_waits)
         self.background = BackgroundAcquisition(self.tally)
@@ -211,7 +214,7 @@
             "events": len(self._events),
             "probes": len(self._probes),
             "connections": self.server.connection_count,
-            "request bytes": self.server.budget.used_bytes,
+            "request bytes": self.account.used_by[Holding.REQUESTS],
             "attempts": self._pool_manager.open_connections - len(self._pool_manager.idle),
         }
 
@@ -364,6 +367,10 @@
         self._finish(active, 504)
         self.feed(api.ClientGone(active.id))
 
+    def refused_for_memory(self) -> None:
+        """A client's request was refused because there is no memory for it."""
+        self.tally.refused("memory")
+
     def client_gone(self, client: ClientConnection) -> None:
         """The client has closed its connection: cancel its request."""
         active = self._by_client.get(client)
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -4,17 +4,18 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 from typing import TYPE_CHECKING
 
 from lanemux.core.clock import now_ns
 from lanemux.core.failures import FailureCounter, errno_name, is_out_of_descriptors
+from lanemux.core.memory_account import Holding, MemoryAccount
 from lanemux.core.system import Listener, System
 from lanemux.eventloop.loop import EventLoop
 from lanemux.net.admission import ConnectionAdmission
 from lanemux.net.client_connection import ClientConnection, Service
 from lanemux.net.connection_table import ConnectionTable
-from lanemux.net.receive_budget import ReceiveBudget
 from lanemux.net.send_progress import CLIENT_TIMEOUT_NS
 
 if TYPE_CHECKING:
@@ -34,9 +35,12 @@
 NEAR_CAPACITY_SHARE = 0.6  # of the capacity; above it, connections are closed after their response
 GRACE_S = 0.05  # a younger connection is not evicted: its request may be on the way
 CLOSES_PER_TURN = 4  # connections closed per loop iteration while clients are being sent away
+MAX_EVICTION_LOOKS = 16  # connections looked at for one whose request has not come
 MIN_SILENT_S = 0.3  # a connection silent for this long has no first request on the way
 MAX_UNWATCHED_S = 1.0  # not accepting for this long without a reason is an error
+CONNECTION_BYTES = 6 * 1024  # memory of a client's connection without its requests and responses
 TICK_S = 0.1  # interval at which timeouts are checked
+CLIENT_HOLDINGS = (Holding.CLIENT_CONNECTIONS, Holding.REQUESTS, Holding.UNSENT_RESPONSES)
 
 
 class Server:
@@ -49,14 +53,14 @@
         system: System,
         counter: FailureCounter,
         admission: ConnectionAdmission | None = None,
-        budget: ReceiveBudget | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
-        """`counter` counts the connections that could not be accepted; without a `budget` the memory of requests is not
-        limited."""
+        """`counter` counts the connections that could not be accepted; without an `account` memory is not limited."""
         self._service = service
         self._counter = counter
         self._admission = admission
-        self.budget = budget or ReceiveBudget(0)
+        self.account = account or MemoryAccount()
+        self.account.connections_bytes = capacity * CONNECTION_BYTES
         # With admission: connections that have sent nothing yet; they have no transport, to keep them cheap.
         self._pending: dict[ClientConnection, socket.socket] = {}
         self._capacity = capacity
@@ -269,6 +273,11 @@
         idle = self._idle.oldest(REQUEST_TIMEOUT_S if self._awaiting_request else 0.0)
         return without_request or (idle if idle is not None and not idle.flushing else None)
 
+    def _oldest_without_unread(self) -> ClientConnection | None:
+        """The oldest connection whose request is due and has not come: one that lies unread is still to be answered."""
+        oldest = itertools.islice(self._awaiting_request.older(GRACE_S), MAX_EVICTION_LOOKS)
+        return next((client for client in oldest if not client.attached or not client.has_unread), None)
+
     def _register(self, accepted: socket.socket) -> None:
         client = ClientConnection(self, self._service)
         client.max_unread_s = self.max_unread_s()
@@ -276,6 +285,7 @@
             waited_s = asyncio.get_running_loop().time() - self._not_accepting_since
             client.max_unread_s = max(client.max_unread_s, waited_s)
         self._connections[client] = None
+        self.account.hold(Holding.CLIENT_CONNECTIONS, client, CONNECTION_BYTES)
         self._awaiting_request.add(client)
         self._accepted_total += 1
         if self._admission is None or not self._add_pending(client, accepted, self._admission):
@@ -327,7 +337,7 @@
         """Update the tables after a connection has become busy or idle."""
         self._discard_unanswered(client)
         if not client.busy:
-            self.budget.release(client)
+            self.account.release(Holding.REQUESTS, client)
             self._idle.add(client)
             self._resume()
 
@@ -349,7 +359,7 @@
             self.forget(client)  # it received nothing, so there is nothing to send
             return
         self._discard_unanswered(client)
-        self.budget.release(client)
+        self.account.release(Holding.REQUESTS, client)
         if client in self._connections:
             (self._flushing if flushing else self._lingering).add(client)
 
@@ -378,7 +388,8 @@
             waiting.close()
         self._connections.pop(client, None)
         self._discard_unanswered(client)
-        self.budget.release(client)
+        for holding in CLIENT_HOLDINGS:
+            self.account.release(holding, client)
         self._lingering.discard(client)
         self._flushing.discard(client)
         self._resume()
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -11,6 +11,7 @@
 
 from lanemux.core.address import Address
 from lanemux.core.failures import Backoff, FailureCounter, errno_name, is_local, is_transient_connect_error
+from lanemux.core.memory_account import SMALL_BYTES, Holding, MemoryAccount
 from lanemux.core.system import ConnectedSocket
 from lanemux.interface import Result
 from lanemux.net.exchange_phase import ExchangePhase
@@ -30,6 +31,8 @@
 MAX_PIECE = 64 * 1024  # most bytes read, and so passed on, at once
 MIN_PIECE = 4 * 1024  # bytes; below this the overhead of a read outweighs the data
 STREAMING_BYTES = 8 * 1024 * 1024  # read at once by all streamed responses together
+STREAMING_SHARE = 0.25  # of the memory account, at most, for the same
+CONNECTION_BYTES = 6 * 1024  # memory of a connection without its requests and responses
 
 DEFAULT_IDLE_S = 10.0  # used if the settings do not say how long an upstream keeps idle connections
 IDLE_SHARE = 0.8  # of that time; beyond it a request could cross the upstream closing the connection
@@ -37,6 +40,9 @@
 MAX_IDLE_CONNECTIONS = 2  # per upstream: each takes a place in the upstream's connection table
 
 
+CONNECTION_HOLDINGS = (Holding.UPSTREAM_CONNECTIONS, Holding.UNSENT_REQUESTS, Holding.RECEIVED_RESPONSES)
+
+
 def _ignore_end(result: Result, response: Message | None) -> None:
     """The exchange has ended before."""
 
@@ -274,6 +280,7 @@
         self.idle_since = 0.0
         self._last_received_s = 0.0
         pool.manager.open_connections += 1
+        pool.manager.account.hold(Holding.UPSTREAM_CONNECTIONS, self, CONNECTION_BYTES)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -312,6 +319,7 @@
             return
         began_s = self._pool.manager.time()
         self._transport.write(data)
+        self._pool.manager.account.hold(Holding.UNSENT_REQUESTS, self, self._transport.get_write_buffer_size())
         if self._is_reused and self.has_unread and self._pool.manager.time() - began_s < MIN_RESPONSE_S:
             # They have crossed the request, and would be taken for its answer. Deferred, as above.
             asyncio.get_running_loop().call_soon(self.handle_loss)
@@ -323,6 +331,7 @@
             self._on_all_written()
 
     def resume_writing(self) -> None:
+        self._pool.manager.account.release(Holding.UNSENT_REQUESTS, self)
         self._on_all_written()
 
     def _on_all_written(self) -> None:
@@ -336,7 +345,27 @@
 
     def buffer_updated(self, count: int) -> None:
         self._last_received_s = self._pool.manager.time()
-        self._handle_responses(self._reader.feed(self._pool.manager.buffer()[:count]))
+        responses = self._reader.feed(self._pool.manager.buffer()[:count])
+        if responses or self._charge_response():
+            self._handle_responses(responses)
+        else:
+            self._no_memory_for_response()
+
+    def _charge_response(self) -> bool:
+        """Charge what is buffered of a response; False if there is no memory for it. Small ones are always kept."""
+        held_bytes, account = self._reader.held_bytes, self._pool.manager.account
+        if self._reader.streaming or held_bytes <= SMALL_BYTES:
+            account.hold(Holding.RECEIVED_RESPONSES, self, held_bytes)
+            return True
+        return account.charge(Holding.RECEIVED_RESPONSES, self, held_bytes)
+
+    def _no_memory_for_response(self) -> None:
+        """Pass the response on as it comes, without keeping it for another attempt; if it can't be, it is given up."""
+        if not self._reader.can_stream:
+            self._pool.manager.counter.call_failed("response of an upstream", "no memory")
+            self.handle_loss()
+            return
+        self._start_streaming()
 
     def eof_received(self) -> None:
         if not self._reader.ends_on_close or self._exchange is None:
@@ -370,10 +399,13 @@
         """Start streaming the response if its head is complete and its length unknown; False if that is not so."""
         if self._closed or not self._reader.has_open_ended_body:
             return False
+        self._start_streaming()
+        return True
+
+    def _start_streaming(self) -> None:
         self._cancel_buffering_timer()
         self._reader.stream_buffered()
         self._handle_responses([])
-        return True
 
     def _cancel_buffering_timer(self) -> None:
         if self._buffering_timer is not None:
@@ -409,6 +441,7 @@
             self._buffering_timer = asyncio.get_running_loop().call_later(BUFFERING_S, self._buffering_over)
         if responses:
             self._cancel_buffering_timer()
+            self._pool.manager.account.release(Holding.RECEIVED_RESPONSES, self)
             self._exchange = None
             # A connection that has brought surplus bytes may bring the rest of them: they would meet the next request.
             if not self._reader.has_surplus and responses[0].keep_alive and self._written:
@@ -436,6 +469,8 @@
             self._closed = True
             self._reader.release()
             self._pool.manager.open_connections -= 1
+            for holding in CONNECTION_HOLDINGS:
+                self._pool.manager.account.release(holding, self)
         self._cancel_buffering_timer()
         if self._transport is not None:
             # abort() closes the socket only in the next loop iteration, when a retry may already have been sent: the
@@ -525,10 +560,12 @@
         stream: bool = False,
         counter: FailureCounter | None = None,
         has_unread: Callable[[ConnectedSocket], bool] = lambda connection: False,
+        account: MemoryAccount | None = None,
     ) -> None:
         """`stream`: long responses are streamed if their exchange accepts that. `counter` counts the connects that
         failed on this machine. `has_unread` tells whether the kernel holds unread bytes of a connection."""
         self.has_unread = has_unread
+        self.account = account or MemoryAccount()
         self.counter = counter or NullFailureCounter()
         self.time = asyncio.get_running_loop().time
         self.capacity = capacity
@@ -545,9 +582,10 @@
 
     def buffer(self) -> memoryview:
         """The buffer to read into; smaller the more responses are streamed, to bound the memory for all of them."""
-        if self.streaming * MAX_PIECE <= STREAMING_BYTES:
+        all_bytes = min(STREAMING_BYTES, self.account.share_bytes(STREAMING_SHARE) or STREAMING_BYTES)
+        if self.streaming * MAX_PIECE <= all_bytes:
             return self._buffer
-        return self._buffer[: max(MIN_PIECE, STREAMING_BYTES // self.streaming)]
+        return self._buffer[: max(MIN_PIECE, all_bytes // self.streaming)]
 
     def track_connect(self, task: asyncio.Task[None]) -> None:
         """Keep a reference to a connect task until it is done."""
--- a/tests/memory/measure.py
+++ b/tests/memory/measure.py
@@ -29,6 +29,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 MB = 1_000_000
 SAMPLE_S = 0.02
+WARM_UP_S = 1.5  # from the first usual clients to the crowd
 SETTLE_S = 5.0  # from the end of the crowd to the last sample
 TURN_S = 3.0
 UPSTREAMS = 8
@@ -52,6 +53,9 @@
     anonymous: float
     resident: float  # with the files that it has mapped, and what lies in its $TMPDIR
 
+    def __str__(self) -> str:
+        return f"{self.anonymous:.1f} ({self.resident:.1f})"
+
     @staticmethod
     def of(pid: int, temporary: Path) -> Memory | None:
         """Read the memory of a process; None if it has ended."""
@@ -69,7 +73,7 @@
 class Measured:
     """What one run showed."""
 
-    start: Memory
+    start: Memory | None = None  # with the usual clients, before the crowd
     most_anonymous: float = 0.0
     most_resident: float = 0.0
     after: Memory | None = None  # SETTLE_S after all clients of the crowd have left; None: the process has ended
@@ -88,12 +92,9 @@
         return sum(count for result, count in self.usual.items() if not result.isdigit())
 
     def line(self) -> str:
-        after = f"{self.after.anonymous:.1f} ({self.after.resident:.1f})" if self.after is not None else "ended"
+        most = Memory(self.most_anonymous, self.most_resident)
         slowest = max(self.usual_s, default=0.0)
-        return (
-            f"{self.start.anonymous:.1f} ({self.start.resident:.1f}) | "
-            f"{self.most_anonymous:.1f} ({self.most_resident:.1f}) | {after} | {dict(self.usual)} | {slowest:.3f}"
-        )
+        return f"{self.start or 'ended'} | {most} | {self.after or 'ended'} | {dict(self.usual)} | {slowest:.3f}"
 
 
 @asynccontextmanager
@@ -177,11 +178,11 @@
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         async with balancer(folder, upstreams, memory_mb, sockets) as (process, port):
-            start = Memory.of(process.pid, folder / "tmp")
-            assert start is not None
-            measured = Measured(start)
+            measured = Measured()
             usual = [asyncio.create_task(_usual_client(port, n, measured)) for n in range(USUAL_CLIENTS)]
             usual.append(asyncio.create_task(_drain_log(process, measured)))
+            await asyncio.sleep(WARM_UP_S)
+            measured.start = Memory.of(process.pid, folder / "tmp")
             crowd = [asyncio.create_task(client(port, plans[n % len(plans)], turn_s)) for n in range(clients)]
             if stalls:
                 crowd.append(asyncio.create_task(_stalls(process)))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from lanemux import interface as api
+from lanemux.core.system import System
 from lanemux.net.config import Config
 from lanemux.net.decisions import Module
 from lanemux.net.node import MakeConnectionAdmission, Node
@@ -225,6 +226,7 @@
     readiness_delay_s: float = 0.0,
     admission: MakeConnectionAdmission | None = None,
     memory_mb: float = 0.0,
+    system: System | None = None,
     **limits: Any,
 ) -> AsyncIterator[Client]:
     """Run a node that knows these upstreams; yields a client of it."""
@@ -240,7 +242,7 @@
         known_list or known(*(u.port for u in upstreams)),
         memory_mb=memory_mb,
     )
-    balancer = Node(config, module, admission=admission)
+    balancer = Node(config, module, system=system, admission=admission)
     port = await balancer.start(readiness_delay_s)
     client = Client(balancer, port)
     try:
