A connection whose request lies unread does not make place for another

With all places taken, a new connection is accepted at the cost of the oldest whose request is due for 50 ms, without a look whether it lies in the socket: a loop that is late, but has not stalled, evicts usual clients.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -269,7 +269,7 @@
         """The connection to evict for a new one: one being closed, else one whose request is due, else an idle one."""
         if self._recently_stalled():
             return self._lingering.oldest()
-        without_request = self._lingering.oldest() or self._awaiting_request.oldest(GRACE_S)
+        without_request = self._lingering.oldest() or self._oldest_without_unread()
         idle = self._idle.oldest(REQUEST_TIMEOUT_S if self._awaiting_request else 0.0)
         return without_request or (idle if idle is not None and not idle.flushing else None)
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -287,6 +287,31 @@
     run(test())
 
 
+def test_a_connection_whose_request_lies_unread_is_not_closed_for_another() -> None:
+    """Guards against: usual clients' requests closed with no answer beside 490 others (report 730780)."""
+
+    async def test() -> None:
+        async with node(Script(), sockets=48) as client:
+            server = client.node.server
+            asking, silent_one = client.another(), client.another()
+            for one in (asking, silent_one):
+                one.reader, one.writer = await asyncio.open_connection(HOST, client.port)
+            await until(lambda: len(server._awaiting_request) == 2 and not server._attaching)
+            unread, empty = server._awaiting_request.members()
+            assert unread._transport is not None
+            unread._transport.pause_reading()  # as if the loop had not come to it yet
+            await asking.send(READY)
+            await until(lambda: unread.has_unread)
+            age(server._awaiting_request, 1.0)
+            assert server._eviction_candidate() is empty
+            unread._transport.resume_reading()
+            assert (await asking.read()).status == 200
+            asking.close()
+            silent_one.close()
+
+    run(test())
+
+
 def test_a_connection_that_makes_place_before_it_is_up_is_closed() -> None:
     async def test() -> None:
         async with node(Script()) as client:
