Soak: drawn limits of memory and descriptors, and clients that change their way

Each seed now draws both limits; the monitor reads the high water (VmHWM, with mapped files, 10^6 bytes) and compares it with the drawn limit.

--- a/lanemux/rehearsal/balancers.py
+++ b/lanemux/rehearsal/balancers.py
@@ -18,7 +18,6 @@
 STOP_TIMEOUT_S = 4.5  # after SIGTERM: the longest request deadline plus the platform's 0.7 s
 POLL_INTERVAL_S = 0.02
 SIGNAL_INTERVAL_S = 0.01  # between repeated signals
-MEMORY_MB, SOCKETS = 80, 1024  # limits given in the configuration
 
 
 @dataclass(slots=True)
@@ -33,6 +32,17 @@
     operators: str = ""  # content of its operators' file (TOML); "": it has none
 
 
+@dataclass(frozen=True)
+class BalancerLimits:
+    """The limits given in a balancer's configuration."""
+
+    memory_mb: float  # 10^6 bytes
+    sockets: int  # descriptors
+
+
+USUAL_LIMITS = BalancerLimits(80.0, 1024)
+
+
 def host_port(address: Address) -> str:
     """The address as `host:port`."""
     return f"{address[0]}:{address[1]}"
@@ -44,7 +54,7 @@
     seed: str,
     known: dict[str, object],
     settings: dict[str, object],
-    sockets: int = SOCKETS,
+    limits: BalancerLimits = USUAL_LIMITS,
 ) -> dict[str, object]:
     """The content of a balancer's configuration file, as the protocol page defines it."""
     return {
@@ -52,7 +62,7 @@
         "listen": host_port(endpoints.listen),
         "discovery": host_port(endpoints.discovery),
         "seed": seed,
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
         "peer_listen": host_port(endpoints.peer_listen),
         "peers": [host_port(a) for a in endpoints.peers],
         "peers_all": host_port(endpoints.peers_all),
@@ -84,9 +94,11 @@
         folder: Path,
         settings: dict[str, object],
         seed: int,
+        limits: BalancerLimits,
     ) -> None:
         self.number, self.endpoints = number, endpoints
         self._command, self._folder, self._settings, self._seed = command, folder, settings, seed
+        self._limits = limits
         self._starts = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.expected_down = False  # killed or terminated by the rehearsal
@@ -102,7 +114,7 @@
         self.expected_down = False
         name = f"n{self.number}"
         config = configuration(
-            name, self.endpoints, f"{self._seed:x}-{self.number}-{self._starts}", known, self._settings
+            name, self.endpoints, f"{self._seed:x}-{self.number}-{self._starts}", known, self._settings, self._limits
         )
         path = self._folder / f"balancer-{self.number}.json"
         path.write_text(json.dumps(config))
@@ -236,10 +248,11 @@
 
 
 def descriptors_and_memory_mb(pid: int) -> tuple[int, float]:
-    """Number of open descriptors and resident memory in MB of a process; zeros if it has exited."""
+    """Number of open descriptors of a process, and the most memory that it has had resident, in MB; zeros if it has
+    exited."""
     try:
         descriptors = len(os.listdir(f"/proc/{pid}/fd"))
-        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        peak_kib = int(Path(f"/proc/{pid}/status").read_text().partition("VmHWM:")[2].split()[0])
     except (OSError, ValueError, IndexError):
         return 0, 0.0
-    return descriptors, pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+    return descriptors, peak_kib * 1024 / 1e6
--- a/lanemux/rehearsal/plan.py
+++ b/lanemux/rehearsal/plan.py
@@ -77,6 +77,7 @@
     until_ns: int = 0  # freeze, hang, late_body, neighbour, flood: its end; restart: time of the SIGKILL
     size: float = 0.0  # neighbour: share taken; flood: connections; restart: 1 if more signals follow SIGTERM
     sources: int = 0  # flood: number of source addresses
+    changing: bool = False  # flood: connections go from one part of a request to the next
     head_lines: int = 0  # flood: lines of a request's head that each connection sends
     long_bodies: bool = False  # late_body: some bodies are longer than what a balancer buffers
 
@@ -363,10 +364,12 @@
     those that send part of a head at a part of them."""
     at_ns, end_ns = int(fault.at_s * SECOND), int((fault.at_s + fault.for_s) * SECOND)
     flooded = list(range(plan.scenario.fleet.balancers))
-    if fault.head_lines:
+    if fault.head_lines or fault.changing:
         flooded = rng.sample(flooded, max(1, round(rng.uniform(*fault.part) * len(flooded))))
     plan.happenings += [
-        Happening(at_ns, "flood", balancer, end_ns, float(fault.connections), fault.sources, fault.head_lines)
+        Happening(
+            at_ns, "flood", balancer, end_ns, float(fault.connections), fault.sources, fault.changing, fault.head_lines
+        )
         for balancer in flooded
     ]
 
--- a/lanemux/rehearsal/process_monitor.py
+++ b/lanemux/rehearsal/process_monitor.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from lanemux.rehearsal.balancers import MEMORY_MB, cpu_time_s, cpu_wait_ns, descriptors_and_memory_mb
+from lanemux.rehearsal.balancers import cpu_time_s, cpu_wait_ns, descriptors_and_memory_mb
 from lanemux.rehearsal.records import CallerRecords
 
 PROCESSES_PER_TURN = 4  # sampled per loop iteration: sampling hundreds at once would delay the callers on this loop
@@ -25,8 +25,10 @@
 class ProcessMonitor:
     """Keeps the maximum of each sampled value in the callers' records."""
 
-    def __init__(self, records: CallerRecords) -> None:
+    def __init__(self, records: CallerRecords, limit_mb: float) -> None:
+        """`limit_mb`: the memory that a balancer may take, in 10^6 bytes with the files that it has mapped."""
         self._records = records
+        self._limit_mb = limit_mb
         self._last: dict[int, _Sample] = {}
         self._over_limit: set[int] = set()  # balancers that have exceeded their memory limit
 
@@ -55,6 +57,8 @@
             descriptors, memory_mb = descriptors_and_memory_mb(pid)
             self._records.descriptors_most = max(self._records.descriptors_most, descriptors)
             self._records.memory_most_mb = max(self._records.memory_most_mb, memory_mb)
-            if memory_mb > MEMORY_MB and pid not in self._over_limit:
+            if memory_mb > self._limit_mb and pid not in self._over_limit:
                 self._over_limit.add(pid)
-                self._records.crashes.append(f"a balancer took {memory_mb:.0f} MB; the limit is {MEMORY_MB} MB")
+                self._records.crashes.append(
+                    f"a balancer took {memory_mb:.0f} MB; the limit is {self._limit_mb:.0f} MB"
+                )
--- a/lanemux/rehearsal/run.py
+++ b/lanemux/rehearsal/run.py
@@ -18,8 +18,15 @@
 
 from lanemux.rehearsal import boxes_process
 from lanemux.rehearsal.addresses import Address
-from lanemux.rehearsal.balancers import BalancerEndpoints, BalancerProcess, cpu_pressure_ns, free_address
+from lanemux.rehearsal.balancers import (
+    BalancerEndpoints,
+    BalancerLimits,
+    BalancerProcess,
+    cpu_pressure_ns,
+    free_address,
+)
 from lanemux.rehearsal.callers import Callers, FrontRouter
+from lanemux.rehearsal.flood import CHANGING
 from lanemux.rehearsal.loop_timing import LoopLagRecorder, disable_garbage_collector
 from lanemux.rehearsal.plan import MS, SECOND, Happening, Notice, Plan, draw_plan, room_of, settings
 from lanemux.rehearsal.process_monitor import ProcessMonitor
@@ -107,7 +114,7 @@
         self._callers: Callers | None = None
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._process_monitor = ProcessMonitor(self.records)
+        self._process_monitor = ProcessMonitor(self.records, scenario.fleet.memory_mb)
         self._down_spans: dict[int, StateSpan] = {}
         self._addresses: list[list[Address]] = []
         self._boxes_process: multiprocessing.process.BaseProcess | None = None
@@ -134,6 +141,7 @@
         peers, broadcast_addresses = await self._relay.open(f"{self._address_prefix}.201.1")
         wall_zero_ms = time.time_ns() // 1_000_000
         new_agent = self._agent_factory(wall_zero_ms)
+        limits = BalancerLimits(self.plan.scenario.fleet.memory_mb, self.plan.scenario.fleet.sockets)
         for number, place in enumerate(places):
             agent = new_agent(number)
             self._agents.append(agent)
@@ -143,7 +151,9 @@
             for box in self.plan.initial_boxes:
                 self._deliver_notice(agent, Notice(0, box, "up", 0), first=True)
             self._balancers.append(
-                BalancerProcess(number, self._command, place, self._folder, settings(self.plan, number), self.plan.seed)
+                BalancerProcess(
+                    number, self._command, place, self._folder, settings(self.plan, number), self.plan.seed, limits
+                )
             )
         for balancer in self._balancers:
             balancer.start(self._agents[balancer.number].snapshot())
@@ -311,7 +321,7 @@
             f"{self._address_prefix}.210",
             str(event.sources),
             str(seconds),
-            str(event.head_lines),
+            CHANGING if event.changing else str(event.head_lines),
             stdout=asyncio.subprocess.PIPE,
         )
         try:
--- a/lanemux/rehearsal/scenario.py
+++ b/lanemux/rehearsal/scenario.py
@@ -79,6 +79,8 @@
     cold_worst_s: float = bounded(0.01, 600, 8.7)
     fall_multiple: float = bounded(1, 100, 2.5)  # a cold box that is sent more than this multiple of its capacity
     fall_ms: float = bounded(10, 60_000, 1500.0)  # for this long falls over
+    memory_mb: float = bounded(32, 100_000, 80.0)  # limit of a balancer, in 10^6 bytes
+    sockets: int = bounded(256, 100_000, 1024)  # descriptors of a balancer
     drain_grace_ms: float = bounded(0, 60_000, 500.0)
     error_rate: Range = bounded(0, 1, (0.0, 0.002))
     cancels_queued: float = bounded(0, 1, 0.5)  # share of seeds for which a cancel removes queued work
@@ -159,6 +161,7 @@
     connections: int = bounded(1, 15_000, 1000)  # flood: idle connections opened within a second at each balancer
     sources: int = bounded(1, 200, 4)  # flood: number of source addresses
     head_lines: int = bounded(0, 4000, 0)  # flood: lines of a head that each connection sends before it stops
+    changing: bool = False  # flood: connections send one part of a request after another, each on a new connection
     partner_name: str = ""  # partner: whose callers ask more and retry at once; "": drawn at random
     die_in_drain: float = bounded(0, 1, 0.1)  # deploy: share of boxes that die before their drain ends
 
--- a/lanemux/rehearsal/soak/draw.py
+++ b/lanemux/rehearsal/soak/draw.py
@@ -42,7 +42,10 @@
 MAX_ACCEPT_OUTAGE_SHARE = 0.33  # of the deadline: must leave time for a final answer to the shortest try
 WALL_CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 DEADLINES_MS = (300.0, 600.0, 1500.0)
-STOPPED_CLIENTS = 341  # a third of a balancer's 1,024 descriptors, which is what clients hold at most
+STOPPED_CLIENTS_SHARE = 1 / 3  # of a balancer's descriptors, which is what clients hold at most
+MEMORY_LIMITS_MB = (32.0, 32.0, 48.0, 80.0, 192.0)
+DESCRIPTORS = (256, 512, 1024, 1024)
+CHANGING_SHARE = 0.5  # of the runs: clients go from one part of a request to the next
 LONG_HEADS_SHARE = 0.3  # of the runs: clients stop in heads of many lines
 HANG_SHARE = 0.4  # of the runs: boxes hang in the middle of their responses
 LATE_BODY_SHARE = 0.4  # of the runs: boxes are late with the bodies of their responses
@@ -170,6 +173,8 @@
         )
         for name, share, effect in (("quote", 0.4, "safe"), ("booking", 0.3, "keyed"), ("payout", 0.3, "unsafe"))
     )
+    limits = random.Random(f"soak-limits/{seed}")
+    memory_mb, sockets = limits.choice(MEMORY_LIMITS_MB), limits.choice(DESCRIPTORS)
     boxes = rng.randint(5, 9)
     balancers = MANY_BALANCERS if rng.random() < 0.1 else rng.randint(3, 5)
     return validated(
@@ -178,7 +183,14 @@
             seconds=seconds,
             classes=classes,
             partners=DEFAULT_PARTNERS,
-            fleet=Fleet(boxes=boxes, balancers=balancers, cold_s=(2.0, 4.0), cold_worst_s=4.0),
+            fleet=Fleet(
+                boxes=boxes,
+                balancers=balancers,
+                cold_s=(2.0, 4.0),
+                cold_worst_s=4.0,
+                memory_mb=memory_mb,
+                sockets=sockets,
+            ),
             load=Load(rate=rng.uniform(*LOAD_RANGE) * boxes * 1000 / WORK_MS),
             callers=Callers(
                 grace_ms=FINAL_ANSWER_GRACE_MS,
@@ -193,7 +205,8 @@
                 *_draw_faults(rng, seconds),
                 *_draw_hangs(random.Random(f"soak-hang/{seed}"), seconds),
                 *_draw_late_bodies(random.Random(f"soak-late-body/{seed}"), seconds),
-                *_draw_long_heads(random.Random(f"soak-heads/{seed}"), seconds),
+                *_draw_long_heads(random.Random(f"soak-heads/{seed}"), seconds, sockets),
+                *_draw_changing(random.Random(f"soak-changing/{seed}"), seconds, sockets),
             ),
         ),
         f"seed {seed}",
@@ -214,12 +227,21 @@
     return [Fault("late_body", at_s=rng.uniform(1.0, seconds - 4.0), for_s=rng.uniform(1.0, 3.0), part=(0.1, 0.3))]
 
 
-def _draw_long_heads(rng: random.Random, seconds: float) -> list[Fault]:
+def _draw_changing(rng: random.Random, seconds: float, sockets: int) -> list[Fault]:
+    """In some runs clients hold one part of a request after another, each on a new connection."""
+    if rng.random() >= CHANGING_SHARE:
+        return []
+    at_s, clients = rng.uniform(0.5, 1.5), int(STOPPED_CLIENTS_SHARE * sockets)
+    return [Fault("flood", at_s=at_s, for_s=seconds - at_s - 1.0, connections=clients, changing=True)]
+
+
+def _draw_long_heads(rng: random.Random, seconds: float, sockets: int) -> list[Fault]:
     """In some runs clients stop in heads of many short lines, as many clients as a third of the descriptors allows."""
     if rng.random() >= LONG_HEADS_SHARE:
         return []
     at_s = rng.uniform(1.0, seconds - 3.0)
-    return [Fault("flood", at_s=at_s, for_s=2.5, connections=STOPPED_CLIENTS, head_lines=rng.choice((250, 1000, 3200)))]
+    clients = int(STOPPED_CLIENTS_SHARE * sockets)
+    return [Fault("flood", at_s=at_s, for_s=2.5, connections=clients, head_lines=rng.choice((250, 1000, 3200)))]
 
 
 def _draw_faults(rng: random.Random, seconds: float) -> list[Fault]:
--- a/lanemux/virtual/simulation.py
+++ b/lanemux/virtual/simulation.py
@@ -26,7 +26,7 @@
 from lanemux.net.reload import ListSourceSetting
 from lanemux.policy import Balancer
 from lanemux.rehearsal.addresses import reserve_addresses
-from lanemux.rehearsal.balancers import BalancerEndpoints, configuration
+from lanemux.rehearsal.balancers import USUAL_LIMITS, BalancerEndpoints, BalancerLimits, configuration
 from lanemux.rehearsal.box_context import BoxContext
 from lanemux.rehearsal.boxes import Boxes
 from lanemux.rehearsal.callers import Callers, FrontRouter
@@ -446,7 +446,7 @@
             f"{self.plan.seed:x}-{balancer.number}-{balancer.starts}",
             balancer.agent.snapshot(),
             balancer.settings,
-            self.descriptor_limit,
+            BalancerLimits(USUAL_LIMITS.memory_mb, self.descriptor_limit),
         )
         balancer.process.disk.write(CONFIGURATION, json.dumps(config).encode())
 
--- a/tests/rehearsal/test_process_monitor.py
+++ b/tests/rehearsal/test_process_monitor.py
@@ -22,7 +22,7 @@
                 await asyncio.sleep(0)
 
         task = asyncio.create_task(other())
-        await ProcessMonitor(CallerRecords()).sample([], [os.getpid()] * MANY_PROCESSES, record_waits=True)
+        await ProcessMonitor(CallerRecords(), 1000.0).sample([], [os.getpid()] * MANY_PROCESSES, record_waits=True)
         task.cancel()
         return turns
 
@@ -32,7 +32,7 @@
 def test_a_busy_balancer_is_recorded_and_an_exited_one_is_ignored() -> None:
     async def test() -> CallerRecords:
         records = CallerRecords()
-        monitor = ProcessMonitor(records)
+        monitor = ProcessMonitor(records, 1000.0)
         for _ in range(2):
             await monitor.sample([], [os.getpid(), 0], record_waits=True)
             sum(range(2_000_000))
