Reading takes a bounded part of each turn of the loop

Callers beside 341 clients that each send 60 kB in chunks of one byte had no answer at all: 64 KiB of such chunks take milliseconds to parse, and each turn of the loop read that much from each of them. net/read_pacer.py: once a turn has spent 20 ms on what was read, the rest of the turn reads 1 KiB of each connection, which holds a usual request, so its cost is known before it is parsed.

--- a/lanemux/net/client_connection.py
+++ b/lanemux/net/client_connection.py
@@ -126,10 +126,10 @@
             self._transport.abort()
 
     def get_buffer(self, size: int) -> memoryview:
-        return self._server.read_buffer
+        return self._server.read_pacer.buffer()
 
     def buffer_updated(self, count: int) -> None:
-        self.data_received(self._server.read_buffer[:count])
+        self._server.read_pacer.handle(count, self.data_received)
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Handle bytes that the client has sent; the buffer may be used again afterwards."""
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -16,6 +16,7 @@
 from lanemux.net.admission import ConnectionAdmission
 from lanemux.net.client_connection import ClientConnection, Service
 from lanemux.net.connection_table import ConnectionTable
+from lanemux.net.read_pacer import ReadPacer
 from lanemux.net.send_progress import CLIENT_TIMEOUT_NS
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024
-READ_BYTES = 64 * 1024  # most bytes read from a connection at once
 ACCEPTS_PER_TURN = 16  # connections accepted per loop iteration
 FAILED_ACCEPTS = 8  # failed accepts per loop iteration
 ACCEPT_PAUSE_S = 0.05  # pause after an accept failed, for example for lack of descriptors
@@ -65,9 +65,7 @@
         self._pending: dict[ClientConnection, socket.socket] = {}
         self._capacity = capacity
         self.system = system
-        # Shared by all connections: what is read is handled at once. Reading into a new object of that size for each
-        # read would leave gaps between what is kept.
-        self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self.read_pacer = ReadPacer()
         self._connections: dict[ClientConnection, None] = {}  # in order of arrival
         self._idle = ConnectionTable()  # between requests
         self._awaiting_request = ConnectionTable()  # their first request is due, or the rest of one that has begun
