Large requests are taken on in a process that may be upgraded, also with 32 MB

With an inherited listener the process counts with half of its limit. Where nine tenths of that lie below what it takes at rest (32 MB), the guard called the account exhausted from the start, and every request over 4 KiB would have been refused, upgrade or not. The threshold is now at least what the account may take above the rest.

--- a/lanemux/net/memory_guard.py
+++ b/lanemux/net/memory_guard.py
@@ -6,7 +6,7 @@
 import logging
 
 from lanemux.core.allocator import Allocator
-from lanemux.core.memory_account import MB, USED_SHARE, MemoryAccount, account_limit_bytes
+from lanemux.core.memory_account import ALLOCATOR_OVERHEAD, MB, USED_SHARE, MemoryAccount, account_limit_bytes
 from lanemux.core.system import ProcessMemory, System
 
 log = logging.getLogger(__name__)
@@ -30,6 +30,7 @@
         self._limit_mb, self._processes = limit_mb, processes
         self._limit_bytes = int(limit_mb * MB) // processes
         account.limit_bytes = account_limit_bytes(limit_mb, self._limit_bytes, processes)  # the least, until `start`
+        self._exhausted_bytes = int(USED_SHARE * self._limit_bytes)  # resident from here on: nothing large is taken on
         self._loop = asyncio.get_running_loop()
         self._allocator = Allocator()
         self._timer: asyncio.TimerHandle | None = None
@@ -45,6 +46,9 @@
         if memory is not None:
             at_rest_bytes = max(0, memory.resident - self._account.used_bytes)
             self._account.limit_bytes = account_limit_bytes(self._limit_mb, at_rest_bytes, self._processes)
+            # Where the limit holds little more than the processes at rest, the account still has its least share.
+            account_bytes = int(ALLOCATOR_OVERHEAD * self._account.limit_bytes)
+            self._exhausted_bytes = max(self._exhausted_bytes, at_rest_bytes + account_bytes)
         self._check()
 
     def stop(self) -> None:
@@ -59,7 +63,7 @@
             return
         if self._loop.time() >= self._give_back_due_s or memory.resident > self._kept_bytes + GIVE_BACK_BYTES:
             memory = self._give_back(memory)
-        self._account.exhausted = 0 < self._limit_bytes * USED_SHARE < memory.resident
+        self._account.exhausted = self._limit_bytes > 0 and self._exhausted_bytes < memory.resident
         self._alert(memory)
         self._log_peak(memory)
 
